--- /dev/null
+++ b/tests/features/answers.feature
@@ -0,0 +1,12 @@
+Feature: Answers to errors
+
+  Scenario: Each error kind has one answer
+    Then each error kind has an answer with its own event number
+
+  Scenario: A message survives its codec
+    When a digest is serialized and parsed
+    Then the parsed message equals the digest
+
+  Scenario: Settings with an unknown name are refused with its place
+    When settings with the document {"instance_id": "a", "surprise": 1} are parsed
+    Then the settings are refused at "$" with "surprise"
--- /dev/null
+++ b/tests/features/steps/answers.py
@@ -0,0 +1,40 @@
+import json
+
+from behave import then, when
+
+from wigeondrift.errors import ANSWERS_BY_KIND, ErrorKind, SettingsError
+from wigeondrift.messages import Digest, parse_message, serialize_message
+from wigeondrift.settings import EntrySettings, parse_settings
+
+
+@then("each error kind has an answer with its own event number")
+def check_answers(context):
+    assert set(ANSWERS_BY_KIND) == set(ErrorKind)
+    numbers = {answer.event for answer in ANSWERS_BY_KIND.values()}
+    assert len(numbers) == len(ErrorKind)
+
+
+@when("a digest is serialized and parsed")
+def round_trip(context):
+    context.digest = Digest("a", 1, "127.0.0.1:1", "rajkot", 2, 3, 4)
+    context.parsed = parse_message(serialize_message(context.digest))
+
+
+@then("the parsed message equals the digest")
+def check_round_trip(context):
+    assert context.parsed == context.digest
+
+
+@when("settings with the document {document} are parsed")
+def parse_document(context, document):
+    context.refusal = None
+    try:
+        parse_settings("entry.json", json.dumps(json.loads(document)), EntrySettings)
+    except SettingsError as refusal:
+        context.refusal = refusal
+
+
+@then('the settings are refused at "{place}" with "{word}"')
+def check_refusal(context, place, word):
+    assert context.refusal.location == place
+    assert word in context.refusal.reason
--- /dev/null
+++ b/wigeondrift/errors.py
@@ -0,0 +1,199 @@
+"""Exception tree, closed list of error kinds and the answer to each kind."""
+
+import enum
+from typing import NamedTuple
+
+
+class Outcome(enum.StrEnum):
+    """What an answer says of the execution of its request."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.StrEnum):
+    """Closed list of the errors that a caller can be answered with."""
+
+    MALFORMED_REQUEST = "malformed_request"
+    REQUEST_TOO_LARGE = "request_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_PATH = "unknown_path"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    INVALID_PARAMETER = "invalid_parameter"
+    KEY_REQUIRED = "idempotency_key_required"
+    KEY_REUSED = "idempotency_key_reused"
+    CLAIM_PENDING = "claim_pending"
+    CLAIM_UNKNOWN = "claim_outcome_unknown"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    LIMIT_EXCEEDED = "limit_exceeded"
+    QUEUE_FULL = "queue_full"
+    QUEUE_TIMEOUT = "queue_timeout"
+    QUARANTINED = "quarantined"
+    NO_ROUTE = "no_route"
+    NO_UPSTREAM = "no_upstream"
+    NOT_READY = "not_ready"
+    STOPPING = "stopping"
+    UPSTREAM_REFUSED = "upstream_refused"
+    UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    STREAM_CUT = "stream_cut"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """Answer to one error kind.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    outcome : Outcome
+        Execution outcome unless the error carries a more exact one.
+    retry_after : int or None
+        Value of the ``Retry-After`` header, in seconds.
+    event : int
+        Number of the log event, see docs/EVENTS.md.
+    """
+
+    status: int
+    outcome: Outcome
+    retry_after: int | None
+    event: int
+
+
+ANSWERS_BY_KIND = {
+    ErrorKind.MALFORMED_REQUEST: Answer(400, Outcome.NOT_RUN, None, 2001),
+    ErrorKind.REQUEST_TOO_LARGE: Answer(413, Outcome.NOT_RUN, None, 2002),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(431, Outcome.NOT_RUN, None, 2003),
+    ErrorKind.REQUEST_TIMEOUT: Answer(408, Outcome.NOT_RUN, None, 2004),
+    ErrorKind.UNAUTHENTICATED: Answer(401, Outcome.NOT_RUN, None, 2005),
+    ErrorKind.FORBIDDEN: Answer(403, Outcome.NOT_RUN, None, 2006),
+    ErrorKind.UNKNOWN_PATH: Answer(404, Outcome.NOT_RUN, None, 2007),
+    ErrorKind.UNKNOWN_MODEL: Answer(404, Outcome.NOT_RUN, None, 2008),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, Outcome.NOT_RUN, None, 2009),
+    ErrorKind.INVALID_PARAMETER: Answer(422, Outcome.NOT_RUN, None, 2010),
+    ErrorKind.KEY_REQUIRED: Answer(428, Outcome.NOT_RUN, None, 2011),
+    ErrorKind.KEY_REUSED: Answer(422, Outcome.NOT_RUN, None, 2012),
+    ErrorKind.CLAIM_PENDING: Answer(409, Outcome.UNKNOWN, 1, 2013),
+    ErrorKind.CLAIM_UNKNOWN: Answer(409, Outcome.UNKNOWN, None, 2014),
+    ErrorKind.CLAIM_UNAVAILABLE: Answer(503, Outcome.NOT_RUN, 2, 2015),
+    ErrorKind.LIMIT_EXCEEDED: Answer(429, Outcome.NOT_RUN, 1, 2016),
+    ErrorKind.QUEUE_FULL: Answer(503, Outcome.NOT_RUN, 1, 2017),
+    ErrorKind.QUEUE_TIMEOUT: Answer(503, Outcome.NOT_RUN, 1, 2018),
+    ErrorKind.QUARANTINED: Answer(422, Outcome.NOT_RUN, None, 2019),
+    ErrorKind.NO_ROUTE: Answer(503, Outcome.NOT_RUN, 1, 2020),
+    ErrorKind.NO_UPSTREAM: Answer(503, Outcome.NOT_RUN, 1, 2021),
+    ErrorKind.NOT_READY: Answer(503, Outcome.NOT_RUN, 1, 2022),
+    ErrorKind.STOPPING: Answer(503, Outcome.NOT_RUN, 1, 2023),
+    ErrorKind.UPSTREAM_REFUSED: Answer(503, Outcome.NOT_RUN, 1, 2024),
+    ErrorKind.UPSTREAM_LOST: Answer(502, Outcome.UNKNOWN, None, 2025),
+    ErrorKind.UPSTREAM_TIMEOUT: Answer(504, Outcome.UNKNOWN, None, 2026),
+    ErrorKind.STREAM_CUT: Answer(502, Outcome.UNKNOWN, None, 2027),
+    ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN, None, 2028),
+}
+
+
+class WigeondriftError(Exception):
+    """Base of all exceptions that the package raises."""
+
+
+class RequestError(WigeondriftError):
+    """A caller's request that is answered with an error.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Kind of the error.
+    reason : str
+        Sentence for the caller; names no address and no secret.
+    outcome : Outcome, optional
+        Execution outcome; the kind's own when absent.
+    retry_after : int, optional
+        Seconds after which a retry may succeed; the kind's own when absent.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        reason: str,
+        outcome: Outcome | None = None,
+        retry_after: int | None = None,
+    ) -> None:
+        super().__init__(reason)
+        answer = ANSWERS_BY_KIND[kind]
+        self.kind = kind
+        self.reason = reason
+        self.status = answer.status
+        self.outcome = answer.outcome if outcome is None else outcome
+        self.retry_after = answer.retry_after if retry_after is None else retry_after
+
+
+class SettingsError(WigeondriftError):
+    """A settings file or table that does not pass its checks.
+
+    Parameters
+    ----------
+    path : str
+        File that holds the value.
+    location : str
+        Path of the value in the document, such as ``$.limits.body_bytes``.
+    reason : str
+        What is wrong with the value.
+    """
+
+    def __init__(self, path: str, location: str, reason: str) -> None:
+        super().__init__(f"{path}: {location}: {reason}")
+        self.path = path
+        self.location = location
+        self.reason = reason
+
+
+class PlatformError(WigeondriftError):
+    """Base of the errors of the platform's key-value service."""
+
+
+class PlatformUnavailable(PlatformError):
+    """The platform did not answer; a write may still have taken effect."""
+
+
+class PlatformThrottled(PlatformError):
+    """The platform refused the call for its rate; nothing was written."""
+
+
+class RevisionConflict(PlatformError):
+    """A compare-and-swap found another revision; nothing was written.
+
+    Parameters
+    ----------
+    key : str
+        Key of the value.
+    expected, found : int
+        Revisions; zero stands for an absent key.
+    """
+
+    def __init__(self, key: str, expected: int, found: int) -> None:
+        super().__init__(f"{key}: expected revision {expected}, found {found}")
+        self.key = key
+        self.expected = expected
+        self.found = found
+
+
+class TransportError(WigeondriftError):
+    """Base of the errors of a connection."""
+
+
+class ConnectFailed(TransportError):
+    """No connection was made, so no byte of the request was sent."""
+
+
+class ConnectionLost(TransportError):
+    """The connection broke or went silent after bytes had been sent."""
+
+
+class ProtocolViolation(TransportError):
+    """The other side sent something that its protocol does not allow."""
--- /dev/null
+++ b/wigeondrift/http.py
@@ -0,0 +1,566 @@
+"""HTTP/1.1 server and client over trio streams, framed by h11."""
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+
+import h11
+import trio
+
+from wigeondrift.errors import (
+    ConnectFailed,
+    ConnectionLost,
+    ErrorKind,
+    ProtocolViolation,
+    RequestError,
+)
+
+READ_SIZE_BYTES = 65536
+
+Headers = list[tuple[str, str]]
+
+
+class HttpLimits:
+    """Bounds on what one connection may hold or take.
+
+    Attributes
+    ----------
+    header_bytes : int
+        Largest request line and headers together.
+    body_bytes : int
+        Largest request body.
+    read_timeout : float
+        Longest time for the whole request to arrive, in seconds.
+    idle_timeout : float
+        Longest time between two requests on a connection, in seconds.
+    write_timeout : float
+        Longest time for one write to be taken by the peer, in seconds.
+    connections : int
+        Connections open at once.
+    """
+
+    __slots__ = (
+        "body_bytes",
+        "connections",
+        "header_bytes",
+        "idle_timeout",
+        "read_timeout",
+        "write_timeout",
+    )
+
+    def __init__(
+        self,
+        header_bytes: int = 16384,
+        body_bytes: int = 1048576,
+        read_timeout: float = 10.0,
+        idle_timeout: float = 60.0,
+        write_timeout: float = 10.0,
+        connections: int = 4096,
+    ) -> None:
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.read_timeout = read_timeout
+        self.idle_timeout = idle_timeout
+        self.write_timeout = write_timeout
+        self.connections = connections
+
+
+class Request:
+    """One received request with its whole body.
+
+    Attributes
+    ----------
+    method, target : str
+        As on the request line.
+    headers_by_name : dict of str to str
+        Header values by lower-case name; the last one of a repeated name.
+    body : bytes
+        Whole body.
+    """
+
+    __slots__ = ("body", "headers_by_name", "method", "target")
+
+    def __init__(
+        self, method: str, target: str, headers_by_name: dict[str, str], body: bytes
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers_by_name = headers_by_name
+        self.body = body
+
+    @property
+    def path(self) -> str:
+        """Target without its query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> str:
+        """Query of the target, without the question mark."""
+        return self.target.partition("?")[2]
+
+
+class Exchange:
+    """One request on a server connection and the answer being written.
+
+    A write to a peer that is gone raises ``ConnectionLost``.
+    """
+
+    __slots__ = ("_connection", "_limits", "_stream", "request", "started")
+
+    def __init__(
+        self,
+        request: Request,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        limits: HttpLimits,
+    ) -> None:
+        self.request = request
+        self.started = False
+        self._connection = connection
+        self._stream = stream
+        self._limits = limits
+
+    async def respond(
+        self, status: int, headers: Iterable[tuple[str, str]], body: bytes = b""
+    ) -> None:
+        """Send a whole answer in one write."""
+        head = h11.Response(
+            status_code=status,
+            headers=[*headers, ("Content-Length", str(len(body)))],
+        )
+        self.started = True
+        data = self._connection.send(head)
+        if body:
+            data += self._connection.send(h11.Data(data=body))
+        data += self._connection.send(h11.EndOfMessage())
+        await self._write(data)
+
+    async def start(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
+        """Send the head of an answer whose body follows in parts."""
+        head = h11.Response(
+            status_code=status, headers=[*headers, ("Transfer-Encoding", "chunked")]
+        )
+        self.started = True
+        await self._write(self._connection.send(head))
+
+    async def send(self, data: bytes) -> None:
+        """Send one part of the body."""
+        await self._write(self._connection.send(h11.Data(data=data)))
+
+    async def finish(self) -> None:
+        """End the body."""
+        await self._write(self._connection.send(h11.EndOfMessage()))
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            with trio.fail_after(self._limits.write_timeout):
+                await self._stream.send_all(data)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.TooSlowError,
+        ) as error:
+            raise ConnectionLost("the peer is gone") from error
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+ErrorResponder = Callable[[Exchange, RequestError], Awaitable[None]]
+
+
+async def respond_plainly(exchange: Exchange, error: RequestError) -> None:
+    """Answer a connection-level error with its status and reason."""
+    headers = [("Content-Type", "text/plain"), ("Connection", "close")]
+    await exchange.respond(error.status, headers, error.reason.encode())
+
+
+class HttpServer:
+    """Serves connections with one handler.
+
+    Parameters
+    ----------
+    handler : callable
+        Coroutine function that takes an ``Exchange`` and answers it whole.
+    limits : HttpLimits, optional
+        Bounds on each connection.
+    on_error : callable, optional
+        Coroutine function that answers a request that could not be read.
+    """
+
+    __slots__ = (
+        "_handler",
+        "_limits",
+        "_on_error",
+        "_open",
+        "_stopping",
+        "idle_scopes",
+    )
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: HttpLimits | None = None,
+        on_error: ErrorResponder = respond_plainly,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits or HttpLimits()
+        self._on_error = on_error
+        self._open = 0
+        self._stopping = False
+        self.idle_scopes: set[trio.CancelScope] = set()
+
+    def stop_keep_alive(self) -> None:
+        """Close idle connections now and the others after their answer."""
+        self._stopping = True
+        for scope in list(self.idle_scopes):
+            scope.cancel()
+
+    async def serve_stream(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection until it closes."""
+        if self._open >= self._limits.connections:
+            await trio.aclose_forcefully(stream)
+            return
+        self._open += 1
+        try:
+            await self._serve_requests(stream)
+        except (ConnectionLost, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._open -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, stream: trio.abc.Stream) -> None:
+        limits = self._limits
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        while True:
+            if not await self._await_first_byte(connection, stream):
+                return
+            request = await self._read_request(connection, stream)
+            if request is None:
+                return
+            exchange = Exchange(request, connection, stream, limits)
+            await self._handler(exchange)
+            reusable = (
+                connection.our_state is h11.DONE and connection.their_state is h11.DONE
+            )
+            if not reusable or self._stopping:
+                return
+            connection.start_next_cycle()
+
+    async def _await_first_byte(
+        self, connection: h11.Connection, stream: trio.abc.Stream
+    ) -> bool:
+        if connection.trailing_data[0]:
+            return True
+        with trio.move_on_after(self._limits.idle_timeout) as scope:
+            self.idle_scopes.add(scope)
+            try:
+                data = await stream.receive_some(READ_SIZE_BYTES)
+            finally:
+                self.idle_scopes.discard(scope)
+            connection.receive_data(data)
+            return bool(data)
+        return False
+
+    async def _read_request(
+        self, connection: h11.Connection, stream: trio.abc.Stream
+    ) -> Request | None:
+        try:
+            with trio.fail_after(self._limits.read_timeout):
+                return await self._read_events(connection, stream)
+        except trio.TooSlowError:
+            error = RequestError(ErrorKind.REQUEST_TIMEOUT, "the request came slowly")
+        except h11.RemoteProtocolError as violation:
+            kind = ErrorKind.MALFORMED_REQUEST
+            if violation.error_status_hint == 431:
+                kind = ErrorKind.HEADERS_TOO_LARGE
+            error = RequestError(kind, "the request is not valid HTTP/1.1")
+        except RequestError as refusal:
+            error = refusal
+        await self._refuse(connection, stream, error)
+        return None
+
+    async def _refuse(
+        self, connection: h11.Connection, stream: trio.abc.Stream, error: RequestError
+    ) -> None:
+        if connection.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        request = Request("", "", {}, b"")
+        exchange = Exchange(request, connection, stream, self._limits)
+        await self._on_error(exchange, error)
+
+    async def _read_events(
+        self, connection: h11.Connection, stream: trio.abc.Stream
+    ) -> Request | None:
+        head = None
+        body = bytearray()
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                if connection.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    await stream.send_all(connection.send(go_on))
+                connection.receive_data(await stream.receive_some(READ_SIZE_BYTES))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.body_bytes:
+                    raise RequestError(
+                        ErrorKind.REQUEST_TOO_LARGE, "the body is too large"
+                    )
+            elif isinstance(event, h11.EndOfMessage):
+                return _make_request(head, bytes(body))
+            else:
+                return None
+
+
+def _make_request(head: h11.Request, body: bytes) -> Request:
+    headers_by_name = {
+        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
+    }
+    return Request(
+        head.method.decode("ascii"),
+        head.target.decode("ascii"),
+        headers_by_name,
+        body,
+    )
+
+
+class ClientResponse:
+    """Answer to a client request whose body is read on demand.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    headers : list of (str, str)
+        Headers with lower-case names, in order.
+    """
+
+    __slots__ = ("_channel", "headers", "status")
+
+    def __init__(self, status: int, headers: Headers, channel: "ClientChannel") -> None:
+        self.status = status
+        self.headers = headers
+        self._channel = channel
+
+    def header(self, name: str) -> str | None:
+        """Return the value of the header of lower-case ``name``, if any."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    async def read(self, limit: int = 4 * 1048576) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        ProtocolViolation
+            If the body is longer than ``limit`` bytes.
+        ConnectionLost
+            If the body is cut.
+        """
+        body = bytearray()
+        async for data in self.iter_data():
+            body += data
+            if len(body) > limit:
+                raise ProtocolViolation("the answer is too large")
+        return bytes(body)
+
+    async def iter_data(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body as they arrive."""
+        while True:
+            event = await self._channel.next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+
+
+class ClientChannel:
+    """One client connection."""
+
+    __slots__ = ("_connection", "_stream")
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self._connection = h11.Connection(h11.CLIENT)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent on the connection."""
+        connection = self._connection
+        return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+
+    def start_next(self) -> None:
+        """Prepare for the next request."""
+        self._connection.start_next_cycle()
+
+    async def send(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> None:
+        """Send one whole request in one write."""
+        head = h11.Request(method=method, target=target, headers=headers)
+        data = self._connection.send(head)
+        if body:
+            data += self._connection.send(h11.Data(data=body))
+        data += self._connection.send(h11.EndOfMessage())
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionLost("the connection broke on sending") from error
+
+    async def next_event(self) -> h11.Event:
+        """Return the next event of the answer."""
+        while True:
+            try:
+                event = self._connection.next_event()
+                if event is not h11.NEED_DATA:
+                    break
+                data = await self._stream.receive_some(READ_SIZE_BYTES)
+                self._connection.receive_data(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise ConnectionLost("the connection broke") from error
+            except h11.RemoteProtocolError as error:
+                raise ConnectionLost("the answer was cut") from error
+        if isinstance(event, h11.ConnectionClosed):
+            raise ConnectionLost("the connection closed")
+        return event
+
+    async def read_head(self) -> ClientResponse:
+        """Return the answer after its head has arrived."""
+        event = await self.next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self.next_event()
+        headers = [
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in event.headers
+        ]
+        return ClientResponse(event.status_code, headers, self)
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        await trio.aclose_forcefully(self._stream)
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Split ``host:port`` into its two parts.
+
+    Raises
+    ------
+    ValueError
+        If there is no port or the port is not a number.
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class HttpClient:
+    """Client with a bounded pool of idle connections for each address.
+
+    Parameters
+    ----------
+    connect_timeout : float
+        Longest time for a connection to be made, in seconds.
+    idle_per_address : int
+        Idle connections kept for each address.
+    """
+
+    __slots__ = ("_connect_timeout", "_idle_by_address", "_idle_per_address")
+
+    def __init__(
+        self, connect_timeout: float = 1.0, idle_per_address: int = 16
+    ) -> None:
+        self._connect_timeout = connect_timeout
+        self._idle_per_address = idle_per_address
+        self._idle_by_address: dict[str, list[ClientChannel]] = {}
+
+    async def connect(self, address: str) -> ClientChannel:
+        """Return a new connection.
+
+        Raises
+        ------
+        ConnectFailed
+            If none could be made in time.
+        """
+        host, port = parse_address(address)
+        try:
+            with trio.fail_after(self._connect_timeout):
+                stream = await trio.open_tcp_stream(host, port)
+        except (OSError, trio.TooSlowError) as error:
+            raise ConnectFailed(f"no connection to {address}") from error
+        return ClientChannel(stream)
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        *,
+        head_timeout: float = 10.0,
+        fresh: bool = False,
+    ) -> AsyncIterator[ClientResponse]:
+        """Send a request and enter with its answer.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the server.
+        method, target : str
+            Request line.
+        headers : list of (str, str), optional
+            Headers besides ``Host`` and ``Content-Length``.
+        body : bytes
+            Whole body.
+        head_timeout : float
+            Longest time until the head of the answer, in seconds.
+        fresh : bool
+            Whether to open a new connection even if an idle one is at hand.
+
+        Raises
+        ------
+        ConnectFailed
+            If no byte of the request was sent.
+        ConnectionLost
+            If the connection broke or stayed silent after bytes were sent.
+        """
+        channel = None if fresh else self._take_idle(address)
+        if channel is None:
+            channel = await self.connect(address)
+        whole = [("Host", address), ("Content-Length", str(len(body)))]
+        whole.extend(headers or [])
+        try:
+            try:
+                with trio.fail_after(head_timeout):
+                    await channel.send(method, target, whole, body)
+                    response = await channel.read_head()
+            except trio.TooSlowError as error:
+                raise ConnectionLost(f"{address} stayed silent") from error
+            yield response
+        except BaseException:
+            await channel.close()
+            raise
+        await self._give_back(address, channel)
+
+    def _take_idle(self, address: str) -> ClientChannel | None:
+        idle = self._idle_by_address.get(address)
+        return idle.pop() if idle else None
+
+    async def _give_back(self, address: str, channel: ClientChannel) -> None:
+        idle = self._idle_by_address.setdefault(address, [])
+        if channel.is_reusable and len(idle) < self._idle_per_address:
+            channel.start_next()
+            idle.append(channel)
+        else:
+            await channel.close()
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle_by_address.values():
+            while idle:
+                await idle.pop().close()
--- /dev/null
+++ b/wigeondrift/post.py
@@ -0,0 +1,85 @@
+"""One-way messages between processes over pynng push and pull sockets."""
+
+import pynng
+import trio
+
+from wigeondrift.messages import Message, parse_message, serialize_message
+
+MESSAGE_BYTES = 4 * 1048576
+SEND_QUEUE_MESSAGES = 64
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1000
+PEERS = 1024
+
+
+class PostOffice:
+    """Takes messages at one address and sends them to others.
+
+    Sending never waits: a message that finds the peer's queue full is dropped,
+    since a later one says the same.
+
+    Parameters
+    ----------
+    listen : str
+        ``host:port`` to take messages at.
+    """
+
+    __slots__ = ("_inbox", "_outboxes_by_address", "dropped", "received", "sent_bytes")
+
+    def __init__(self, listen: str) -> None:
+        self._inbox = pynng.Pull0(listen=f"tcp://{listen}")
+        self._inbox.recv_max_size = MESSAGE_BYTES
+        self._outboxes_by_address: dict[str, pynng.Push0] = {}
+        self.dropped = 0
+        self.received = 0
+        self.sent_bytes = 0
+
+    async def receive(self) -> Message:
+        """Return the next message; those that do not decode are dropped."""
+        while True:
+            data = await self._inbox.arecv()
+            self.received += 1
+            try:
+                return parse_message(data)
+            except ValueError:
+                self.dropped += 1
+
+    def send(self, address: str, message: Message) -> bool:
+        """Queue ``message`` for ``address``; false if it was dropped."""
+        outbox = self._outboxes_by_address.get(address)
+        if outbox is None:
+            outbox = self._open_outbox(address)
+        data = serialize_message(message)
+        try:
+            outbox.send(data, block=False)
+        except pynng.TryAgain:
+            self.dropped += 1
+            return False
+        self.sent_bytes += len(data)
+        return True
+
+    def _open_outbox(self, address: str) -> pynng.Push0:
+        if len(self._outboxes_by_address) >= PEERS:
+            oldest = next(iter(self._outboxes_by_address))
+            self.forget(oldest)
+        outbox = pynng.Push0(
+            send_buffer_size=SEND_QUEUE_MESSAGES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        outbox.dial(f"tcp://{address}", block=False)
+        self._outboxes_by_address[address] = outbox
+        return outbox
+
+    def forget(self, address: str) -> None:
+        """Close the connection to ``address``, if any."""
+        outbox = self._outboxes_by_address.pop(address, None)
+        if outbox is not None:
+            outbox.close()
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        for address in list(self._outboxes_by_address):
+            self.forget(address)
+        self._inbox.close()
+        await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/wigeondrift/tables.py
@@ -0,0 +1,78 @@
+"""Tables of one process that its systems run over."""
+
+from wigeondrift.entities import Instance, InstanceState, LoadReport, Role
+from wigeondrift.messages import Slice
+from wigeondrift.table import Table
+
+
+class HeldSlice:
+    """Granted part of a limit with its end.
+
+    Attributes
+    ----------
+    granted : Slice
+        As its owner sent it.
+    ends_at : float
+        Time from which it is no longer valid, in seconds of the process's clock.
+    """
+
+    __slots__ = ("ends_at", "granted")
+
+    def __init__(self, granted: Slice, ends_at: float) -> None:
+        self.granted = granted
+        self.ends_at = ends_at
+
+
+class Tables:
+    """What one process knows of the world outside.
+
+    Attributes
+    ----------
+    table : Table
+        Operators' table in force.
+    table_version : int
+        Its version; zero before any is known.
+    instances_by_id : dict of str to Instance
+        Newest incarnation of each instance, leave marks merged in.
+    instances_revision : int
+        Revision of the platform's list; zero before any is known.
+    loads_by_id : dict of str to LoadReport
+        Newest load report of each upstream.
+    slices_by_row : dict of str to HeldSlice
+        Granted limits by ``team/service``.
+    quarantined : set of str
+        Fingerprints that are refused.
+    entries : int
+        Entries of this system that are reachable and not stopping; at least one.
+    """
+
+    __slots__ = (
+        "entries",
+        "instances_by_id",
+        "instances_revision",
+        "loads_by_id",
+        "quarantined",
+        "slices_by_row",
+        "table",
+        "table_version",
+    )
+
+    def __init__(self) -> None:
+        self.table = Table()
+        self.table_version = 0
+        self.instances_by_id: dict[str, Instance] = {}
+        self.instances_revision = 0
+        self.loads_by_id: dict[str, LoadReport] = {}
+        self.slices_by_row: dict[str, HeldSlice] = {}
+        self.quarantined: set[str] = set()
+        self.entries = 1
+
+    def list_upstreams(self, service: str, role: Role) -> list[Instance]:
+        """Return the live upstreams of a service."""
+        return [
+            instance
+            for instance in self.instances_by_id.values()
+            if instance.service == service
+            and instance.role is role
+            and instance.state is InstanceState.LIVE
+        ]
--- /dev/null
+++ b/wigeondrift/timer.py
@@ -0,0 +1,101 @@
+"""Timer service that parts subscribe to."""
+
+import abc
+from collections.abc import Awaitable, Callable
+
+import trio
+
+Callback = Callable[[float], Awaitable[None]]
+
+
+class Clock(abc.ABC):
+    """Source of time."""
+
+    @abc.abstractmethod
+    def now(self) -> float:
+        """Return the time in seconds from an arbitrary origin."""
+
+
+class TrioClock(Clock):
+    """Clock of the running event loop; virtual under ``trio.testing.MockClock``."""
+
+    __slots__ = ()
+
+    def now(self) -> float:
+        """Return the event loop's time in seconds."""
+        return trio.current_time()
+
+
+class ManualClock(Clock):
+    """Clock that its owner moves.
+
+    Parameters
+    ----------
+    start : float
+        First reading in seconds.
+    """
+
+    __slots__ = ("_now",)
+
+    def __init__(self, start: float = 0.0) -> None:
+        self._now = start
+
+    def now(self) -> float:
+        """Return the reading in seconds."""
+        return self._now
+
+    def advance(self, seconds: float) -> None:
+        """Move the reading forward by ``seconds``."""
+        self._now += seconds
+
+
+class Subscription:
+    """One periodic callback.
+
+    Attributes
+    ----------
+    interval : float
+        Time between two calls in seconds.
+    callback : callable
+        Coroutine function that takes the current time in seconds.
+    """
+
+    __slots__ = ("callback", "interval", "name")
+
+    def __init__(self, name: str, interval: float, callback: Callback) -> None:
+        self.name = name
+        self.interval = interval
+        self.callback = callback
+
+
+class TimerService:
+    """Calls its subscribers periodically.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of the time that is passed to the callbacks.
+    """
+
+    __slots__ = ("_clock", "subscriptions_by_name")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.subscriptions_by_name: dict[str, Subscription] = {}
+
+    def subscribe(self, name: str, interval: float, callback: Callback) -> None:
+        """Register ``callback`` to run every ``interval`` seconds."""
+        self.subscriptions_by_name[name] = Subscription(name, interval, callback)
+
+    async def run(self) -> None:
+        """Run all subscriptions until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for subscription in self.subscriptions_by_name.values():
+                nursery.start_soon(self._repeat, subscription)
+
+    async def _repeat(self, subscription: Subscription) -> None:
+        due = trio.current_time()
+        while True:
+            await subscription.callback(self._clock.now())
+            due = max(due + subscription.interval, trio.current_time())
+            await trio.sleep_until(due)
--- /dev/null
+++ b/wigeondrift_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator of the systems that wigeondrift serves and depends on."""
