Bound whole heads and drain refused connections

Cause: h11's max_incomplete_event_size bounds a head only while it is incomplete; a head of 4,000 bytes that came in one read passed a bound of 2,048. A refused body also closed the socket with bytes unread, so that a reset could overtake the answer. Ruled out: a smaller read size, which would only make the hole smaller.

--- /dev/null
+++ b/tests/features/steps/http.py
@@ -0,0 +1,154 @@
+import trio
+from behave import given, then, when
+from trio.testing import MockClock, memory_stream_pair
+
+from tests.processes import free_address
+from wigeondrift.errors import ConnectFailed, ConnectionLost
+from wigeondrift.http import HttpClient, HttpLimits, HttpServer
+
+HEAD = b"POST /echo HTTP/1.1\r\nHost: a\r\n"
+BYTES_BY_NAME = {
+    "an oversized header": HEAD + b"X: " + b"y" * 4000 + b"\r\n\r\n",
+    "an oversized body": HEAD + b"Content-Length: 2000\r\n\r\n" + b"y" * 2000,
+    "something other than HTTP": b"\x16\x03\x01\x02\r\n\r\n",
+    "half a request and waits": HEAD + b"Content-Length: 9\r\n\r\nhalf",
+    "half a request and EOF": HEAD + b"Content-Length: 9\r\n\r\nhalf",
+    "a whole request and EOF": HEAD + b"Content-Length: 4\r\n\r\nbody",
+}
+
+
+async def echo(exchange):
+    await exchange.respond(200, [], exchange.request.body)
+
+
+@given(
+    "an echo server with a header bound of {header:d} and a body bound of {body:d}"
+    " bytes"
+)
+def make_server(context, header, body):
+    context.server = HttpServer(echo, HttpLimits(header_bytes=header, body_bytes=body))
+
+
+@when("a peer sends {name}")
+def send_bytes(context, name):
+    async def talk():
+        ours, theirs = memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.server.serve_stream, theirs)
+            await ours.send_all(BYTES_BY_NAME[name])
+            if name.endswith("EOF"):
+                await ours.send_eof()
+            context.answer = b""
+            while data := await ours.receive_some(65536):
+                context.answer += data
+
+    trio.run(talk, clock=MockClock(autojump_threshold=0))
+
+
+@then("the peer reads status {status:d} and the end of the connection")
+def check_status(context, status):
+    assert context.answer.startswith(b"HTTP/1.1 %d " % status), context.answer
+
+
+async def count_and_serve(context, handler, nursery):
+    context.accepted = 0
+
+    async def serve(stream):
+        context.accepted += 1
+        await handler(stream)
+
+    address = free_address()
+    host, port = address.split(":")
+    await nursery.start(
+        lambda task_status: trio.serve_tcp(
+            serve, int(port), host=host, task_status=task_status
+        )
+    )
+    return address
+
+
+@when('a client sends "{first}" and then "{second}"')
+def send_two(context, first, second):
+    async def talk():
+        client = HttpClient()
+        async with trio.open_nursery() as nursery:
+            address = await count_and_serve(
+                context, context.server.serve_stream, nursery
+            )
+            context.read = []
+            for text in (first, second):
+                async with client.request(
+                    address, "POST", "/echo", body=text.encode()
+                ) as response:
+                    context.read.append((await response.read()).decode())
+            await client.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(talk)
+
+
+@then('the client reads "{first}" and then "{second}" over {count:d} connection')
+def check_two(context, first, second, count):
+    assert context.read == [first, second]
+    assert context.accepted == count
+
+
+async def request_once(address, **options):
+    async with HttpClient().request(address, "GET", "/", **options) as response:
+        await response.read()
+
+
+def raises(kind, function, *arguments):
+    try:
+        trio.run(function, *arguments)
+    except kind:
+        return
+    raise AssertionError(f"{kind.__name__} was not raised")
+
+
+@then("a request to a closed port raises ConnectFailed")
+def check_closed(context):
+    raises(ConnectFailed, request_once, free_address())
+
+
+@then("a request to a silent server raises ConnectionLost")
+def check_silent(context):
+    async def stay_silent(stream):
+        await trio.sleep_forever()
+
+    async def talk():
+        async with trio.open_nursery() as nursery:
+            address = await count_and_serve(context, stay_silent, nursery)
+            try:
+                await request_once(address, head_timeout=0.05)
+            finally:
+                nursery.cancel_scope.cancel()
+
+    raises_from_group(ConnectionLost, talk)
+
+
+@then("an answer that ends before its length raises ConnectionLost")
+def check_cut(context):
+    async def cut(stream):
+        await stream.receive_some(65536)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+        await stream.aclose()
+
+    async def talk():
+        async with trio.open_nursery() as nursery:
+            address = await count_and_serve(context, cut, nursery)
+            try:
+                await request_once(address)
+            finally:
+                nursery.cancel_scope.cancel()
+
+    raises_from_group(ConnectionLost, talk)
+
+
+def raises_from_group(kind, function):
+    raised = False
+    try:
+        trio.run(function)
+    except* kind:
+        raised = True
+    assert raised, f"{kind.__name__} was not raised"
--- a/wigeondrift/http.py
+++ b/wigeondrift/http.py
@@ -15,6 +15,8 @@
 )
 
 READ_SIZE_BYTES = 65536
+DRAIN_SECONDS = 1.0
+DRAIN_READS = 64
 
 Headers = list[tuple[str, str]]
 
@@ -288,6 +290,14 @@
         request = Request("", "", {}, b"")
         exchange = Exchange(request, connection, stream, self._limits)
         await self._on_error(exchange, error)
+        await _drain(stream)
+
+    def _check_head(self, head: h11.Request) -> None:
+        # h11 bounds a head only while it is incomplete.
+        size = len(head.target)
+        size += sum(len(name) + len(value) for name, value in head.headers)
+        if size > self._limits.header_bytes:
+            raise RequestError(ErrorKind.HEADERS_TOO_LARGE, "the headers are too large")
 
     async def _read_events(
         self, connection: h11.Connection, stream: trio.abc.Stream
@@ -302,6 +312,7 @@
                     await stream.send_all(connection.send(go_on))
                 connection.receive_data(await stream.receive_some(READ_SIZE_BYTES))
             elif isinstance(event, h11.Request):
+                self._check_head(event)
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
@@ -315,6 +326,16 @@
                 return None
 
 
+async def _drain(stream: trio.abc.Stream) -> None:
+    """Read on for a bounded time, so that a reset does not overtake the answer."""
+    if isinstance(stream, trio.abc.HalfCloseableStream):
+        await stream.send_eof()
+    with trio.move_on_after(DRAIN_SECONDS):
+        for _ in range(DRAIN_READS):
+            if not await stream.receive_some(READ_SIZE_BYTES):
+                return
+
+
 def _make_request(head: h11.Request, body: bytes) -> Request:
     headers_by_name = {
         name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
