Add the platform's stand-in, its store in memory and over HTTP

The same twelve cases run over the memory form in virtual time and over the HTTP form on loopback.

Seen to fail: with the revision check of compare-and-swap out, 'compare and swap' fails in both forms; with stale views out, 'stale reads' and 'instance list' fail in both.

--- /dev/null
+++ b/tests/features/steps/platform_store.py
@@ -0,0 +1,100 @@
+import msgspec
+import trio
+from behave import given, then, when
+
+from tests.platform_cases import refusal_of, run_case
+from tests.processes import Process, free_address
+from wigeondrift.entities import InstanceState
+from wigeondrift.errors import PlatformUnavailable
+from wigeondrift.http import HttpClient
+from wigeondrift.platform_http import HttpPlatformStore
+
+
+@then('the platform store in {form} passes the case "{name}"')
+def check_case(context, form, name):
+    run_case(name, form)
+
+
+def call_control(address, path, document=None):
+    """Return status and decoded answer of a control call."""
+
+    async def call():
+        client = HttpClient()
+        method = "GET" if document is None else "POST"
+        body = b"" if document is None else msgspec.json.encode(document)
+        async with client.request(address, method, path, body=body) as response:
+            answer = response.status, msgspec.json.decode(await response.read())
+        await client.close()
+        return answer
+
+    return trio.run(call)
+
+
+def call_store(address, run):
+    """Return the result of ``run`` with a store at the address."""
+
+    async def call():
+        client = HttpClient()
+        result = await run(HttpPlatformStore(client, address))
+        await client.close()
+        return result
+
+    return trio.run(call)
+
+
+@given("the platform emulator runs with two addresses")
+def start_emulator(context):
+    context.addresses = [free_address(), free_address()]
+    arguments = [
+        part for address in context.addresses for part in ("--listen", address)
+    ]
+    context.process = Process("wigeondrift_emulator.platform", arguments)
+    context.closers = [context.process.kill]
+    context.process.wait_for_event("started")
+
+
+@when("its control cuts the first address")
+def cut_first(context):
+    faults = {"down_by_caller": {context.addresses[0]: "reset"}}
+    status, report = call_control(context.addresses[0], "/control", faults)
+    assert status == 200
+    assert report["faults"]["down_by_caller"] == faults["down_by_caller"]
+
+
+@then("a call to the first address fails and one to the second succeeds")
+def check_cut(context):
+    async def fail(store):
+        return await refusal_of(PlatformUnavailable, store.get, "k")
+
+    call_store(context.addresses[0], fail)
+    revision = call_store(context.addresses[1], lambda store: store.put("k", b"", 0))
+    assert revision > 0
+
+
+@then("its control counts the calls")
+def check_counts(context):
+    _, report = call_control(context.addresses[1], "/control")
+    assert report["calls_by_name"] == {"put": 1}
+
+
+@then("its control refuses an unknown fault")
+def check_unknown_fault(context):
+    status, refusal = call_control(context.addresses[1], "/control", {"surprise": 1})
+    assert status == 422
+    assert "surprise" in refusal["reason"]
+
+
+@then("its control marks an instance as leaving")
+def check_leaving(context):
+    instance = {
+        "instance_id": "a",
+        "incarnation": 1,
+        "role": "runner",
+        "address": "127.0.0.1:9",
+        "failure_domain": "rajkot",
+    }
+    path = "/control/instances"
+    call_control(context.addresses[1], path, {"put": [instance]})
+    call_control(context.addresses[1], path, {"leaving": ["a"]})
+    seen = call_store(context.addresses[1], lambda store: store.list_instances(0, 0.0))
+    assert [one.state for one in seen.instances] == [InstanceState.LEAVING]
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -165,6 +165,13 @@
     """The platform refused the call for its rate; nothing was written."""
 
 
+class PlatformRefused(PlatformError):
+    """The platform refused the call as invalid; nothing was written.
+
+    Such as a value that is too large or a lease that has ended.
+    """
+
+
 class RevisionConflict(PlatformError):
     """A compare-and-swap found another revision; nothing was written.
 
--- /dev/null
+++ b/wigeondrift/platform_http.py
@@ -0,0 +1,144 @@
+"""Platform store over HTTP, see docs/PLATFORM.md for the protocol."""
+
+from typing import TypeVar
+
+import msgspec
+import trio
+
+from wigeondrift.errors import (
+    PlatformRefused,
+    PlatformThrottled,
+    PlatformUnavailable,
+    RevisionConflict,
+    TransportError,
+)
+from wigeondrift.http import HttpClient
+from wigeondrift.platform import InstanceList, PlatformStore, Versioned
+from wigeondrift.platform_calls import (
+    NAMES_BY_CALL,
+    PATH_PREFIX,
+    Call,
+    DeleteCall,
+    GetCall,
+    GrantLeaseCall,
+    KeysAnswer,
+    LeaseAnswer,
+    ListInstancesCall,
+    ListKeysCall,
+    PutAnswer,
+    PutCall,
+    Refusal,
+    RefusalKind,
+    RenewLeaseCall,
+    WatchCall,
+)
+
+CALL_TIMEOUT_SECONDS = 2.0
+REUSE_SECONDS = 5.0
+STATUS_OK = 200
+
+AnswerType = TypeVar("AnswerType")
+
+
+class HttpPlatformStore(PlatformStore):
+    """Store reached at an address.
+
+    Parameters
+    ----------
+    client : HttpClient
+    address : str
+        ``host:port`` of the service.
+    call_timeout : float
+        Longest time for an answer, in seconds, besides the wait of a watch.
+    """
+
+    __slots__ = ("_address", "_answered_at", "_call_timeout", "_client")
+
+    def __init__(
+        self,
+        client: HttpClient,
+        address: str,
+        call_timeout: float = CALL_TIMEOUT_SECONDS,
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._call_timeout = call_timeout
+        self._answered_at = -REUSE_SECONDS
+
+    async def get(self, key: str) -> Versioned:
+        """Return the value of ``key``."""
+        return await self._ask(GetCall(key), Versioned)
+
+    async def put(self, key: str, value: bytes, expected: int, lease: str = "") -> int:
+        """Write ``value`` if the key is at revision ``expected``."""
+        call = PutCall(key, value, expected, lease)
+        return (await self._ask(call, PutAnswer)).revision
+
+    async def delete(self, key: str, expected: int) -> None:
+        """Delete the key if it is at revision ``expected``."""
+        await self._ask(DeleteCall(key, expected), PutAnswer)
+
+    async def list_keys(self, prefix: str, limit: int = 1000) -> list[str]:
+        """Return up to ``limit`` keys that start with ``prefix``, sorted."""
+        answer = await self._ask(ListKeysCall(prefix, limit), KeysAnswer)
+        return list(answer.keys)
+
+    async def watch(self, key: str, after: int, wait: float) -> Versioned:
+        """Return the value once its revision is not ``after``."""
+        return await self._ask(WatchCall(key, after, wait), Versioned, wait)
+
+    async def grant_lease(self, seconds: float) -> str:
+        """Return the name of a new lease that ends after ``seconds``."""
+        return (await self._ask(GrantLeaseCall(seconds), LeaseAnswer)).lease
+
+    async def renew_lease(self, lease: str) -> bool:
+        """Extend a lease by its full time; false if it has ended."""
+        return (await self._ask(RenewLeaseCall(lease), LeaseAnswer)).live
+
+    async def list_instances(self, after: int, wait: float) -> InstanceList:
+        """Return the list once its revision is not ``after``."""
+        return await self._ask(ListInstancesCall(after, wait), InstanceList, wait)
+
+    async def _ask(
+        self, call: Call, kind: type[AnswerType], wait: float = 0.0
+    ) -> AnswerType:
+        timeout = self._call_timeout + wait
+        try:
+            with trio.fail_after(timeout):
+                status, body = await self._exchange(call, timeout)
+        except (TransportError, trio.TooSlowError) as error:
+            self._answered_at = -REUSE_SECONDS
+            raise PlatformUnavailable(f"{self._address}: {error}") from error
+        self._answered_at = trio.current_time()
+        if status != STATUS_OK:
+            raise _make_error(call, status, body)
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise PlatformUnavailable(f"{self._address}: {error}") from error
+
+    async def _exchange(self, call: Call, timeout: float) -> tuple[int, bytes]:
+        # A connection that was idle for long or failed before may be dead.
+        fresh = trio.current_time() - self._answered_at > REUSE_SECONDS
+        async with self._client.request(
+            self._address,
+            "POST",
+            PATH_PREFIX + NAMES_BY_CALL[type(call)],
+            [("Content-Type", "application/json")],
+            msgspec.json.encode(call),
+            head_timeout=timeout,
+            fresh=fresh,
+        ) as response:
+            return response.status, await response.read()
+
+
+def _make_error(call: Call, status: int, body: bytes) -> Exception:
+    try:
+        refusal = msgspec.json.decode(body, type=Refusal)
+    except msgspec.MsgspecError:
+        return PlatformUnavailable(f"the platform answered with status {status}")
+    if refusal.kind is RefusalKind.CONFLICT:
+        return RevisionConflict(call.key, call.expected, refusal.found)
+    if refusal.kind is RefusalKind.THROTTLED:
+        return PlatformThrottled(refusal.reason)
+    return PlatformRefused(refusal.reason)
--- /dev/null
+++ b/wigeondrift_emulator/platform.py
@@ -0,0 +1,244 @@
+"""Emulator of the platform's key-value service and instance list.
+
+The protocol is HTTP/1.1 with JSON bodies; docs/PLATFORM.md holds the whole of it.
+``POST /v1/CALL`` takes one of the calls of ``wigeondrift.platform_calls`` and is
+answered with status 200 and its answer, or with 409, 422 or 429 and a ``Refusal``,
+after which nothing was written. A connection that ends without an answer leaves open
+whether a write took effect.
+
+Control, not counted and answered in any outage:
+
+- ``GET /control``: a ``ControlReport`` with counts of calls and the faults in force.
+- ``POST /control``: sets the named fields of ``wigeondrift.platform_core.Faults``.
+- ``POST /control/instances``: an ``InstancesUpdate``.
+
+Each ``--listen`` address is one caller in ``Faults.down_by_caller``, so that a failure
+domain with an address of its own can be cut off alone.
+"""
+
+import functools
+import logging
+import math
+from collections.abc import Awaitable, Callable
+
+import cyclopts
+import msgspec
+import trio
+
+from wigeondrift.entities import InstanceState
+from wigeondrift.errors import (
+    ConnectionLost,
+    PlatformRefused,
+    PlatformThrottled,
+    PlatformUnavailable,
+    RevisionConflict,
+)
+from wigeondrift.events import Event, configure_logging, log_event
+from wigeondrift.http import (
+    Exchange,
+    HttpLimits,
+    HttpServer,
+    parse_address,
+)
+from wigeondrift.platform_calls import (
+    CALLS_BY_NAME,
+    PATH_PREFIX,
+    STATUSES_BY_REFUSAL,
+    Answer,
+    Call,
+    ControlReport,
+    DeleteCall,
+    GetCall,
+    GrantLeaseCall,
+    InstancesUpdate,
+    KeysAnswer,
+    LeaseAnswer,
+    ListInstancesCall,
+    ListKeysCall,
+    PutAnswer,
+    PutCall,
+    Refusal,
+    RefusalKind,
+    RenewLeaseCall,
+    WatchCall,
+)
+from wigeondrift.platform_core import Faults, StoreCore
+from wigeondrift.platform_memory import MemoryStore
+
+BODY_BYTES = 2 * 1048576
+CONNECTIONS = 16384
+JSON_HEADERS = [("Content-Type", "application/json")]
+STATUS_NOT_FOUND = 404
+
+
+async def run_call(store: MemoryStore, call: Call) -> Answer:
+    """Carry out one call and return its answer; raises as the store does."""
+    match call:
+        case GetCall(key):
+            return await store.get(key)
+        case PutCall(key, value, expected, lease):
+            return PutAnswer(await store.put(key, value, expected, lease))
+        case DeleteCall(key, expected):
+            await store.delete(key, expected)
+            return PutAnswer(0)
+        case ListKeysCall(prefix, limit):
+            return KeysAnswer(tuple(await store.list_keys(prefix, limit)))
+        case WatchCall(key, after, wait):
+            return await store.watch(key, after, wait)
+        case GrantLeaseCall(seconds):
+            return LeaseAnswer(await store.grant_lease(seconds), True)
+        case RenewLeaseCall(lease):
+            return LeaseAnswer(lease, await store.renew_lease(lease))
+        case ListInstancesCall(after, wait):
+            return await store.list_instances(after, wait)
+    raise PlatformRefused("unknown call")
+
+
+class PlatformEmulator:
+    """HTTP in front of a store in memory.
+
+    Parameters
+    ----------
+    faults : Faults
+        Faults and rates at the start.
+    seed : int
+        Seeds the choice of the answers that are lost.
+    """
+
+    __slots__ = ("_stores_by_caller", "store")
+
+    def __init__(self, faults: Faults, seed: int = 0) -> None:
+        core = StoreCore(faults, seed)
+        self.store = MemoryStore(core, call_timeout=math.inf)
+        self._stores_by_caller: dict[str, MemoryStore] = {}
+
+    def make_server(self, caller: str) -> HttpServer:
+        """Return a server for the connections of one caller."""
+        store = self.store.connect(caller)
+        self._stores_by_caller[caller] = store
+        limits = HttpLimits(
+            body_bytes=BODY_BYTES, connections=CONNECTIONS, idle_timeout=math.inf
+        )
+        return HttpServer(functools.partial(self._handle, store), limits)
+
+    async def _handle(self, store: MemoryStore, exchange: Exchange) -> None:
+        path = exchange.request.path
+        if path.startswith(PATH_PREFIX):
+            await self._handle_call(store, exchange)
+        elif path == "/control":
+            await self._answer_control(exchange, self._control)
+        elif path == "/control/instances":
+            await self._answer_control(exchange, self._control_instances)
+        else:
+            await exchange.respond(STATUS_NOT_FOUND, JSON_HEADERS, b"{}")
+
+    async def _handle_call(self, store: MemoryStore, exchange: Exchange) -> None:
+        name = exchange.request.path.removeprefix(PATH_PREFIX)
+        try:
+            kind = CALLS_BY_NAME.get(name)
+            if kind is None:
+                raise PlatformRefused("unknown call")
+            call = msgspec.json.decode(exchange.request.body, type=kind)
+            answer = await run_call(store, call)
+        except RevisionConflict as error:
+            refusal = Refusal(RefusalKind.CONFLICT, str(error), error.found)
+        except PlatformThrottled as error:
+            refusal = Refusal(RefusalKind.THROTTLED, str(error))
+        except (PlatformRefused, msgspec.MsgspecError) as error:
+            refusal = Refusal(RefusalKind.INVALID, str(error))
+        except PlatformUnavailable as error:
+            raise ConnectionLost("no answer is given") from error
+        else:
+            await exchange.respond(200, JSON_HEADERS, msgspec.json.encode(answer))
+            return
+        status = STATUSES_BY_REFUSAL[refusal.kind]
+        await exchange.respond(status, JSON_HEADERS, msgspec.json.encode(refusal))
+
+    async def _answer_control(
+        self, exchange: Exchange, change: Callable[[Exchange], Awaitable[None]]
+    ) -> None:
+        try:
+            if exchange.request.method == "POST":
+                await change(exchange)
+        except msgspec.MsgspecError as error:
+            refusal = Refusal(RefusalKind.INVALID, str(error))
+            body = msgspec.json.encode(refusal)
+            status = STATUSES_BY_REFUSAL[RefusalKind.INVALID]
+            await exchange.respond(status, JSON_HEADERS, body)
+            return
+        report = msgspec.json.encode(self.make_report())
+        await exchange.respond(200, JSON_HEADERS, report)
+
+    async def _control(self, exchange: Exchange) -> None:
+        changes = msgspec.json.decode(exchange.request.body, type=dict[str, object])
+        merged = {**msgspec.to_builtins(self.store.faults), **changes}
+        faults = msgspec.convert(merged, Faults)
+        for field in msgspec.structs.fields(Faults):
+            self.store.change_faults(**{field.name: getattr(faults, field.name)})
+
+    async def _control_instances(self, exchange: Exchange) -> None:
+        update = msgspec.json.decode(exchange.request.body, type=InstancesUpdate)
+        current = self.store.core.newest_instances.instances
+        leaving = tuple(
+            msgspec.structs.replace(instance, state=InstanceState.LEAVING)
+            for instance in (*current, *update.put)
+            if instance.instance_id in update.leaving
+        )
+        self.store.update_instances((*update.put, *leaving), update.removed)
+
+    def make_report(self) -> ControlReport:
+        """Return counts and faults."""
+        core = self.store.core
+        watching = sum(store.watching for store in self._stores_by_caller.values())
+        return ControlReport(
+            calls_by_name=core.calls_by_name,
+            throttled=core.throttled,
+            watching=watching,
+            faults=msgspec.to_builtins(core.faults),
+        )
+
+    async def serve(self, addresses: list[str]) -> None:
+        """Serve at each of the addresses until cancelled."""
+        logger = logging.getLogger("wigeondrift")
+        async with trio.open_nursery() as nursery:
+            for address in addresses:
+                host, port = parse_address(address)
+                listeners = await trio.open_tcp_listeners(port, host=host)
+                server = self.make_server(address)
+                nursery.start_soon(trio.serve_listeners, server.serve_stream, listeners)
+            log_event(logger, logging.INFO, Event.STARTED, listen=addresses)
+
+
+app = cyclopts.App(name="platform", help=__doc__.partition("\n")[0])
+
+
+@app.default
+def run(
+    *,
+    listen: list[str],
+    writes_per_second: float = 300.0,
+    reads_per_second: float = 2000.0,
+    seed: int = 0,
+) -> None:
+    """Serve until ended.
+
+    Parameters
+    ----------
+    listen
+        Addresses to serve at, ``host:port``; may be repeated.
+    writes_per_second
+        Writes above this rate are refused; no limit if zero.
+    reads_per_second
+        Reads above this rate are refused; no limit if zero.
+    seed
+        Seeds the choice of the answers that are lost.
+    """
+    configure_logging("INFO", emulator="platform")
+    faults = Faults(
+        writes_per_second=writes_per_second, reads_per_second=reads_per_second
+    )
+    trio.run(PlatformEmulator(faults, seed).serve, listen)
+
+
+if __name__ == "__main__":
+    app()
