Put edits into the table by compare-and-swap, over lost answers and races

An edit is a set of cell changes with an id. It is put on the newest version; edits of different cells merge, an edit of a cell that another changed since ends with the conflict shown. It is said accepted only once a read shows its id in the history. A write without an answer leaves a doubt: it may have taken effect or may yet do so at its revision. The doubt ends at a later revision, where the write is dead and the history shows whether it had got in; if the history no longer reaches back that far, or the operator's patience ends first, the edit is 'unknown' and never 'not in'.

--- /dev/null
+++ b/wigeondrift/edits.py
@@ -0,0 +1,193 @@
+"""Edits of the table: sets of cell changes that merge with those of others.
+
+A cell is named by its path: ``services/NAME/COLUMN``, ``teams/NAME/COLUMN`` or
+``limits/TEAM/SERVICE/COLUMN``. All cells of a row are there or none, so that the
+removal of a row is a change of each of its cells and conflicts with any other.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from wigeondrift.table import Change, Table
+
+HISTORY_CHANGES = 100
+HISTORY_CELLS = 8
+
+Cell = str | int | float | bool | list[str]
+
+SECTIONS_BY_FIELD = {
+    "services_by_name": "services",
+    "teams_by_name": "teams",
+    "limits_by_row": "limits",
+}
+FIELDS_BY_SECTION = {section: field for field, section in SECTIONS_BY_FIELD.items()}
+
+
+class CellChange(msgspec.Struct, frozen=True):
+    """Change of one cell.
+
+    Attributes
+    ----------
+    path : str
+    old, new : object
+        JSON values; None stands for an absent cell.
+    """
+
+    path: str
+    old: Cell | None
+    new: Cell | None
+
+
+class Edit(msgspec.Struct, frozen=True):
+    """Cell changes that come into force together or not at all.
+
+    Attributes
+    ----------
+    change_id : str
+        Unique name of the edit.
+    author : str
+        Operator, for the history.
+    at : float
+        Seconds since the epoch, for the history.
+    base : int
+        Table version that the old values were read from.
+    cells : tuple of CellChange
+    """
+
+    change_id: str
+    author: str
+    at: float
+    base: int
+    cells: tuple[CellChange, ...]
+
+
+class CellConflict(msgspec.Struct, frozen=True):
+    """A cell that another edit has changed since.
+
+    Attributes
+    ----------
+    path : str
+    old, found, wanted : object
+        Value that the edit was made on, value in force, value asked for.
+    changed_by : str
+        Newest author in the history who changed the cell; empty if not known.
+    """
+
+    path: str
+    old: Cell | None
+    found: Cell | None
+    wanted: Cell | None
+    changed_by: str = ""
+
+
+def get_cells(table: Table) -> dict[str, Cell]:
+    """Return all cells of a table by path."""
+    cells_by_path = {}
+    for field, section in SECTIONS_BY_FIELD.items():
+        for name, row in msgspec.to_builtins(getattr(table, field)).items():
+            for column, value in row.items():
+                cell = list(value) if isinstance(value, tuple) else value
+                cells_by_path[f"{section}/{name}/{column}"] = cell
+    return cells_by_path
+
+
+def make_table(cells_by_path: dict[str, Cell], changes: tuple[Change, ...]) -> Table:
+    """Return the table of some cells.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        If a cell is unknown or its value is out of bounds.
+    """
+    document: dict[str, dict[str, dict[str, Cell]]] = {
+        field: {} for field in SECTIONS_BY_FIELD
+    }
+    for path, value in cells_by_path.items():
+        section, _, rest = path.partition("/")
+        name, _, column = rest.rpartition("/")
+        rows = document.get(FIELDS_BY_SECTION.get(section, ""))
+        if rows is None or not name:
+            raise msgspec.ValidationError(f"there is no cell {path}")
+        rows.setdefault(name, {})[column] = value
+    table = msgspec.convert(document, Table)
+    return msgspec.structs.replace(table, changes=changes)
+
+
+def diff_tables(old: Table, new: Table) -> tuple[CellChange, ...]:
+    """Return the cell changes that lead from ``old`` to ``new``, by path."""
+    old_cells = get_cells(old)
+    new_cells = get_cells(new)
+    return tuple(
+        CellChange(path, old_cells.get(path), new_cells.get(path))
+        for path in sorted(old_cells.keys() | new_cells.keys())
+        if old_cells.get(path) != new_cells.get(path)
+    )
+
+
+def find_conflicts(table: Table, edit: Edit) -> list[CellConflict]:
+    """Return the cells of ``edit`` that hold neither its old nor its new value."""
+    cells_by_path = get_cells(table)
+    conflicts = []
+    for change in edit.cells:
+        found = cells_by_path.get(change.path)
+        if found not in (change.old, change.new):
+            author = _find_author(table.changes, change.path)
+            conflicts.append(
+                CellConflict(change.path, change.old, found, change.new, author)
+            )
+    return conflicts
+
+
+def apply_edit(table: Table, edit: Edit) -> Table:
+    """Return the table with the edit's cells and its entry in the history.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        If a cell is unknown or its value is out of bounds.
+    """
+    cells_by_path = get_cells(table)
+    for change in edit.cells:
+        if change.new is None:
+            cells_by_path.pop(change.path, None)
+        else:
+            cells_by_path[change.path] = change.new
+    paths = _summarize_paths([change.path for change in edit.cells])
+    entry = Change(edit.change_id, edit.author, edit.at, paths)
+    changes = (*table.changes, entry)[-HISTORY_CHANGES:]
+    return make_table(cells_by_path, changes)
+
+
+def has_change(table: Table, change_id: str) -> bool:
+    """Return whether the history holds a change."""
+    return any(change.change_id == change_id for change in table.changes)
+
+
+def covers_since(table: Table, last_change_id: str) -> bool:
+    """Return whether the history holds all changes since a given one.
+
+    Parameters
+    ----------
+    table : Table
+    last_change_id : str
+        Newest change of the earlier table; empty if that had none.
+    """
+    if not last_change_id:
+        return len(table.changes) < HISTORY_CHANGES
+    return has_change(table, last_change_id)
+
+
+def _find_author(changes: Iterable[Change], path: str) -> str:
+    for change in reversed(tuple(changes)):
+        for known in change.cells:
+            if path == known or path.startswith(known + "/"):
+                return change.author
+    return ""
+
+
+def _summarize_paths(paths: list[str]) -> tuple[str, ...]:
+    """Return the paths, or those of their rows or sections if they are many."""
+    while len(paths) > HISTORY_CELLS and any("/" in path for path in paths):
+        paths = sorted({path.rpartition("/")[0] or path for path in paths})
+    return tuple(paths)
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -1,6 +1,7 @@
 """Exception tree, closed list of error kinds and the answer to each kind."""
 
 import enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 
@@ -153,6 +154,20 @@
         self.reason = reason
 
 
+class TableError(WigeondriftError):
+    """A table that does not pass its checks.
+
+    Parameters
+    ----------
+    problems : sequence of Problem
+        All that was found, see ``wigeondrift.table_check``.
+    """
+
+    def __init__(self, problems: Sequence[object]) -> None:
+        super().__init__("; ".join(str(problem) for problem in problems))
+        self.problems = tuple(problems)
+
+
 class PlatformError(WigeondriftError):
     """Base of the errors of the platform's key-value service."""
 
