--- /dev/null
+++ b/wigeondrift/metrics.py
@@ -0,0 +1,134 @@
+"""Counters, gauges and timings, summed in the process and sent by statsd."""
+
+import abc
+import enum
+
+import statsd
+
+from wigeondrift.http import parse_address
+
+FLUSH_INTERVAL_SECONDS = 1.0
+PREFIX = "wigeondrift"
+TIMINGS_PER_FLUSH = 1000
+DATAGRAM_BYTES = 1400
+
+
+class Metric(enum.Enum):
+    """Catalogue of metrics: name, statsd type and unit, description."""
+
+    REQUESTS = "requests", "counter", "requests", "Requests taken from callers."
+    ANSWERS_RAN = "answers.ran", "counter", "requests", "Answers with outcome ran."
+    ANSWERS_NOT_RUN = (
+        "answers.not_run",
+        "counter",
+        "requests",
+        "Answers with outcome not-run.",
+    )
+    ANSWERS_UNKNOWN = (
+        "answers.unknown",
+        "counter",
+        "requests",
+        "Answers with outcome unknown.",
+    )
+    TOKENS = "tokens", "counter", "tokens", "Tokens handed to callers."
+    RESUMES = "streams.resumed", "counter", "streams", "Streams resumed elsewhere."
+    FIRST_TOKEN = "first_token", "timing", "ms", "Time to the first token."
+    REQUEST_TIME = "request_time", "timing", "ms", "Time to the end of the answer."
+    RUNNING = "running", "gauge", "requests", "Requests in progress."
+    TABLE_VERSION = "table_version", "gauge", "version", "Table version in force."
+
+    def __init__(self, key: str, kind: str, unit: str, description: str) -> None:
+        self.key = key
+        self.kind = kind
+        self.unit = unit
+        self.description = description
+
+
+class Metrics(abc.ABC):
+    """Sink of metrics; no call waits or raises."""
+
+    @abc.abstractmethod
+    def count(self, metric: Metric, amount: int = 1) -> None:
+        """Add ``amount`` to a counter."""
+
+    @abc.abstractmethod
+    def gauge(self, metric: Metric, value: float) -> None:
+        """Set a gauge."""
+
+    @abc.abstractmethod
+    def timing(self, metric: Metric, seconds: float) -> None:
+        """Record a duration given in seconds."""
+
+    @abc.abstractmethod
+    async def flush(self, now: float) -> None:
+        """Send what was recorded; a subscriber of the timer service."""
+
+
+class NullMetrics(Metrics):
+    """Sink that drops everything."""
+
+    __slots__ = ()
+
+    def count(self, metric: Metric, amount: int = 1) -> None:
+        """Drop the count."""
+
+    def gauge(self, metric: Metric, value: float) -> None:
+        """Drop the value."""
+
+    def timing(self, metric: Metric, seconds: float) -> None:
+        """Drop the duration."""
+
+    async def flush(self, now: float) -> None:
+        """Send nothing."""
+
+
+class StatsdMetrics(Metrics):
+    """Sink that sends sums and timings to statsd over UDP.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the statsd daemon.
+    """
+
+    __slots__ = ("_client", "_counts_by_metric", "_gauges_by_metric", "_timings")
+
+    def __init__(self, address: str) -> None:
+        host, port = parse_address(address)
+        self._client = statsd.StatsClient(
+            host, port, prefix=PREFIX, maxudpsize=DATAGRAM_BYTES
+        )
+        self._counts_by_metric: dict[Metric, int] = {}
+        self._gauges_by_metric: dict[Metric, float] = {}
+        self._timings: list[tuple[Metric, float]] = []
+
+    def count(self, metric: Metric, amount: int = 1) -> None:
+        """Add ``amount`` to a counter."""
+        counts = self._counts_by_metric
+        counts[metric] = counts.get(metric, 0) + amount
+
+    def gauge(self, metric: Metric, value: float) -> None:
+        """Set a gauge."""
+        self._gauges_by_metric[metric] = value
+
+    def timing(self, metric: Metric, seconds: float) -> None:
+        """Record a duration; those over the bound of one flush are dropped."""
+        if len(self._timings) < TIMINGS_PER_FLUSH:
+            self._timings.append((metric, seconds))
+
+    async def flush(self, now: float) -> None:
+        """Send what was recorded since the last flush."""
+        with self._client.pipeline() as pipeline:
+            for metric, amount in self._counts_by_metric.items():
+                pipeline.incr(metric.key, amount)
+            for metric, value in self._gauges_by_metric.items():
+                pipeline.gauge(metric.key, value)
+            for metric, seconds in self._timings:
+                pipeline.timing(metric.key, seconds * 1000.0)
+        self._counts_by_metric.clear()
+        self._timings.clear()
+
+
+def make_metrics(address: str) -> Metrics:
+    """Return the sink for a settings value; empty means none."""
+    return StatsdMetrics(address) if address else NullMetrics()
