--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: load tool, experiments and microbenchmarks."""
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,308 @@
+"""Load tool: callers that retry at once, and what they were given.
+
+Run as ``python -m bench.load --entries 127.0.0.1:8000 --service kokil-lm``.
+"""
+
+import json
+import sys
+import time
+
+import cyclopts
+import msgspec
+import trio
+from hdrh.histogram import HdrHistogram
+
+from bench.workload import LONG, SHORT, Arrival, Crest, Workload
+from wigeondrift.errors import TransportError
+from wigeondrift.http import HttpClient
+
+HIGHEST_MICROSECONDS = 600_000_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50.0, 95.0, 99.0)
+CALLER_PATIENCE_SECONDS = 30.0
+RETRIES_PER_SECOND_BOUND = 200.0
+HEAD_TIMEOUT_SECONDS = 30.0
+DONE = b"data: [DONE]"
+DATA = b"data: "
+
+
+class Durations:
+    """Histogram of durations.
+
+    Attributes
+    ----------
+    count : int
+        Durations recorded.
+    """
+
+    __slots__ = ("_histogram", "count")
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+        self.count = 0
+
+    def record(self, seconds: float) -> None:
+        """Add one duration in seconds."""
+        self._histogram.record_value(max(1, int(seconds * 1e6)))
+        self.count += 1
+
+    def get_percentile(self, percentile: float) -> float:
+        """Return a percentile in seconds; zero if there is none."""
+        if not self.count:
+            return 0.0
+        return self._histogram.get_value_at_percentile(percentile) / 1e6
+
+    def summarize(self) -> dict[str, float]:
+        """Return count and percentiles in seconds."""
+        summary = {f"p{p:g}": self.get_percentile(p) for p in PERCENTILES}
+        return {"count": self.count, **summary}
+
+
+class Results:
+    """What the callers of one run were given."""
+
+    __slots__ = (
+        "attempts",
+        "cut",
+        "first_by_length",
+        "gaps",
+        "given_up",
+        "outcomes_by_status",
+        "second_tokens",
+        "started_at",
+        "team_tokens",
+        "waits_by_length",
+        "whole",
+        "whole_tokens",
+    )
+
+    def __init__(self) -> None:
+        self.started_at = 0.0
+        self.attempts = 0
+        self.whole = 0
+        self.whole_tokens = 0
+        self.cut = 0
+        self.given_up = 0
+        self.outcomes_by_status: dict[str, int] = {}
+        self.first_by_length = {SHORT: Durations(), LONG: Durations()}
+        self.waits_by_length = {SHORT: Durations(), LONG: Durations()}
+        self.gaps = Durations()
+        self.team_tokens: dict[int, int] = {}
+        self.second_tokens: dict[int, int] = {}
+
+    def note_tokens(self, now: float, count: int) -> None:
+        """Count tokens in the second of the run in which they came."""
+        second = int(now - self.started_at)
+        self.second_tokens[second] = self.second_tokens.get(second, 0) + count
+
+    def summarize(self, seconds: float) -> dict[str, object]:
+        """Return the run as a JSON document."""
+        return {
+            "seconds": seconds,
+            "attempts": self.attempts,
+            "whole": self.whole,
+            "cut": self.cut,
+            "given_up": self.given_up,
+            "goodput_tokens_per_second": self.whole_tokens / seconds,
+            "answers_by_status": self.outcomes_by_status,
+            "first_token_from_attempt": {
+                length: durations.summarize()
+                for length, durations in self.first_by_length.items()
+            },
+            "first_token_from_arrival": {
+                length: durations.summarize()
+                for length, durations in self.waits_by_length.items()
+            },
+            "gap": self.gaps.summarize(),
+            "tokens_by_team": dict(sorted(self.team_tokens.items())),
+            "tokens_by_second": dict(sorted(self.second_tokens.items())),
+        }
+
+
+class Callers:
+    """All callers of one run.
+
+    Parameters
+    ----------
+    entries : tuple of str
+        ``host:port`` of the entries, taken in turn as a balancer does.
+    service : str
+        Model to call.
+    keys : tuple of str
+        Bearer key of each team, by the team's number.
+    """
+
+    __slots__ = ("_client", "_entries", "_keys", "_service", "_turn", "results")
+
+    def __init__(
+        self, entries: tuple[str, ...], service: str, keys: tuple[str, ...]
+    ) -> None:
+        self._entries = entries
+        self._service = service
+        self._keys = keys
+        self._client = HttpClient(idle_per_address=256)
+        self._turn = 0
+        self.results = Results()
+
+    async def run(self, workload: Workload, seed: int) -> dict[str, object]:
+        """Make all arrivals of the workload and return the summary."""
+        start = trio.current_time()
+        self.results.started_at = start
+        async with trio.open_nursery() as nursery:
+            for arrival in workload.iter_arrivals(seed):
+                await trio.sleep_until(start + arrival.at)
+                nursery.start_soon(self._call, arrival)
+        elapsed = trio.current_time() - start
+        await self._client.close()
+        return self.results.summarize(elapsed)
+
+    async def _call(self, arrival: Arrival) -> None:
+        arrived = trio.current_time()
+        least_interval = 1.0 / RETRIES_PER_SECOND_BOUND
+        while trio.current_time() - arrived < CALLER_PATIENCE_SECONDS:
+            began = trio.current_time()
+            if await self._try_once(arrival, arrived):
+                return
+            await trio.sleep_until(began + least_interval)
+        self.results.given_up += 1
+
+    async def _try_once(self, arrival: Arrival, arrived: float) -> bool:
+        self.results.attempts += 1
+        self._turn += 1
+        address = self._entries[self._turn % len(self._entries)]
+        headers = [
+            ("Authorization", f"Bearer {self._keys[arrival.team]}"),
+            ("Content-Type", "application/json"),
+        ]
+        body = msgspec.json.encode(
+            {
+                "model": self._service,
+                "prompt": arrival.prompt,
+                "max_tokens": arrival.max_tokens,
+                "stream": True,
+            }
+        )
+        try:
+            async with self._client.request(
+                address,
+                "POST",
+                "/v1/completions",
+                headers,
+                body,
+                head_timeout=HEAD_TIMEOUT_SECONDS,
+            ) as response:
+                self._note_status(response.status)
+                if response.status != 200:
+                    await response.read()
+                    return False
+                return await self._read_stream(response, arrival, arrived)
+        except TransportError:
+            self._note_status(0)
+            return False
+
+    def _note_status(self, status: int) -> None:
+        counts = self.results.outcomes_by_status
+        counts[str(status)] = counts.get(str(status), 0) + 1
+
+    async def _read_stream(
+        self, response: object, arrival: Arrival, arrived: float
+    ) -> bool:
+        results = self.results
+        began = trio.current_time()
+        last = None
+        tokens = 0
+        whole = False
+        async for data in response.iter_data():
+            now = trio.current_time()
+            count = data.count(DATA)
+            if DONE in data:
+                whole = True
+                count -= 1
+            if count <= 0:
+                continue
+            if last is None:
+                results.first_by_length[arrival.length].record(now - began)
+                results.waits_by_length[arrival.length].record(now - arrived)
+            else:
+                results.gaps.record((now - last) / count)
+            last = now
+            tokens += count
+            results.note_tokens(now, count)
+        if not whole:
+            results.cut += 1
+            return False
+        results.whole += 1
+        results.whole_tokens += arrival.max_tokens
+        team_tokens = results.team_tokens
+        team_tokens[arrival.team] = (
+            team_tokens.get(arrival.team, 0) + arrival.max_tokens
+        )
+        return True
+
+
+def print_summary(summary: dict[str, object]) -> None:
+    """Print the durations of a summary as a table, in milliseconds."""
+    print(f"{'measure':34}{'count':>8}{'p50':>10}{'p95':>10}{'p99':>10}")
+    rows = {
+        "short, first token from attempt": summary["first_token_from_attempt"][SHORT],
+        "short, first token from arrival": summary["first_token_from_arrival"][SHORT],
+        "long, first token from arrival": summary["first_token_from_arrival"][LONG],
+        "gap between tokens": summary["gap"],
+    }
+    for name, row in rows.items():
+        values = "".join(f"{row[f'p{p:g}'] * 1000:10.1f}" for p in PERCENTILES)
+        print(f"{name:34}{row['count']:8}{values}")
+    for name in ("whole", "cut", "given_up", "attempts", "goodput_tokens_per_second"):
+        print(f"{name:34}{summary[name]:8.0f}")
+
+
+app = cyclopts.App(name="bench.load", help=__doc__)
+
+
+@app.default
+def run(
+    entries: list[str],
+    service: str = "kokil-lm",
+    keys: str = "key-{team}",
+    rate: float = 20.0,
+    seconds: float = 20.0,
+    crest: float = 1.0,
+    seed: int = 1,
+    json_path: str = "",
+) -> None:
+    """Load the entries and print what the callers were given.
+
+    Parameters
+    ----------
+    entries
+        host:port of each entry.
+    service
+        Model to call.
+    keys
+        Bearer key of a team, with its number in place of ``{team}``.
+    rate
+        Requests per second at the base.
+    seconds
+        Length of the run.
+    crest
+        Demand at the crest over the base, reached within 2 s.
+    seed
+        Seed of the arrivals.
+    json_path
+        File for the summary as JSON.
+    """
+    swing = Crest(seconds / 3, seconds * 2 / 3, 2.0, crest) if crest > 1 else None
+    workload = Workload(rate, seconds, crest=swing)
+    team_keys = tuple(keys.format(team=team) for team in range(workload.teams))
+    callers = Callers(tuple(entries), service, team_keys)
+    began = time.perf_counter()
+    summary = trio.run(callers.run, workload, seed)
+    summary["wall_seconds"] = time.perf_counter() - began
+    print_summary(summary)
+    if json_path:
+        with open(json_path, "w") as file:
+            json.dump(summary, file, indent=1)
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/bench/workload.py
@@ -0,0 +1,153 @@
+"""Seeded arrivals of requests: teams, lengths and swings of demand."""
+
+import random
+from collections.abc import Iterator
+
+SHORT = "short"
+LONG = "long"
+TEAM_ZIPF_EXPONENT = 1.2
+WORDS = ("bellows", "pipe", "bird", "gear", "tray", "rung", "clamp", "spring")
+
+
+class Crest:
+    """Swing of demand.
+
+    Attributes
+    ----------
+    start, end : float
+        Seconds from the start of the run.
+    ramp : float
+        Time in which demand rises, in seconds.
+    factor : float
+        Demand at the crest over the base.
+    """
+
+    __slots__ = ("end", "factor", "ramp", "start")
+
+    def __init__(self, start: float, end: float, ramp: float, factor: float) -> None:
+        self.start = start
+        self.end = end
+        self.ramp = ramp
+        self.factor = factor
+
+    def get_factor(self, at: float) -> float:
+        """Return demand at time ``at`` over the base."""
+        if not self.start <= at < self.end:
+            return 1.0
+        risen = min(1.0, (at - self.start) / self.ramp)
+        return 1.0 + (self.factor - 1.0) * risen
+
+
+class Arrival:
+    """One request that a caller means to make.
+
+    Attributes
+    ----------
+    at : float
+        Seconds from the start of the run.
+    number : int
+        Place in the run.
+    team : int
+    length : str
+        ``SHORT`` or ``LONG``.
+    prompt : str
+    max_tokens : int
+    """
+
+    __slots__ = ("at", "length", "max_tokens", "number", "prompt", "team")
+
+    def __init__(
+        self,
+        at: float,
+        number: int,
+        team: int,
+        length: str,
+        prompt: str,
+        max_tokens: int,
+    ) -> None:
+        self.at = at
+        self.number = number
+        self.team = team
+        self.length = length
+        self.prompt = prompt
+        self.max_tokens = max_tokens
+
+
+class Workload:
+    """Shape of the demand.
+
+    Attributes
+    ----------
+    rate : float
+        Requests per second at the base.
+    seconds : float
+        Length of the run.
+    teams : int
+        Teams, a few of them large.
+    short_tokens, long_tokens : int
+        Tokens that the two lengths ask for.
+    long_share : float
+        Part of the requests that are long.
+    prefixes : int
+        Distinct prompt beginnings.
+    crest : Crest or None
+    """
+
+    __slots__ = (
+        "crest",
+        "long_share",
+        "long_tokens",
+        "prefixes",
+        "rate",
+        "seconds",
+        "short_tokens",
+        "teams",
+    )
+
+    def __init__(
+        self,
+        rate: float,
+        seconds: float,
+        teams: int = 10,
+        short_tokens: int = 16,
+        long_tokens: int = 256,
+        long_share: float = 0.03,
+        prefixes: int = 40,
+        crest: Crest | None = None,
+    ) -> None:
+        self.rate = rate
+        self.seconds = seconds
+        self.teams = teams
+        self.short_tokens = short_tokens
+        self.long_tokens = long_tokens
+        self.long_share = long_share
+        self.prefixes = prefixes
+        self.crest = crest
+
+    def iter_arrivals(self, seed: int) -> Iterator[Arrival]:
+        """Yield the arrivals of a Poisson process thinned to the demand."""
+        source = random.Random(seed)
+        weights = [1.0 / (rank + 1) ** TEAM_ZIPF_EXPONENT for rank in range(self.teams)]
+        peak = self.crest.factor if self.crest else 1.0
+        at = 0.0
+        number = 0
+        while True:
+            at += source.expovariate(self.rate * peak)
+            if at >= self.seconds:
+                return
+            factor = self.crest.get_factor(at) if self.crest else 1.0
+            if source.random() * peak > factor:
+                continue
+            yield self._make_arrival(source, weights, at, number)
+            number += 1
+
+    def _make_arrival(
+        self, source: random.Random, weights: list[float], at: float, number: int
+    ) -> Arrival:
+        team = source.choices(range(self.teams), weights)[0]
+        length = LONG if source.random() < self.long_share else SHORT
+        tokens = self.long_tokens if length == LONG else self.short_tokens
+        prefix = source.randrange(self.prefixes)
+        words = " ".join(source.choices(WORDS, k=6))
+        prompt = f"catalogue {prefix}: {words} {number}"
+        return Arrival(at, number, team, length, prompt, tokens)
