--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,229 @@
+"""A gateway over stand-ins in the same process, on a loopback socket."""
+
+import contextlib
+import hashlib
+
+import h11
+import msgspec
+import trio
+
+from tests.processes import free_address
+from wigeondrift.entities import Instance, Role
+from wigeondrift.errors import ErrorKind, Outcome, RequestError
+from wigeondrift.gate import make_gate
+from wigeondrift.gateway import Gateway
+from wigeondrift.metrics import NullMetrics
+from wigeondrift.model_api import ModelApi
+from wigeondrift.request_ids import RequestIds
+from wigeondrift.runs import make_runs
+from wigeondrift.service import ServiceAnswer
+from wigeondrift.service_api import ServiceApi
+from wigeondrift.settings import (
+    AdmissionSettings,
+    EntrySettings,
+    HttpSettings,
+    RequestSettings,
+    StopSettings,
+)
+from wigeondrift.systems.admission import Limit
+from wigeondrift.table import LimitRow, ServiceKind, ServiceRow, Table, TeamRow
+from wigeondrift.tables import Tables
+from wigeondrift.timer import TimerService, TrioClock
+
+KEY = "counter-key"
+MODEL = "kokil-lm"
+ORDERS = "parts-desk"
+
+
+class Job:
+    def __init__(self, **fields):
+        self.__dict__.update(fields)
+
+
+class Generation:
+    def __init__(self, generator, job):
+        self.generator = generator
+        self.job = job
+        self.finish_reason = ""
+        self.attempts = 1
+
+    async def __aiter__(self):
+        generator = self.generator
+        for index in range(min(self.job.max_tokens, generator.length)):
+            if index == generator.cut_at:
+                raise RequestError(ErrorKind.STREAM_CUT, "the stream was cut")
+            await generator.before_token()
+            yield [f" t{index}"]
+        self.finish_reason = "length"
+
+
+class Generator:
+    """Gives the tokens t0, t1 and so on."""
+
+    def __init__(self):
+        self.length = 5
+        self.cut_at = None
+        self.runs = 0
+        self.running = 0
+        self.go_on = trio.Event()
+        self.go_on.set()
+
+    async def before_token(self):
+        await trio.lowlevel.checkpoint()
+        await self.go_on.wait()
+
+    @contextlib.asynccontextmanager
+    async def open(self, job):
+        self.runs += 1
+        self.running += 1
+        try:
+            yield Generation(self, job)
+        finally:
+            self.running -= 1
+
+
+class Desk:
+    """Answers each call with what it received."""
+
+    def __init__(self):
+        self.jobs = []
+
+    async def run(self, job):
+        self.jobs.append(job)
+        headers = (("content-type", "text/x-order"), ("x-outcome", "forged"))
+        body = job.call.method.encode() + b" " + job.call.body
+        result = Job(answer=ServiceAnswer(201, headers, body), replayed=False)
+        result.outcome = self.outcome
+        return result
+
+
+def make_tables(limit=None):
+    tables = Tables()
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    row = limit or LimitRow()
+    tables.table = Table(
+        services_by_name={
+            MODEL: ServiceRow(ServiceKind.MODEL, layers=4, version="v1"),
+            ORDERS: ServiceRow(ServiceKind.PLAIN),
+            "private": ServiceRow(ServiceKind.MODEL, layers=4, version="v1"),
+        },
+        teams_by_name={"counter": TeamRow((digest,))},
+        limits_by_row={f"counter/{MODEL}": row, f"counter/{ORDERS}": row},
+    )
+    tables.table_version = 1
+    runner = Instance(
+        "runner-1",
+        1,
+        Role.RUNNER,
+        "127.0.0.1:1",
+        "rajkot",
+        service=MODEL,
+        version="v1",
+        end_layer=4,
+        slots=4,
+    )
+    tables.instances_by_id = {"runner-1": runner}
+    return tables
+
+
+class Bench:
+    """A running gateway and its stand-ins."""
+
+    def __init__(self, gateway, tables, generator, desk, address):
+        self.gateway = gateway
+        self.tables = tables
+        self.generator = generator
+        self.desk = desk
+        self.address = address
+
+    async def send_raw(self, data, half_close=False):
+        """Send bytes on a connection of their own, return all that comes back."""
+        host, port = self.address.rsplit(":", 1)
+        stream = await trio.open_tcp_stream(host, int(port))
+        async with stream:
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(data)
+            if half_close:
+                await stream.send_eof()
+            received = bytearray()
+            with trio.fail_after(10), contextlib.suppress(trio.BrokenResourceError):
+                async for part in stream:
+                    received += part
+        return bytes(received)
+
+    async def request(self, method, path, body=b"", headers=()):
+        """Return status, headers by name and body of one answer."""
+        whole = {"Host": "entry", "Authorization": f"Bearer {KEY}"}
+        whole.update(headers)
+        whole.update({"Content-Length": str(len(body)), "Connection": "close"})
+        lines = "".join(f"{name}: {value}\r\n" for name, value in whole.items())
+        head = f"{method} {path} HTTP/1.1\r\n{lines}\r\n"
+        return parse_answer(await self.send_raw(head.encode() + body))
+
+    async def post(self, path, document, headers=()):
+        return await self.request("POST", path, msgspec.json.encode(document), headers)
+
+
+def parse_answer(data):
+    """Return status, headers by name and body of a whole answer."""
+    client = h11.Connection(h11.CLIENT)
+    client.send(h11.Request(method="GET", target="/", headers=[("Host", "entry")]))
+    client.send(h11.EndOfMessage())
+    client.receive_data(data)
+    client.receive_data(b"")
+    head = client.next_event()
+    body = bytearray()
+    while isinstance(event := client.next_event(), h11.Data):
+        body += event.data
+    headers = {name.decode(): value.decode() for name, value in head.headers}
+    return head.status_code, headers, bytes(body)
+
+
+@contextlib.asynccontextmanager
+async def open_bench(
+    tables=None,
+    admission=None,
+    requests=None,
+    http=None,
+    stop=None,
+    outcome=Outcome.RAN,
+):
+    """Enter with a running gateway."""
+    tables = tables or make_tables()
+    address = free_address()
+    settings = EntrySettings(
+        instance_id="rajkot-1",
+        failure_domain="rajkot",
+        listen=address,
+        post=free_address(),
+        agent=free_address(),
+        platform=free_address(),
+        http=http or HttpSettings(),
+        requests=requests or RequestSettings(),
+        admission=admission or AdmissionSettings(refusal_delay=0.3),
+        stop=stop or StopSettings(notice=0.2, bound=5.0),
+    )
+    clock = TrioClock()
+    timer = TimerService(clock)
+
+    def get_limit(row, now):
+        limit = tables.table.limits_by_row[row]
+        return Limit(limit.requests, limit.tokens, limit.running)
+
+    gate = make_gate(settings, tables, get_limit, clock, timer)
+    runs = make_runs(settings, clock, timer)
+    generator = Generator()
+    desk = Desk()
+    desk.outcome = outcome
+    metrics = NullMetrics()
+    models = ModelApi(tables, settings.requests, gate, runs, generator, Job, metrics)
+    services = ServiceApi(tables, gate, desk, Job, metrics)
+    ids = RequestIds("rajkot-1", "entry-0", 1)
+    gateway = Gateway(
+        settings, tables, ids, gate, runs, models, services, metrics, lambda: None
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(timer.run)
+        await gateway.start(nursery)
+        yield Bench(gateway, tables, generator, desk, address)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/wigeondrift/completions.py
@@ -0,0 +1,263 @@
+"""Completions and chat completions as the ``openai`` client sends and reads them."""
+
+import abc
+from typing import Annotated, Literal
+
+import msgspec
+
+from wigeondrift.errors import ErrorKind, RequestError
+
+DEFAULT_MAX_TOKENS = 256
+CHARACTERS_PER_TOKEN = 4
+DONE = b"data: [DONE]\n\n"
+
+ModelName = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+
+class StreamOptions(msgspec.Struct):
+    """Options of a stream.
+
+    Attributes
+    ----------
+    include_usage : bool
+        Whether a chunk with the usage comes before the end.
+    """
+
+    include_usage: bool = False
+
+
+class CompletionRequest(msgspec.Struct):
+    """Body of ``POST /v1/completions``; other fields are not looked at."""
+
+    model: ModelName
+    prompt: str | list[str]
+    max_tokens: int | None = None
+    n: int | None = None
+    stream: bool | None = None
+    stream_options: StreamOptions | None = None
+
+    @property
+    def text(self) -> str:
+        """Prompt of the one answer.
+
+        Raises
+        ------
+        RequestError
+            If there are several.
+        """
+        if isinstance(self.prompt, str):
+            return self.prompt
+        if len(self.prompt) != 1:
+            raise RequestError(ErrorKind.INVALID_PARAMETER, "prompt must be one text")
+        return self.prompt[0]
+
+    @property
+    def limit(self) -> int | None:
+        """Most tokens wanted."""
+        return self.max_tokens
+
+
+class TextPart(msgspec.Struct):
+    """Part of a message's content; only text is taken."""
+
+    type: Literal["text"]
+    text: str
+
+
+class ChatMessage(msgspec.Struct):
+    """One message of a conversation."""
+
+    role: Literal["system", "developer", "user", "assistant", "tool"]
+    content: str | list[TextPart] | None = None
+
+    @property
+    def text(self) -> str:
+        """Whole content as one text."""
+        if self.content is None:
+            return ""
+        if isinstance(self.content, str):
+            return self.content
+        return "".join(part.text for part in self.content)
+
+
+class ChatRequest(msgspec.Struct):
+    """Body of ``POST /v1/chat/completions``; other fields are not looked at."""
+
+    model: ModelName
+    messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1, max_length=4096)]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None
+    stream: bool | None = None
+    stream_options: StreamOptions | None = None
+
+    @property
+    def text(self) -> str:
+        """Prompt that stands for the conversation."""
+        lines = [f"{message.role}: {message.text}\n" for message in self.messages]
+        return "".join(lines) + "assistant:"
+
+    @property
+    def limit(self) -> int | None:
+        """Most tokens wanted."""
+        if self.max_completion_tokens is not None:
+            return self.max_completion_tokens
+        return self.max_tokens
+
+
+AnyRequest = CompletionRequest | ChatRequest
+
+
+class Usage(msgspec.Struct):
+    """Tokens of one answer; those of the prompt are an estimate."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+def estimate_prompt_tokens(prompt: str) -> int:
+    """Return about how many tokens a prompt has; at least one."""
+    return len(prompt) // CHARACTERS_PER_TOKEN + 1
+
+
+def make_usage(prompt: str, tokens: int) -> Usage:
+    """Return the usage of an answer of ``tokens`` tokens."""
+    prompt_tokens = estimate_prompt_tokens(prompt)
+    return Usage(prompt_tokens, tokens, prompt_tokens + tokens)
+
+
+def get_max_tokens(request: AnyRequest, most: int) -> int:
+    """Return the checked number of tokens that a request may take.
+
+    Raises
+    ------
+    RequestError
+        If the caller wants less than one or more than ``most``, or several answers.
+    """
+    if request.n not in (None, 1):
+        raise RequestError(ErrorKind.INVALID_PARAMETER, "n must be 1")
+    wanted = request.limit
+    if wanted is None:
+        return min(DEFAULT_MAX_TOKENS, most)
+    if not 1 <= wanted <= most:
+        reason = f"max_tokens must be from 1 to {most}"
+        raise RequestError(ErrorKind.INVALID_PARAMETER, reason)
+    return wanted
+
+
+class AnswerFormat(abc.ABC):
+    """JSON form of the answers of one path.
+
+    Parameters
+    ----------
+    request_id, model : str
+    created : int
+        Seconds since the epoch.
+    """
+
+    __slots__ = ("_head", "_is_first")
+
+    prefix: str
+    chunk_object: str
+    whole_object: str
+
+    def __init__(self, request_id: str, model: str, created: int) -> None:
+        self._head = {
+            "id": f"{self.prefix}-{request_id}",
+            "created": created,
+            "model": model,
+        }
+        self._is_first = True
+
+    def make_chunk(self, text: str) -> bytes:
+        """Return the event of one part of the text."""
+        return self._frame(self._make_choice(text, None))
+
+    def make_last_chunk(self, finish_reason: str) -> bytes:
+        """Return the event that carries the finish reason."""
+        return self._frame(self._make_choice("", finish_reason))
+
+    def _frame(self, choice: dict) -> bytes:
+        chunk = {**self._head, "object": self.chunk_object, "choices": [choice]}
+        self._is_first = False
+        return frame_event(chunk)
+
+    def make_usage_chunk(self, usage: Usage) -> bytes:
+        """Return the event that carries the usage."""
+        head = {**self._head, "object": self.chunk_object}
+        return frame_event({**head, "choices": [], "usage": usage})
+
+    def make_whole(self, text: str, finish_reason: str, usage: Usage) -> bytes:
+        """Return a whole answer."""
+        choice = self._make_whole_choice(text, finish_reason)
+        head = {**self._head, "object": self.whole_object}
+        return msgspec.json.encode({**head, "choices": [choice], "usage": usage})
+
+    @abc.abstractmethod
+    def _make_choice(self, text: str, finish_reason: str | None) -> dict:
+        """Return the choice of one event."""
+
+    @abc.abstractmethod
+    def _make_whole_choice(self, text: str, finish_reason: str) -> dict:
+        """Return the choice of a whole answer."""
+
+
+class CompletionFormat(AnswerFormat):
+    """Answers of ``/v1/completions``."""
+
+    __slots__ = ()
+
+    prefix = "cmpl"
+    chunk_object = "text_completion"
+    whole_object = "text_completion"
+
+    def _make_choice(self, text: str, finish_reason: str | None) -> dict:
+        return {
+            "index": 0,
+            "text": text,
+            "logprobs": None,
+            "finish_reason": finish_reason,
+        }
+
+    def _make_whole_choice(self, text: str, finish_reason: str) -> dict:
+        return self._make_choice(text, finish_reason)
+
+
+class ChatFormat(AnswerFormat):
+    """Answers of ``/v1/chat/completions``."""
+
+    __slots__ = ()
+
+    prefix = "chatcmpl"
+    chunk_object = "chat.completion.chunk"
+    whole_object = "chat.completion"
+
+    def _make_choice(self, text: str, finish_reason: str | None) -> dict:
+        delta: dict[str, str] = {"role": "assistant"} if self._is_first else {}
+        if finish_reason is None:
+            delta["content"] = text
+        return {
+            "index": 0,
+            "delta": delta,
+            "logprobs": None,
+            "finish_reason": finish_reason,
+        }
+
+    def _make_whole_choice(self, text: str, finish_reason: str) -> dict:
+        return {
+            "index": 0,
+            "message": {"role": "assistant", "content": text, "refusal": None},
+            "logprobs": None,
+            "finish_reason": finish_reason,
+        }
+
+
+def frame_event(document: object) -> bytes:
+    """Return a server-sent event with a JSON document."""
+    return b"data: " + msgspec.json.encode(document) + b"\n\n"
+
+
+def frame_comment(text: str) -> bytes:
+    """Return a server-sent comment, which clients ignore."""
+    return f": {text}\n\n".encode()
--- /dev/null
+++ b/wigeondrift/gate.py
@@ -0,0 +1,186 @@
+"""Shell of the admission: requests wait here until they may run."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import trio
+
+from wigeondrift.errors import ErrorKind, RequestError
+from wigeondrift.settings import EntrySettings
+from wigeondrift.systems.admission import (
+    Admission,
+    AdmissionRules,
+    GetLimit,
+    Ticket,
+    TicketState,
+)
+from wigeondrift.systems.pacing import PacingRules, RefusalPacer
+from wigeondrift.tables import Tables
+from wigeondrift.timer import Clock, TimerService
+
+TICK_SECONDS = 0.02
+FORGET_SECONDS = 5.0
+LEAST_DELAY_SECONDS = 0.25
+PACED_KINDS = frozenset(
+    {
+        ErrorKind.LIMIT_EXCEEDED,
+        ErrorKind.QUEUE_FULL,
+        ErrorKind.QUARANTINED,
+        ErrorKind.NO_ROUTE,
+        ErrorKind.NO_UPSTREAM,
+        ErrorKind.UPSTREAM_REFUSED,
+        ErrorKind.CLAIM_UNAVAILABLE,
+    }
+)
+
+
+class Gate:
+    """Admits requests and holds refusals back.
+
+    Parameters
+    ----------
+    admission : Admission
+    pacer : RefusalPacer
+    clock : Clock
+    timer : TimerService
+        Ticks the admission, for limits that fill up and waits that end.
+    """
+
+    __slots__ = ("_admission", "_clock", "_events_by_ticket", "_pacer")
+
+    def __init__(
+        self,
+        admission: Admission,
+        pacer: RefusalPacer,
+        clock: Clock,
+        timer: TimerService,
+    ) -> None:
+        self._admission = admission
+        self._pacer = pacer
+        self._clock = clock
+        self._events_by_ticket: dict[Ticket, trio.Event] = {}
+        timer.subscribe("admission", TICK_SECONDS, self._on_tick)
+        timer.subscribe("pacing", FORGET_SECONDS, self._on_forget)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return self._admission.waiting
+
+    @property
+    def held(self) -> int:
+        """Refusals that are held back."""
+        return self._pacer.held
+
+    async def _on_tick(self, now: float) -> None:
+        self._tick(now)
+
+    async def _on_forget(self, now: float) -> None:
+        self._pacer.forget_old(now)
+
+    def _tick(self, now: float) -> None:
+        for ticket in self._admission.tick(now):
+            event = self._events_by_ticket.get(ticket)
+            if event is not None:
+                event.set()
+
+    @contextlib.asynccontextmanager
+    async def admit(
+        self, team: str, service: str, tokens: int
+    ) -> AsyncIterator["Admitted"]:
+        """Wait until a request may run; its slot is held inside the context.
+
+        Raises
+        ------
+        RequestError
+            If it is refused; nothing of it has run.
+        """
+        ticket = await self._wait(team, service, tokens)
+        admitted = Admitted(ticket.is_long)
+        try:
+            yield admitted
+        finally:
+            used = ticket.tokens if admitted.used is None else admitted.used
+            self._admission.release(ticket, used)
+            self._tick(self._clock.now())
+
+    async def _wait(self, team: str, service: str, tokens: int) -> Ticket:
+        now = self._clock.now()
+        ticket = self._admission.offer(team, service, tokens, now)
+        self._tick(now)
+        if ticket.state is TicketState.WAITING:
+            event = self._events_by_ticket[ticket] = trio.Event()
+            try:
+                await event.wait()
+            except trio.Cancelled:
+                self._give_up(ticket)
+                raise
+            finally:
+                del self._events_by_ticket[ticket]
+        if ticket.state is TicketState.REFUSED:
+            raise ticket.make_error()
+        return ticket
+
+    def _give_up(self, ticket: Ticket) -> None:
+        if ticket.state is TicketState.ADMITTED:
+            self._admission.release(ticket, 0)
+            self._tick(self._clock.now())
+        else:
+            self._admission.withdraw(ticket)
+
+    async def pace(self, team: str, error: RequestError) -> None:
+        """Hold a refusal back, so that a caller that retries at once waits."""
+        if error.kind not in PACED_KINDS:
+            return
+        delay = self._pacer.hold(team, self._clock.now())
+        if not delay:
+            return
+        try:
+            await trio.sleep(delay)
+        finally:
+            self._pacer.release()
+
+
+class Admitted:
+    """Slot of a running request.
+
+    Attributes
+    ----------
+    is_long : bool
+        Whether it counts as long work.
+    used : int or None
+        Tokens that it took; the estimate if not set.
+    """
+
+    __slots__ = ("is_long", "used")
+
+    def __init__(self, is_long: bool) -> None:
+        self.is_long = is_long
+        self.used: int | None = None
+
+
+def make_gate(
+    settings: EntrySettings,
+    tables: Tables,
+    get_limit: GetLimit,
+    clock: Clock,
+    timer: TimerService,
+) -> Gate:
+    """Return the gate that an entry's settings describe."""
+    chosen = settings.admission
+    rules = AdmissionRules(
+        queue_length=settings.requests.queue_length,
+        queue_timeout=settings.requests.queue_timeout,
+        limit_wait=chosen.limit_wait,
+        burst_seconds=chosen.burst_seconds,
+        long_tokens=chosen.long_tokens,
+        long_fraction=chosen.long_fraction,
+    )
+    pacing = PacingRules(
+        rate=chosen.refusals_per_second,
+        least_delay=min(LEAST_DELAY_SECONDS, chosen.refusal_delay),
+        most_delay=chosen.refusal_delay,
+        held=chosen.refusals_held,
+    )
+    admission = Admission(tables, get_limit, rules)
+    return Gate(admission, RefusalPacer(pacing), clock, timer)
--- /dev/null
+++ b/wigeondrift/gateway.py
@@ -0,0 +1,304 @@
+"""Callers' HTTP API: paths, readiness, and the planned stop of the listeners."""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+
+from wigeondrift.accounts import Accounts
+from wigeondrift.answers import make_headers, respond_error, respond_json
+from wigeondrift.application import Component
+from wigeondrift.errors import ConnectionLost, ErrorKind, Outcome, RequestError
+from wigeondrift.events import LOGGER_NAME, Event, log_event
+from wigeondrift.gate import Gate
+from wigeondrift.http import Exchange, HttpLimits, HttpServer, parse_address
+from wigeondrift.metrics import Metric, Metrics
+from wigeondrift.model_api import Call, ModelApi
+from wigeondrift.request_ids import RequestIds
+from wigeondrift.runs import RunDesk
+from wigeondrift.service_api import PATH_PREFIX, ServiceApi
+from wigeondrift.settings import EntrySettings
+from wigeondrift.tables import Tables
+
+BACKLOG = 1024
+LAST_WORDS_SECONDS = 1.0
+METRICS_BY_OUTCOME = {
+    Outcome.RAN: Metric.ANSWERS_RAN,
+    Outcome.NOT_RUN: Metric.ANSWERS_NOT_RUN,
+    Outcome.UNKNOWN: Metric.ANSWERS_UNKNOWN,
+}
+
+_LOGGER = logging.getLogger(LOGGER_NAME)
+
+Serve = Callable[[Call], Awaitable[None]]
+
+
+class EntryStatus(msgspec.Struct):
+    """Body of ``GET /status``."""
+
+    instance_id: str
+    process: str
+    ready: bool
+    stopping: bool
+    table_version: int
+    instances_revision: int
+    requests: int
+    waiting: int
+    runs: int
+    joined: int
+    held_refusals: int
+    quarantined: int
+
+
+class Gateway(Component):
+    """Serves callers.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    tables : Tables
+    request_ids : RequestIds
+    gate : Gate
+    runs : RunDesk
+    model_api : ModelApi
+    service_api : ServiceApi
+    metrics : Metrics
+    on_stopping : callable
+        Called without arguments when a planned stop begins.
+    """
+
+    __slots__ = (
+        "_accept_scope",
+        "_accounts",
+        "_gate",
+        "_idle",
+        "_listeners",
+        "_metrics",
+        "_model_api",
+        "_on_stopping",
+        "_request_ids",
+        "_runs",
+        "_serves_by_path",
+        "_server",
+        "_service_api",
+        "_settings",
+        "_tables",
+        "requests",
+        "stopping",
+    )
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        tables: Tables,
+        request_ids: RequestIds,
+        gate: Gate,
+        runs: RunDesk,
+        model_api: ModelApi,
+        service_api: ServiceApi,
+        metrics: Metrics,
+        on_stopping: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._tables = tables
+        self._request_ids = request_ids
+        self._gate = gate
+        self._runs = runs
+        self._model_api = model_api
+        self._service_api = service_api
+        self._metrics = metrics
+        self._on_stopping = on_stopping
+        self._accounts = Accounts(tables)
+        limits = HttpLimits(**msgspec.structs.asdict(settings.http))
+        self._server = HttpServer(self.handle, limits, self._answer_unread)
+        self._listeners: list[trio.SocketListener] = []
+        self._accept_scope = trio.CancelScope()
+        self._idle = trio.Event()
+        self._serves_by_path: dict[tuple[str, str], Serve] = {
+            ("POST", "/v1/completions"): model_api.complete,
+            ("POST", "/v1/chat/completions"): model_api.chat,
+            ("GET", "/v1/models"): model_api.list_models,
+        }
+        self.requests = 0
+        self.stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new work is wanted."""
+        return self._tables.table_version > 0 and not self.stopping
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open the listeners and serve."""
+        host, port = parse_address(self._settings.listen)
+        self._listeners = await trio.open_tcp_listeners(
+            port, host=host, backlog=BACKLOG
+        )
+        self._runs.start(nursery)
+        nursery.start_soon(self._accept, nursery)
+        log_event(_LOGGER, logging.INFO, Event.STARTED, address=self._settings.listen)
+        nursery.start_soon(self._announce_ready)
+
+    async def _accept(self, nursery: trio.Nursery) -> None:
+        with self._accept_scope:
+            await trio.serve_listeners(
+                self._server.serve_stream, self._listeners, handler_nursery=nursery
+            )
+
+    async def _announce_ready(self) -> None:
+        while not self.is_ready:
+            await trio.sleep(0.05)
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.READY,
+            table_version=self._tables.table_version,
+        )
+
+    async def stop(self) -> None:
+        """Serve what still arrives, then let the requests in progress end."""
+        self.stopping = True
+        self._on_stopping()
+        log_event(_LOGGER, logging.INFO, Event.STOP_REQUESTED, requests=self.requests)
+        try:
+            await trio.sleep(self._settings.stop.notice)
+            await self._close_listeners()
+            with trio.fail_after(self._settings.stop.bound):
+                await self._wait_until_idle()
+        except trio.TooSlowError:
+            await self._cut_all()
+        except trio.Cancelled:
+            with trio.CancelScope(shield=True):
+                await self._cut_all()
+            raise
+
+    async def _close_listeners(self) -> None:
+        self._accept_scope.cancel()
+        for listener in self._listeners:
+            await listener.aclose()
+        self._server.stop_keep_alive()
+
+    async def _wait_until_idle(self) -> None:
+        while self.requests:
+            self._idle = trio.Event()
+            await self._idle.wait()
+
+    async def _cut_all(self) -> None:
+        """Tell callers of requests in progress that their answers are cut."""
+        log_event(
+            _LOGGER, logging.ERROR, Event.STOP_BOUND_REACHED, requests=self.requests
+        )
+        reason = "the planned stop hit its bound"
+        self._runs.abort(RequestError(ErrorKind.STREAM_CUT, reason))
+        with trio.move_on_after(LAST_WORDS_SECONDS):
+            await self._wait_until_idle()
+
+    async def close(self) -> None:
+        """Close the listeners if they are still open."""
+        for listener in self._listeners:
+            await listener.aclose()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request whole."""
+        request_id = self._request_ids.make()
+        self.requests += 1
+        started_at = trio.current_time()
+        try:
+            await self._answer(exchange, request_id)
+        except ConnectionLost:
+            raise
+        except Exception:
+            _LOGGER.exception("request failed", extra={"request_id": request_id})
+            if exchange.started:
+                raise ConnectionLost("the answer is cut") from None
+            error = RequestError(ErrorKind.INTERNAL, "internal error")
+            await self._refuse(exchange, error, request_id, "")
+        finally:
+            elapsed = trio.current_time() - started_at
+            self._metrics.timing(Metric.REQUEST_TIME, elapsed)
+            self.requests -= 1
+            if not self.requests:
+                self._idle.set()
+
+    async def _answer(self, exchange: Exchange, request_id: str) -> None:
+        self._metrics.count(Metric.REQUESTS)
+        path = exchange.request.path
+        if path in ("/healthz", "/readyz", "/status"):
+            await self._answer_probe(exchange, path, request_id)
+            return
+        if path.startswith(PATH_PREFIX):
+            await self._serve(exchange, request_id)
+        else:
+            await exchange.run_until_closed(
+                lambda: self._serve(exchange, request_id),
+            )
+
+    async def _serve(self, exchange: Exchange, request_id: str) -> None:
+        team = ""
+        try:
+            if not self._tables.table_version:
+                raise RequestError(ErrorKind.NOT_READY, "no table is known yet")
+            serve = self._find(exchange)
+            headers = exchange.request.headers_by_name
+            team = self._accounts.get_team(headers.get("authorization", ""))
+            await serve(Call(exchange, request_id, team, self.stopping))
+        except RequestError as error:
+            await self._gate.pace(team, error)
+            await self._refuse(exchange, error, request_id, team)
+
+    def _find(self, exchange: Exchange) -> Serve:
+        request = exchange.request
+        if request.path.startswith(PATH_PREFIX):
+            return self._service_api.serve
+        serve = self._serves_by_path.get((request.method, request.path))
+        if serve is None:
+            reason = "there is no such method and path"
+            raise RequestError(ErrorKind.UNKNOWN_PATH, reason)
+        return serve
+
+    async def _refuse(
+        self, exchange: Exchange, error: RequestError, request_id: str, team: str
+    ) -> None:
+        self._metrics.count(METRICS_BY_OUTCOME[error.outcome])
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            Event.REQUEST_REFUSED,
+            request_id=request_id,
+            team=team,
+            kind=error.kind.value,
+            outcome=error.outcome.value,
+        )
+        await respond_error(exchange, error, request_id, self.stopping)
+
+    async def _answer_unread(self, exchange: Exchange, error: RequestError) -> None:
+        """Answer a request that could not be read; its connection then closes."""
+        request_id = self._request_ids.make()
+        self._metrics.count(Metric.ANSWERS_NOT_RUN)
+        await respond_error(exchange, error, request_id, True)
+
+    async def _answer_probe(
+        self, exchange: Exchange, path: str, request_id: str
+    ) -> None:
+        headers = make_headers(request_id, Outcome.RAN, self.stopping)
+        status = 200
+        if path == "/readyz" and not self.is_ready:
+            status = 503
+        await respond_json(exchange, status, headers, self.get_status())
+
+    def get_status(self) -> EntryStatus:
+        """Return the status of the process."""
+        return EntryStatus(
+            instance_id=self._settings.instance_id,
+            process=self._settings.process,
+            ready=self.is_ready,
+            stopping=self.stopping,
+            table_version=self._tables.table_version,
+            instances_revision=self._tables.instances_revision,
+            requests=self.requests,
+            waiting=self._gate.waiting,
+            runs=self._runs.running,
+            joined=self._runs.joined,
+            held_refusals=self._gate.held,
+            quarantined=len(self._tables.quarantined),
+        )
--- a/wigeondrift/http.py
+++ b/wigeondrift/http.py
@@ -152,6 +152,42 @@
         """End the body."""
         await self._write(self._connection.send(h11.EndOfMessage()))
 
+    async def run_until_closed(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Run ``task`` and cancel it when the peer closes its side.
+
+        Raises
+        ------
+        ConnectionLost
+            If the peer closed before the task ended.
+        """
+        failure = None
+        ended = False
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, nursery.cancel_scope)
+            try:
+                await task()
+            except Exception as error:
+                failure = error
+            ended = not nursery.cancel_scope.cancel_called
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if not ended:
+            raise ConnectionLost("the peer closed")
+
+    async def _watch(self, scope: trio.CancelScope) -> None:
+        """Cancel ``scope`` at the end of what the peer sends.
+
+        A request that is sent ahead is kept for later and ends the watch.
+        """
+        try:
+            data = await self._stream.receive_some(READ_SIZE_BYTES)
+            self._connection.receive_data(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            data = b""
+        if not data:
+            scope.cancel()
+
     async def _write(self, data: bytes) -> None:
         try:
             with trio.fail_after(self._limits.write_timeout):
--- /dev/null
+++ b/wigeondrift/model_api.py
@@ -0,0 +1,328 @@
+"""Callers' API of model services: completions, chat completions and models."""
+
+import hashlib
+import logging
+import time
+from collections.abc import Callable
+
+import msgspec
+import trio
+import xxhash
+
+from wigeondrift import completions
+from wigeondrift.answers import (
+    make_error_document,
+    make_headers,
+    respond_json,
+)
+from wigeondrift.completions import (
+    AnswerFormat,
+    AnyRequest,
+    ChatFormat,
+    ChatRequest,
+    CompletionFormat,
+    CompletionRequest,
+)
+from wigeondrift.errors import ErrorKind, Outcome, RequestError
+from wigeondrift.events import LOGGER_NAME, Event, log_event
+from wigeondrift.gate import Gate
+from wigeondrift.http import Exchange
+from wigeondrift.metrics import Metric, Metrics
+from wigeondrift.runs import RunDesk, RunReader, RunWriter
+from wigeondrift.settings import RequestSettings
+from wigeondrift.systems.joining import RunKey
+from wigeondrift.table import ServiceKind
+from wigeondrift.tables import Tables
+from wigeondrift.tracing import TRACEPARENT_HEADER
+
+EVENT_STREAM_TYPE = ("Content-Type", "text/event-stream; charset=utf-8")
+NO_CACHE = ("Cache-Control", "no-cache")
+SHORT_PRIORITY = 0
+LONG_PRIORITY = 1
+
+_LOGGER = logging.getLogger(LOGGER_NAME)
+
+
+class Call:
+    """One authenticated request on its way through the gateway.
+
+    Attributes
+    ----------
+    exchange : Exchange
+    request_id, team : str
+    closing : bool
+        Whether the connection closes after the answer.
+    """
+
+    __slots__ = ("closing", "exchange", "request_id", "team")
+
+    def __init__(
+        self, exchange: Exchange, request_id: str, team: str, closing: bool
+    ) -> None:
+        self.exchange = exchange
+        self.request_id = request_id
+        self.team = team
+        self.closing = closing
+
+
+class ModelCard(msgspec.Struct):
+    """One model of ``GET /v1/models``."""
+
+    id: str
+    object: str = "model"
+    created: int = 0
+    owned_by: str = "wigeondrift"
+
+
+class ModelList(msgspec.Struct):
+    """Body of ``GET /v1/models``."""
+
+    data: list[ModelCard]
+    object: str = "list"
+
+
+class PromptJob:
+    """Checked request for one answer of a model.
+
+    Attributes
+    ----------
+    body : CompletionRequest or ChatRequest
+    prompt : str
+    max_tokens : int
+    """
+
+    __slots__ = ("body", "max_tokens", "prompt")
+
+    def __init__(self, body: AnyRequest, most_tokens: int) -> None:
+        self.body = body
+        self.prompt = body.text
+        self.max_tokens = completions.get_max_tokens(body, most_tokens)
+
+    @property
+    def cost(self) -> int:
+        """Estimated tokens of prompt and answer."""
+        return completions.estimate_prompt_tokens(self.prompt) + self.max_tokens
+
+
+class ModelApi:
+    """Serves model requests.
+
+    Parameters
+    ----------
+    tables : Tables
+    settings : RequestSettings
+    gate : Gate
+    runs : RunDesk
+    generator : Generator
+    make_job : callable
+        Makes the generator's job of its named fields.
+    metrics : Metrics
+    """
+
+    __slots__ = (
+        "_gate",
+        "_generator",
+        "_make_job",
+        "_metrics",
+        "_runs",
+        "_settings",
+        "_tables",
+    )
+
+    def __init__(
+        self,
+        tables: Tables,
+        settings: RequestSettings,
+        gate: Gate,
+        runs: RunDesk,
+        generator: object,
+        make_job: Callable,
+        metrics: Metrics,
+    ) -> None:
+        self._tables = tables
+        self._settings = settings
+        self._gate = gate
+        self._runs = runs
+        self._generator = generator
+        self._make_job = make_job
+        self._metrics = metrics
+
+    async def list_models(self, call: Call) -> None:
+        """Answer with the models that the team may use."""
+        cards = [
+            ModelCard(name)
+            for name, row in self._tables.table.services_by_name.items()
+            if row.kind is ServiceKind.MODEL and self._has_row(call.team, name)
+        ]
+        headers = make_headers(call.request_id, Outcome.RAN, call.closing)
+        await respond_json(call.exchange, 200, headers, ModelList(cards))
+
+    def _has_row(self, team: str, service: str) -> bool:
+        return f"{team}/{service}" in self._tables.table.limits_by_row
+
+    async def complete(self, call: Call) -> None:
+        """Serve ``POST /v1/completions``."""
+        await self._serve(call, CompletionRequest, CompletionFormat)
+
+    async def chat(self, call: Call) -> None:
+        """Serve ``POST /v1/chat/completions``."""
+        await self._serve(call, ChatRequest, ChatFormat)
+
+    async def _serve(
+        self, call: Call, kind: type[AnyRequest], form: type[AnswerFormat]
+    ) -> None:
+        body = parse_body(call.exchange.request.body, kind)
+        job = PromptJob(body, self._settings.max_tokens)
+        self._check_model(body.model)
+        answer = form(call.request_id, body.model, int(time.time()))
+        key = self._make_key(call, body.model)
+
+        async def produce(writer: RunWriter) -> None:
+            await self._generate(call, job, writer)
+
+        async with self._runs.open(key, call.request_id, produce) as reader:
+            if body.stream:
+                await self._stream(call, job, answer, reader)
+            else:
+                await self._respond_whole(call, job, answer, reader)
+
+    def _check_model(self, model: str) -> None:
+        row = self._tables.table.services_by_name.get(model)
+        if row is None or row.kind is not ServiceKind.MODEL:
+            raise RequestError(ErrorKind.UNKNOWN_MODEL, "there is no such model")
+
+    @staticmethod
+    def _make_key(call: Call, model: str) -> RunKey:
+        request = call.exchange.request
+        digest = hashlib.sha256(request.path.encode() + b"\n" + request.body)
+        return RunKey(call.team, model, digest.hexdigest())
+
+    async def _generate(self, call: Call, job: PromptJob, writer: RunWriter) -> None:
+        """Run one request to its end; the task of a run."""
+        model = job.body.model
+        async with self._gate.admit(call.team, model, job.cost) as admitted:
+            generation_job = self._make_job(
+                request_id=call.request_id,
+                team=call.team,
+                service=model,
+                prompt=job.prompt,
+                max_tokens=job.max_tokens,
+                priority=LONG_PRIORITY if admitted.is_long else SHORT_PRIORITY,
+                fingerprint=make_fingerprint(model, job),
+                traceparent=call.exchange.request.headers_by_name.get(
+                    TRACEPARENT_HEADER, ""
+                ),
+            )
+            prompt_tokens = completions.estimate_prompt_tokens(job.prompt)
+            try:
+                async with self._generator.open(generation_job) as generation:
+                    async for tokens in generation:
+                        writer.write(tokens)
+            finally:
+                admitted.used = prompt_tokens + len(writer.run.tokens)
+            writer.end(generation.finish_reason)
+
+    async def _respond_whole(
+        self, call: Call, job: PromptJob, answer: AnswerFormat, reader: RunReader
+    ) -> None:
+        while await reader.read():
+            pass
+        run = reader.run
+        usage = completions.make_usage(job.prompt, len(run.tokens))
+        document = answer.make_whole("".join(run.tokens), run.finish_reason, usage)
+        headers = make_headers(call.request_id, Outcome.RAN, call.closing)
+        await respond_json(call.exchange, 200, headers, document)
+        self._note_done(call, job, reader)
+
+    async def _stream(
+        self, call: Call, job: PromptJob, answer: AnswerFormat, reader: RunReader
+    ) -> None:
+        exchange = call.exchange
+        started_at = trio.current_time()
+        tokens = await reader.read()
+        headers = make_headers(call.request_id, None, call.closing)
+        await exchange.start(200, [EVENT_STREAM_TYPE, NO_CACHE, *headers])
+        self._metrics.timing(Metric.FIRST_TOKEN, trio.current_time() - started_at)
+        try:
+            while tokens:
+                await exchange.send(answer.make_chunk("".join(tokens)))
+                tokens = await reader.read()
+        except RequestError as error:
+            await self._cut(call, error)
+            return
+        await exchange.send(self._make_ending(job, answer, reader))
+        await exchange.finish()
+        self._note_done(call, job, reader)
+
+    def _make_ending(
+        self, job: PromptJob, answer: AnswerFormat, reader: RunReader
+    ) -> bytes:
+        parts = [answer.make_last_chunk(reader.run.finish_reason)]
+        options = job.body.stream_options
+        if options is not None and options.include_usage:
+            usage = completions.make_usage(job.prompt, reader.count)
+            parts.append(answer.make_usage_chunk(usage))
+        parts.append(completions.frame_comment(f"outcome={Outcome.RAN.value}"))
+        parts.append(completions.DONE)
+        return b"".join(parts)
+
+    async def _cut(self, call: Call, error: RequestError) -> None:
+        """End a stream whose answer is not whole."""
+        outcome = error.outcome
+        if outcome is Outcome.NOT_RUN:
+            outcome = Outcome.UNKNOWN
+        cut = RequestError(error.kind, error.reason, outcome)
+        document = make_error_document(cut, call.request_id)
+        data = completions.frame_event(document)
+        data += completions.frame_comment(f"outcome={outcome.value}")
+        self._metrics.count(Metric.ANSWERS_UNKNOWN)
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            Event.REQUEST_REFUSED,
+            request_id=call.request_id,
+            team=call.team,
+            kind=error.kind.value,
+            outcome=outcome.value,
+        )
+        await call.exchange.send(data)
+        await call.exchange.finish()
+
+    def _note_done(self, call: Call, job: PromptJob, reader: RunReader) -> None:
+        self._metrics.count(Metric.ANSWERS_RAN)
+        self._metrics.count(Metric.TOKENS, len(reader.run.tokens))
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.REQUEST_DONE,
+            request_id=call.request_id,
+            run_id=reader.run.run_id,
+            team=call.team,
+            service=job.body.model,
+            tokens=len(reader.run.tokens),
+        )
+
+
+def parse_body(data: bytes, kind: type[AnyRequest]) -> AnyRequest:
+    """Return the decoded body of a request.
+
+    Raises
+    ------
+    RequestError
+        If it is not JSON, or not of the form.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.ValidationError as error:
+        raise RequestError(ErrorKind.INVALID_PARAMETER, str(error)) from error
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        reason = "the body is not a JSON document"
+        raise RequestError(ErrorKind.MALFORMED_REQUEST, reason) from error
+
+
+def make_fingerprint(model: str, job: PromptJob) -> str:
+    """Return what names equal requests over retries and entries."""
+    digest = xxhash.xxh3_128()
+    digest.update(f"{model}\n{job.max_tokens}\n".encode())
+    digest.update(job.prompt.encode("utf-8", "surrogatepass"))
+    return digest.hexdigest()
--- /dev/null
+++ b/wigeondrift/runs.py
@@ -0,0 +1,211 @@
+"""Shell of joined runs: one task a run, any number of readers."""
+
+import contextlib
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import trio
+
+from wigeondrift.errors import ErrorKind, Outcome, RequestError
+from wigeondrift.events import LOGGER_NAME
+from wigeondrift.settings import EntrySettings
+from wigeondrift.systems.joining import Joining, JoiningRules, Run, RunKey
+from wigeondrift.timer import Clock, TimerService
+
+TICK_SECONDS = 0.1
+
+_LOGGER = logging.getLogger(LOGGER_NAME)
+
+Produce = Callable[["RunWriter"], Awaitable[None]]
+
+
+class RunWriter:
+    """What the task of a run writes its tokens to.
+
+    Attributes
+    ----------
+    run : Run
+    """
+
+    __slots__ = ("_joining", "_news", "run", "scope")
+
+    def __init__(self, joining: Joining, run: Run) -> None:
+        self._joining = joining
+        self._news = trio.Event()
+        self.run = run
+        self.scope = trio.CancelScope()
+
+    def write(self, tokens: list[str]) -> None:
+        """Add tokens and wake the readers."""
+        self._joining.append(self.run, tokens)
+        self._wake()
+
+    def end(self, finish_reason: str) -> None:
+        """Mark the run as whole."""
+        self._joining.end(self.run, finish_reason)
+        self._wake()
+
+    def fail(self, error: RequestError) -> None:
+        """Mark the run as cut, unless it is over."""
+        if not self.run.is_over:
+            self._joining.fail(self.run, error)
+            self._wake()
+
+    def _wake(self) -> None:
+        self._news.set()
+        self._news = trio.Event()
+
+    async def wait_for_news(self) -> None:
+        """Return when something has been written."""
+        await self._news.wait()
+
+
+class RunReader:
+    """Reads one run from its first token.
+
+    Attributes
+    ----------
+    read_to_end : bool
+        Whether the run's end has been read.
+    """
+
+    __slots__ = ("_place", "_writer", "read_to_end")
+
+    def __init__(self, writer: RunWriter) -> None:
+        self._writer = writer
+        self._place = 0
+        self.read_to_end = False
+
+    @property
+    def run(self) -> Run:
+        """Run that is read."""
+        return self._writer.run
+
+    @property
+    def count(self) -> int:
+        """Tokens read so far."""
+        return self._place
+
+    async def read(self) -> list[str]:
+        """Return the next tokens; none at the end mark.
+
+        Raises
+        ------
+        RequestError
+            If the run ended without its end mark.
+        """
+        run = self._writer.run
+        while self._place == len(run.tokens):
+            if run.error is not None:
+                self.read_to_end = True
+                raise run.error
+            if run.finish_reason:
+                self.read_to_end = True
+                return []
+            await self._writer.wait_for_news()
+        tokens = run.tokens[self._place :]
+        self._place += len(tokens)
+        return tokens
+
+
+class RunDesk:
+    """Starts runs and lets repeats join them.
+
+    Parameters
+    ----------
+    joining : Joining
+    clock : Clock
+    timer : TimerService
+        Ends the runs that nobody reads.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_joining",
+        "_nursery",
+        "_running",
+        "_writers_by_id",
+        "joined",
+    )
+
+    def __init__(self, joining: Joining, clock: Clock, timer: TimerService) -> None:
+        self._joining = joining
+        self._clock = clock
+        self._nursery: trio.Nursery | None = None
+        self._writers_by_id: dict[str, RunWriter] = {}
+        self._running = 0
+        self.joined = 0
+        timer.subscribe("runs", TICK_SECONDS, self._on_tick)
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Run from now on in ``nursery``."""
+        self._nursery = nursery
+
+    @property
+    def running(self) -> int:
+        """Runs in progress."""
+        return self._running
+
+    async def _on_tick(self, now: float) -> None:
+        for run in self._joining.tick(now):
+            self._writers_by_id[run.run_id].scope.cancel()
+        for run_id in list(self._writers_by_id):
+            if run_id not in self._joining.runs_by_id:
+                del self._writers_by_id[run_id]
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, key: RunKey, run_id: str, produce: Produce
+    ) -> AsyncIterator[RunReader]:
+        """Join the run in progress for ``key`` or start one with ``produce``."""
+        writer = self._find(key)
+        if writer is None:
+            writer = self._begin(key, run_id, produce)
+        reader = RunReader(writer)
+        try:
+            yield reader
+        finally:
+            self._joining.leave(writer.run, reader.read_to_end, self._clock.now())
+
+    def _find(self, key: RunKey) -> RunWriter | None:
+        run = self._joining.join(key)
+        if run is None:
+            return None
+        self.joined += 1
+        return self._writers_by_id[run.run_id]
+
+    def _begin(self, key: RunKey, run_id: str, produce: Produce) -> RunWriter:
+        run = self._joining.begin(key, run_id)
+        writer = RunWriter(self._joining, run)
+        self._writers_by_id[run_id] = writer
+        self._nursery.start_soon(self._run, writer, produce)
+        return writer
+
+    async def _run(self, writer: RunWriter, produce: Produce) -> None:
+        self._running += 1
+        try:
+            with writer.scope:
+                await produce(writer)
+        except RequestError as error:
+            writer.fail(error)
+        except Exception:
+            _LOGGER.exception("run failed", extra={"request_id": writer.run.run_id})
+            writer.fail(RequestError(ErrorKind.INTERNAL, "internal error"))
+        finally:
+            self._running -= 1
+            writer.fail(
+                RequestError(ErrorKind.STREAM_CUT, "the run ended", Outcome.UNKNOWN)
+            )
+
+    def abort(self, error: RequestError) -> None:
+        """Cut all runs; their readers get ``error``."""
+        for writer in list(self._writers_by_id.values()):
+            writer.fail(error)
+            writer.scope.cancel()
+
+
+def make_runs(settings: EntrySettings, clock: Clock, timer: TimerService) -> RunDesk:
+    """Return the desk of runs that an entry's settings describe."""
+    chosen = settings.admission
+    rules = JoiningRules(readers=chosen.joined_readers, linger=chosen.linger)
+    return RunDesk(Joining(rules), clock, timer)
--- /dev/null
+++ b/wigeondrift/service_api.py
@@ -0,0 +1,173 @@
+"""Callers' API of plain services below ``/services/{name}/``."""
+
+import logging
+from collections.abc import Callable
+
+from wigeondrift.answers import make_headers
+from wigeondrift.errors import ErrorKind, RequestError
+from wigeondrift.events import LOGGER_NAME, Event, log_event
+from wigeondrift.gate import Gate
+from wigeondrift.http import Request
+from wigeondrift.metrics import Metric, Metrics
+from wigeondrift.model_api import Call
+from wigeondrift.service import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    ServiceAnswer,
+    ServiceCall,
+)
+from wigeondrift.table import ServiceKind, ServiceRow
+from wigeondrift.tables import Tables
+
+PATH_PREFIX = "/services/"
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+METHODS = SAFE_METHODS | {"POST", "PUT", "PATCH", "DELETE"}
+KEY_CHARACTERS = 256
+NOT_PASSED_ON = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        OUTCOME_HEADER.lower(),
+        REQUEST_ID_HEADER.lower(),
+    }
+)
+LOWEST_FINAL_STATUS = 200
+
+_LOGGER = logging.getLogger(LOGGER_NAME)
+
+
+class ServiceApi:
+    """Serves calls of plain services.
+
+    Parameters
+    ----------
+    tables : Tables
+    gate : Gate
+    desk : OrderDesk
+    make_job : callable
+        Makes the desk's job of its named fields.
+    metrics : Metrics
+    """
+
+    __slots__ = ("_desk", "_gate", "_make_job", "_metrics", "_tables")
+
+    def __init__(
+        self,
+        tables: Tables,
+        gate: Gate,
+        desk: object,
+        make_job: Callable,
+        metrics: Metrics,
+    ) -> None:
+        self._tables = tables
+        self._gate = gate
+        self._desk = desk
+        self._make_job = make_job
+        self._metrics = metrics
+
+    async def serve(self, call: Call) -> None:
+        """Pass one call on and its answer back."""
+        request = call.exchange.request
+        name, target = split_target(request.target)
+        row = self._get_service(name)
+        key = get_key(request, row)
+        service_call = ServiceCall(
+            request.method, target, list_passed_headers(request), request.body
+        )
+        job = self._make_job(
+            request_id=call.request_id,
+            team=call.team,
+            service=name,
+            key=key,
+            call=service_call,
+        )
+        async with self._gate.admit(call.team, name, 0):
+            result = await self._desk.run(job)
+        await self._respond(call, result)
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.REQUEST_DONE,
+            request_id=call.request_id,
+            team=call.team,
+            service=name,
+            outcome=result.outcome.value,
+            replayed=result.replayed,
+        )
+
+    def _get_service(self, name: str) -> ServiceRow:
+        row = self._tables.table.services_by_name.get(name)
+        if row is None or row.kind is not ServiceKind.PLAIN:
+            raise RequestError(ErrorKind.UNKNOWN_SERVICE, "there is no such service")
+        return row
+
+    async def _respond(self, call: Call, result: object) -> None:
+        answer: ServiceAnswer = result.answer
+        headers = make_headers(call.request_id, result.outcome, call.closing)
+        passed = [
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() not in NOT_PASSED_ON
+        ]
+        body = b"" if call.exchange.request.method == "HEAD" else answer.body
+        await call.exchange.respond(answer.status, [*passed, *headers], body)
+        self._metrics.count(Metric.ANSWERS_RAN)
+
+
+def split_target(target: str) -> tuple[str, str]:
+    """Return the service's name and the target below its path.
+
+    Raises
+    ------
+    RequestError
+        If no service is named.
+    """
+    path, mark, query = target.removeprefix(PATH_PREFIX).partition("?")
+    name, _, rest = path.partition("/")
+    if not name:
+        raise RequestError(ErrorKind.UNKNOWN_SERVICE, "no service is named")
+    return name, f"/{rest}{mark}{query}"
+
+
+def get_key(request: Request, row: ServiceRow) -> str:
+    """Return the idempotency key of a call; empty where none is needed.
+
+    Raises
+    ------
+    RequestError
+        If a call that may not be repeated has no key, or one that is too long.
+    """
+    if request.method not in METHODS:
+        reason = "the method is not passed on"
+        raise RequestError(ErrorKind.MALFORMED_REQUEST, reason)
+    key = request.headers_by_name.get(row.key_header.lower(), "").strip()
+    if len(key) > KEY_CHARACTERS:
+        reason = f"{row.key_header} has more than {KEY_CHARACTERS} characters"
+        raise RequestError(ErrorKind.INVALID_PARAMETER, reason)
+    if row.idempotent or request.method in SAFE_METHODS:
+        return ""
+    if not key:
+        reason = f"the call may not be repeated and needs {row.key_header}"
+        raise RequestError(ErrorKind.KEY_REQUIRED, reason)
+    return key
+
+
+def list_passed_headers(request: Request) -> tuple[tuple[str, str], ...]:
+    """Return the end-to-end headers of a request."""
+    named = request.headers_by_name.get("connection", "").lower().split(",")
+    dropped = NOT_PASSED_ON.union(name.strip() for name in named)
+    return tuple(
+        (name, value)
+        for name, value in request.headers_by_name.items()
+        if name not in dropped
+    )
--- a/wigeondrift/settings.py
+++ b/wigeondrift/settings.py
@@ -56,6 +56,42 @@
     claim_timeout: Seconds = 3.0
 
 
+class AdmissionSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of the admission.
+
+    Attributes
+    ----------
+    limit_wait : float
+        Longest wait for a rate to let a request through, in seconds.
+    burst_seconds : float
+        Time for which a rate may be saved up, in seconds.
+    long_tokens : int
+        Estimated tokens from which a request counts as long.
+    long_fraction : float
+        Part of the slots that long requests may fill.
+    refusals_per_second : float
+        Pace of refusals answered to one team.
+    refusal_delay : float
+        Longest time that a refusal is held back, in seconds.
+    refusals_held : int
+        Refusals held back at once.
+    joined_readers : int
+        Repeats that follow one run at once.
+    linger : float
+        Time for which a run goes on without a reader, in seconds.
+    """
+
+    limit_wait: Seconds = 2.0
+    burst_seconds: Seconds = 1.0
+    long_tokens: Positive = 2048
+    long_fraction: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.5
+    refusals_per_second: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 50.0
+    refusal_delay: Seconds = 2.0
+    refusals_held: Positive = 1000
+    joined_readers: Positive = 64
+    linger: Seconds = 1.0
+
+
 class StopSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bounds of a planned stop.
 
@@ -120,6 +156,7 @@
     configured_instances: Positive = 8
     http: HttpSettings = HttpSettings()
     requests: RequestSettings = RequestSettings()
+    admission: AdmissionSettings = AdmissionSettings()
     stop: StopSettings = StopSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
 
--- /dev/null
+++ b/wigeondrift/systems/buckets.py
@@ -0,0 +1,75 @@
+"""Token bucket that limits a rate."""
+
+EPSILON = 1e-9
+
+
+class TokenBucket:
+    """Token bucket whose level may go below zero for one large cost.
+
+    A cost up to the burst needs that much in the bucket. A larger one needs a full
+    bucket and leaves a debt, so that it passes without raising the mean rate.
+
+    Parameters
+    ----------
+    rate : float
+        Units added per second.
+    burst : float
+        Largest level, in units.
+    now : float
+        Time in seconds.
+
+    Attributes
+    ----------
+    level : float
+        Units at hand at the last update.
+    """
+
+    __slots__ = ("_burst", "_rate", "_updated_at", "level")
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._updated_at = now
+        self.level = burst
+
+    def set_rate(self, rate: float, burst: float, now: float) -> None:
+        """Change rate and burst from ``now`` on."""
+        if rate == self._rate and burst == self._burst:
+            return
+        self._refill(now)
+        self._rate = rate
+        self._burst = burst
+        self.level = min(self.level, burst)
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._updated_at)
+        self.level = min(self._burst, self.level + elapsed * self._rate)
+        self._updated_at = max(now, self._updated_at)
+
+    def get_wait(self, cost: float, now: float, ahead: float = 0.0) -> float:
+        """Return the seconds until ``cost`` may be taken; infinite if never.
+
+        Parameters
+        ----------
+        cost : float
+            Units wanted.
+        now : float
+            Time in seconds.
+        ahead : float
+            Units that others will take first.
+        """
+        self._refill(now)
+        missing = ahead + min(cost, self._burst) - self.level
+        if missing <= EPSILON:
+            return 0.0
+        if self._rate <= 0:
+            return float("inf")
+        return missing / self._rate
+
+    def take(self, cost: float) -> None:
+        """Take ``cost`` units, also below zero."""
+        self.level -= cost
+
+    def give_back(self, cost: float) -> None:
+        """Return units that were taken and not used."""
+        self.level = min(self._burst, self.level + cost)
--- /dev/null
+++ b/wigeondrift/systems/capacity.py
@@ -0,0 +1,43 @@
+"""Slots of a service's upstreams and the part that one entry may fill."""
+
+import math
+
+from wigeondrift.entities import Instance, Role
+from wigeondrift.table import ServiceKind, ServiceRow
+from wigeondrift.tables import Tables
+
+
+def count_slots(tables: Tables, service: str) -> int:
+    """Return how many requests the service's live upstreams run at once."""
+    row = tables.table.services_by_name[service]
+    if row.kind is ServiceKind.PLAIN:
+        upstreams = tables.list_upstreams(service, Role.SERVICE)
+        return sum(upstream.slots for upstream in upstreams)
+    return _count_model_slots(row, tables.list_upstreams(service, Role.RUNNER))
+
+
+def _count_model_slots(row: ServiceRow, runners: list[Instance]) -> int:
+    """Return the slots of the scarcest layer."""
+    changes_by_layer: dict[int, int] = {0: 0, row.layers: 0}
+    for runner in runners:
+        if runner.version != row.version:
+            continue
+        first, end = runner.first_layer, runner.end_layer
+        changes_by_layer[first] = changes_by_layer.get(first, 0) + runner.slots
+        changes_by_layer[end] = changes_by_layer.get(end, 0) - runner.slots
+    slots = 0
+    least = None
+    for layer in sorted(changes_by_layer):
+        slots += changes_by_layer[layer]
+        if layer < row.layers:
+            least = slots if least is None else min(least, slots)
+    return least or 0
+
+
+def get_entry_slots(tables: Tables, service: str) -> int:
+    """Return this entry's part of the slots; at least one.
+
+    With no upstream known the one slot lets a request through to the router, which
+    says what is missing.
+    """
+    return max(1, math.ceil(count_slots(tables, service) / tables.entries))
--- /dev/null
+++ b/wigeondrift/systems/joining.py
@@ -0,0 +1,179 @@
+"""Runs in progress, joined by repeats of the same request.
+
+A run keeps all its tokens until it is forgotten, so a reader that joins late still
+reads the answer from its first token.
+"""
+
+import math
+from typing import NamedTuple
+
+from wigeondrift.errors import RequestError
+
+
+class RunKey(NamedTuple):
+    """What makes two requests the same one.
+
+    Attributes
+    ----------
+    team, service : str
+    digest : str
+        Digest of path and body.
+    """
+
+    team: str
+    service: str
+    digest: str
+
+
+class JoiningRules:
+    """Bounds on joined runs.
+
+    Attributes
+    ----------
+    readers : int
+        Readers of one run at once; a further repeat gets a run of its own.
+    linger : float
+        Time for which a run goes on without a reader, in seconds.
+    """
+
+    __slots__ = ("linger", "readers")
+
+    def __init__(self, readers: int = 64, linger: float = 1.0) -> None:
+        self.readers = readers
+        self.linger = linger
+
+
+class Run:
+    """One run of a model request and what it has given so far.
+
+    Attributes
+    ----------
+    key : RunKey
+    run_id : str
+        Request id of the first reader's request.
+    tokens : list of str
+        Token texts so far.
+    finish_reason : str
+        Empty until the end mark has come.
+    error : RequestError or None
+        Why the run ended without its end mark.
+    readers : int
+        Readers now.
+    abandoned_at : float
+        When the last reader left, in seconds; infinite while there is one.
+    """
+
+    __slots__ = (
+        "abandoned_at",
+        "error",
+        "finish_reason",
+        "key",
+        "readers",
+        "run_id",
+        "tokens",
+    )
+
+    def __init__(self, key: RunKey, run_id: str) -> None:
+        self.key = key
+        self.run_id = run_id
+        self.tokens: list[str] = []
+        self.finish_reason = ""
+        self.error: RequestError | None = None
+        self.readers = 0
+        self.abandoned_at = math.inf
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more will come."""
+        return bool(self.finish_reason) or self.error is not None
+
+
+class Joining:
+    """Finds the run that a repeat belongs to.
+
+    Parameters
+    ----------
+    rules : JoiningRules
+    """
+
+    __slots__ = ("_rules", "runs_by_id", "runs_by_key")
+
+    def __init__(self, rules: JoiningRules) -> None:
+        self._rules = rules
+        self.runs_by_key: dict[RunKey, Run] = {}
+        self.runs_by_id: dict[str, Run] = {}
+
+    def join(self, key: RunKey) -> Run | None:
+        """Return the run in progress for ``key`` with one more reader, if any."""
+        run = self.runs_by_key.get(key)
+        if run is None or run.readers >= self._rules.readers:
+            return None
+        run.readers += 1
+        run.abandoned_at = math.inf
+        return run
+
+    def begin(self, key: RunKey, run_id: str) -> Run:
+        """Return a new run with one reader; repeats of ``key`` join it."""
+        run = Run(key, run_id)
+        run.readers = 1
+        self.runs_by_key[key] = run
+        self.runs_by_id[run_id] = run
+        return run
+
+    def append(self, run: Run, tokens: list[str]) -> None:
+        """Add tokens to a run."""
+        run.tokens.extend(tokens)
+
+    def end(self, run: Run, finish_reason: str) -> None:
+        """Mark a run as whole."""
+        run.finish_reason = finish_reason
+        self._drop_if_unread(run)
+
+    def fail(self, run: Run, error: RequestError) -> None:
+        """Mark a run as cut; a repeat gets a new run."""
+        run.error = error
+        self._unlist(run)
+        self._drop_if_unread(run)
+
+    def leave(self, run: Run, read_to_end: bool, now: float) -> None:
+        """Count a reader as gone.
+
+        Parameters
+        ----------
+        run : Run
+        read_to_end : bool
+            Whether it read the run's end, so that a repeat is a new request.
+        now : float
+            Time in seconds.
+        """
+        run.readers -= 1
+        if read_to_end:
+            self._unlist(run)
+        if run.readers == 0:
+            run.abandoned_at = now
+            self._drop_if_unread(run)
+
+    def tick(self, now: float) -> list[Run]:
+        """Forget the runs that nobody came back to; return them."""
+        abandoned = [
+            run
+            for run in self.runs_by_id.values()
+            if run.abandoned_at + self._rules.linger <= now
+        ]
+        for run in abandoned:
+            self._forget(run)
+        return abandoned
+
+    def _drop_if_unread(self, run: Run) -> None:
+        """Forget an ended run that has no reader and takes none."""
+        listed = self.runs_by_key.get(run.key) is run
+        if run.is_over and run.readers == 0 and not listed:
+            self.runs_by_id.pop(run.run_id, None)
+
+    def _unlist(self, run: Run) -> None:
+        if self.runs_by_key.get(run.key) is run:
+            del self.runs_by_key[run.key]
+
+    def _forget(self, run: Run) -> None:
+        self._unlist(run)
+        self.runs_by_id.pop(run.run_id, None)
