Plain services: HTTP form, memory twin, order service stand-in

A non-idempotent call goes on a connection of its own, so that a failed connect (no byte sent) is never mixed up with a lost answer. send_by bounds the time at which the first byte may leave and is checked after the connect, last before the write.

--- a/wigeondrift/service.py
+++ b/wigeondrift/service.py
@@ -42,10 +42,25 @@
 
     @abc.abstractmethod
     async def call(
-        self, address: str, call: ServiceCall, timeout: float
+        self,
+        address: str,
+        call: ServiceCall,
+        timeout: float,
+        send_by: float | None = None,
     ) -> ServiceAnswer:
         """Send the call once, on a connection of its own, and return the answer.
 
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the upstream.
+        call : ServiceCall
+        timeout : float
+            Longest time from the first byte sent to the whole answer, in seconds.
+        send_by : float, optional
+            Time of the event loop, in seconds, after which the first byte may no
+            longer be sent. It is checked last before sending.
+
         Raises
         ------
         ConnectFailed
--- /dev/null
+++ b/wigeondrift/service_http.py
@@ -0,0 +1,94 @@
+"""Plain service reached over HTTP."""
+
+import h11
+import trio
+
+from wigeondrift.errors import ConnectFailed, ConnectionLost, ProtocolViolation
+from wigeondrift.http import ClientChannel, Headers, HttpClient
+from wigeondrift.service import PlainService, ServiceAnswer, ServiceCall
+
+ANSWER_BYTES = 4 * 1048576
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def strip_connection_headers(
+    headers: Headers | tuple[tuple[str, str], ...],
+) -> Headers:
+    """Return the end-to-end headers, see RFC 9110 section 7.6.1."""
+    named = set()
+    for name, value in headers:
+        if name.lower() == "connection":
+            named.update(part.strip().lower() for part in value.split(","))
+    dropped = CONNECTION_HEADERS | named
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+class HttpPlainService(PlainService):
+    """Calls upstreams over HTTP, each call on a new connection.
+
+    A connection that was idle may have been closed by its peer, which shows only
+    after bytes were sent; a new one keeps "not sent" and "lost" apart.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Makes the connections.
+    """
+
+    __slots__ = ("_client",)
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def call(
+        self,
+        address: str,
+        call: ServiceCall,
+        timeout: float,
+        send_by: float | None = None,
+    ) -> ServiceAnswer:
+        """Send the call once; see ``PlainService``."""
+        channel = await self._client.connect(address)
+        try:
+            return await self._exchange(channel, address, call, timeout, send_by)
+        finally:
+            await channel.close()
+
+    async def _exchange(
+        self,
+        channel: ClientChannel,
+        address: str,
+        call: ServiceCall,
+        timeout: float,
+        send_by: float | None,
+    ) -> ServiceAnswer:
+        headers = [("Host", address), ("Content-Length", str(len(call.body)))]
+        headers.extend(strip_connection_headers(call.headers))
+        if send_by is not None and trio.current_time() > send_by:
+            raise ConnectFailed("the time to send has passed")
+        try:
+            with trio.fail_after(timeout):
+                await channel.send(call.method, call.target, headers, call.body)
+                response = await channel.read_head()
+                body = await response.read(ANSWER_BYTES)
+        except trio.TooSlowError as error:
+            raise ConnectionLost(f"{address} stayed silent") from error
+        except ProtocolViolation as error:
+            raise ConnectionLost(f"{address} sent too much") from error
+        except h11.LocalProtocolError as error:
+            raise ConnectFailed("the call is not valid HTTP/1.1") from error
+        kept = strip_connection_headers(response.headers)
+        return ServiceAnswer(response.status, tuple(kept), body)
--- /dev/null
+++ b/wigeondrift_emulator/orders.py
@@ -0,0 +1,166 @@
+"""Order service: several upstreams of one process that share a ledger.
+
+``GET /control`` gives the ledger and the switches, ``POST /control`` with a JSON
+``Control`` sets the switches of one upstream or of all.
+"""
+
+import logging
+import sys
+
+import cyclopts
+import msgspec
+import trio
+
+from wigeondrift.events import Event, configure_logging, log_event
+from wigeondrift.http import Exchange, HttpLimits, HttpServer, parse_address
+from wigeondrift.service import ServiceCall
+from wigeondrift.service_memory import (
+    AnswerLost,
+    LedgerEntry,
+    OrderLedger,
+    Switches,
+    UpstreamDied,
+    serve_call,
+)
+
+CONTROL_PATH = "/control"
+JSON_HEADERS = [("Content-Type", "application/json")]
+
+
+class Control(msgspec.Struct, forbid_unknown_fields=True):
+    """Order to change switches.
+
+    Attributes
+    ----------
+    address : str
+        Upstream that is changed; all if empty.
+    switches : Switches
+        New switches.
+    """
+
+    switches: Switches
+    address: str = ""
+
+
+class LedgerReport(msgspec.Struct, frozen=True):
+    """What the upstreams ran and how they are switched."""
+
+    runs_by_key: dict[str, int]
+    entries: list[LedgerEntry]
+    switches_by_address: dict[str, Switches]
+
+
+class OrderService:
+    """Upstreams of one process.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        ``host:port`` of each upstream.
+    switches : Switches
+        First setting of each.
+    """
+
+    __slots__ = ("_scopes_by_address", "ledger", "switches_by_address")
+
+    def __init__(self, addresses: tuple[str, ...], switches: Switches) -> None:
+        self.ledger = OrderLedger()
+        self.switches_by_address = {
+            address: msgspec.structs.replace(switches) for address in addresses
+        }
+        self._scopes_by_address: dict[str, trio.CancelScope] = {}
+
+    async def run(self, logger: logging.Logger) -> None:
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for address in self.switches_by_address:
+                await nursery.start(self._serve_upstream, address)
+            addresses = list(self.switches_by_address)
+            log_event(logger, logging.INFO, Event.STARTED, addresses=addresses)
+
+    async def _serve_upstream(
+        self,
+        address: str,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        async def handle(exchange: Exchange) -> None:
+            await self._handle(address, exchange)
+
+        server = HttpServer(handle, HttpLimits())
+        host, port = parse_address(address)
+        with trio.CancelScope() as scope:
+            self._scopes_by_address[address] = scope
+            listeners = await trio.open_tcp_listeners(port, host=host)
+            task_status.started()
+            await trio.serve_listeners(server.serve_stream, listeners)
+
+    async def _handle(self, address: str, exchange: Exchange) -> None:
+        request = exchange.request
+        if request.path == CONTROL_PATH:
+            await self._handle_control(exchange)
+            return
+        headers = tuple(request.headers_by_name.items())
+        call = ServiceCall(request.method, request.target, headers, request.body)
+        switches = self.switches_by_address[address]
+        try:
+            answer = await serve_call(self.ledger, address, switches, call)
+        except UpstreamDied:
+            self._scopes_by_address[address].cancel()
+            return
+        except AnswerLost:
+            return
+        await exchange.respond(answer.status, answer.headers, answer.body)
+
+    async def _handle_control(self, exchange: Exchange) -> None:
+        if exchange.request.method == "POST":
+            try:
+                control = msgspec.json.decode(exchange.request.body, type=Control)
+            except msgspec.DecodeError as error:
+                await exchange.respond(400, [], str(error).encode())
+                return
+            self._apply(control)
+        report = LedgerReport(
+            self.ledger.runs_by_key, self.ledger.entries, self.switches_by_address
+        )
+        await exchange.respond(200, JSON_HEADERS, msgspec.json.encode(report))
+
+    def _apply(self, control: Control) -> None:
+        for address in self.switches_by_address:
+            if control.address in ("", address):
+                self.switches_by_address[address] = msgspec.structs.replace(
+                    control.switches
+                )
+
+
+app = cyclopts.App(name="wigeondrift_emulator.orders", help="Order service.")
+
+
+@app.default
+def main(
+    *,
+    listen: tuple[str, ...],
+    checks_fencing: bool = False,
+    drops_repeats: bool = False,
+) -> None:
+    """Run the order service.
+
+    Parameters
+    ----------
+    listen
+        ``host:port`` of an upstream; may be given several times.
+    checks_fencing
+        Refuse old fencing numbers.
+    drops_repeats
+        Answer a repeated key without running it again.
+    """
+    logger = configure_logging("INFO", program="orders")
+    switches = Switches(checks_fencing=checks_fencing, drops_repeats=drops_repeats)
+    service = OrderService(listen, switches)
+    try:
+        trio.run(service.run, logger)
+    except KeyboardInterrupt:
+        sys.exit(0)
+
+
+if __name__ == "__main__":
+    app()
