Add the engine contract's two forms and an emulated engine

A request over stages needs something to run on that shows a skipped or doubled layer in the caller's text. The emulator makes each token from prompt, index and the layers that ran; one core serves both the HTTP form and the in-memory twin, which pass the same scenarios (refusal, resume, death of either stage, cancel).

A pull-based session was taken over a task for each session: a death then only cancels the scope of the pending pull.

--- a/wigeondrift/engine.py
+++ b/wigeondrift/engine.py
@@ -1,8 +1,10 @@
 """Contract of a model engine and the messages of its token stream.
 
 The HTTP form is ``POST /generate`` with a JSON ``GenerateRequest``, answered by
-newline-delimited JSON of ``TokenEvent``, then ``EndEvent`` or ``FailureEvent``. A
-refusal before anything ran has status 503 and header ``X-Outcome: not-run``.
+newline-delimited JSON of ``TokenEvent``, then ``EndEvent`` or ``FailureEvent``. An
+empty line is a sign of life of an order that waits for a slot or its prefill. A
+refusal before anything ran has status 503, header ``X-Outcome: not-run``, the reason
+in ``X-Reason`` and the runner that refused in ``X-Stage``.
 ``POST /cancel`` takes a JSON ``CancelRequest``; ``GET /load`` gives a ``LoadReport``.
 The first stage of a route drives the later ones.
 """
@@ -130,11 +132,14 @@
     ----------
     reason : str
         ``leaving``, ``full``, ``fenced`` or ``version``.
+    stage : str
+        Runner that refused; empty if not known.
     """
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, stage: str = "") -> None:
         super().__init__(reason)
         self.reason = reason
+        self.stage = stage
 
 
 class Engine(abc.ABC):
@@ -146,7 +151,8 @@
     ) -> contextlib.AbstractAsyncContextManager[AsyncIterator[list[EngineEvent]]]:
         """Start the order and enter with batches of its events as they arrive.
 
-        Leaving the context cancels what still runs.
+        An empty batch is a sign of life before the first token. Leaving
+        the context cancels what still runs.
 
         Raises
         ------
--- /dev/null
+++ b/wigeondrift_emulator/control.py
@@ -0,0 +1,85 @@
+"""Switches of the emulated runners, turned from outside by JSON orders."""
+
+import enum
+
+import msgspec
+
+from wigeondrift_emulator.runner import Cluster, Runner
+
+
+class Action(enum.StrEnum):
+    """What to do to a runner."""
+
+    DIE = "die"
+    DIE_AFTER = "die_after"
+    REVIVE = "revive"
+    FREEZE = "freeze"
+    THAW = "thaw"
+    SILENCE = "silence"
+    DEGRADE = "degrade"
+    CRASH_ON = "crash_on"
+    CROSS = "cross"
+    SKIP = "skip"
+    LEAVE = "leave"
+    STAY = "stay"
+
+
+class ControlOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Order to one emulated runner.
+
+    Attributes
+    ----------
+    instance_id : str
+        The runner.
+    action : Action
+    count : int
+        Tokens until the death or crash, or tokens to disturb.
+    target : str
+        Other end of the link to degrade: a runner, failure domain or kind.
+    seconds : float
+        New delay of the link, in seconds.
+    marker : str
+        Part of a prompt that crashes the runner; none if empty.
+    """
+
+    instance_id: str
+    action: Action
+    count: int = 0
+    target: str = ""
+    seconds: float = 0.0
+    marker: str = ""
+
+
+def carry_out(cluster: Cluster, order: ControlOrder) -> None:
+    """Turn the switch that ``order`` names.
+
+    Raises
+    ------
+    KeyError
+        If there is no such runner.
+    """
+    runner = cluster.runners_by_id[order.instance_id]
+    if order.action is Action.DEGRADE:
+        cluster.links.set_seconds(order.instance_id, order.target, order.seconds)
+    elif order.action is Action.CRASH_ON:
+        runner.crash_marker = order.marker
+        runner.crash_after_tokens = order.count
+    elif order.action is Action.DIE_AFTER:
+        runner.die_after_tokens = order.count
+    elif order.action is Action.CROSS:
+        runner.cross_tokens = order.count
+    elif order.action is Action.SKIP:
+        runner.skip_tokens = order.count
+    elif order.action in {Action.LEAVE, Action.STAY}:
+        runner.leaving = order.action is Action.LEAVE
+    else:
+        _SWITCHES_BY_ACTION[order.action](runner)
+
+
+_SWITCHES_BY_ACTION = {
+    Action.DIE: Runner.die,
+    Action.REVIVE: Runner.revive,
+    Action.FREEZE: Runner.freeze,
+    Action.THAW: Runner.thaw,
+    Action.SILENCE: Runner.silence,
+}
--- /dev/null
+++ b/wigeondrift_emulator/engine.py
@@ -0,0 +1,303 @@
+"""Emulated model engine: many runners, each at its own address, in one process.
+
+Besides the HTTP form of ``wigeondrift.engine``, runners take ``POST /forward`` (one
+token through one later stage) and ``GET /kv?text`` with ``POST /kv`` (export and
+import of KV cache). The control address takes ``POST /control`` with a
+``ControlOrder`` and answers ``GET /ledger`` with tokens run by runner and request.
+"""
+
+import argparse
+import json
+import logging
+import sys
+from pathlib import Path
+from urllib.parse import unquote
+
+import msgspec
+import trio
+
+from wigeondrift.engine import CancelRequest, EngineRefused, GenerateRequest
+from wigeondrift.entities import Stage
+from wigeondrift.errors import ProtocolViolation
+from wigeondrift.http import (
+    Exchange,
+    HttpClient,
+    HttpLimits,
+    HttpServer,
+    parse_address,
+)
+from wigeondrift_emulator.control import ControlOrder, carry_out
+from wigeondrift_emulator.links import Links, LinkSettings
+from wigeondrift_emulator.runner import Cluster, KvState, Runner, RunnerSettings
+from wigeondrift_emulator.streams import SwitchedStream
+from wigeondrift_emulator.tokens import run_layers
+
+JSON_TYPE = [("Content-Type", "application/json")]
+STREAM_TYPE = [("Content-Type", "application/x-ndjson")]
+BODY_BYTES = 8 * 1048576
+FORWARD_TIMEOUT_SECONDS = 30.0
+BACKLOG = 1024
+
+_ENCODER = msgspec.json.Encoder()
+
+
+class EngineSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of the emulator's process.
+
+    Attributes
+    ----------
+    control : str
+        ``host:port`` of the switches.
+    runners : tuple of RunnerSettings
+    links : tuple of LinkSettings
+    """
+
+    control: str
+    runners: tuple[RunnerSettings, ...]
+    links: tuple[LinkSettings, ...] = ()
+
+
+class ForwardRequest(msgspec.Struct, frozen=True):
+    """Order to run one token through one later stage."""
+
+    request_id: str
+    version: str
+    first_layer: int
+    end_layer: int
+    activation: int
+
+
+class ForwardAnswer(msgspec.Struct, frozen=True):
+    """Activation after the stage."""
+
+    activation: int
+
+
+class Forwarder:
+    """Drives stages in other processes.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Keeps the connections.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def forward(
+        self, order: GenerateRequest, stage: Stage, activation: int
+    ) -> int:
+        """Return the activation after ``stage``.
+
+        Raises
+        ------
+        TransportError
+            If the stage cannot be reached or is lost.
+        """
+        body = _ENCODER.encode(
+            ForwardRequest(
+                order.request_id,
+                order.version,
+                stage.first_layer,
+                stage.end_layer,
+                activation,
+            )
+        )
+        request = self._client.request(
+            stage.address,
+            "POST",
+            "/forward",
+            JSON_TYPE,
+            body,
+            head_timeout=FORWARD_TIMEOUT_SECONDS,
+        )
+        async with request as response:
+            data = await response.read()
+            if response.status != 200:
+                raise ProtocolViolation(f"/forward: status {response.status}")
+        return msgspec.json.decode(data, type=ForwardAnswer).activation
+
+
+class RunnerHost:
+    """Serves one runner at its address while it lives.
+
+    Parameters
+    ----------
+    runner : Runner
+    """
+
+    def __init__(self, runner: Runner) -> None:
+        self._runner = runner
+        self._streams: set[SwitchedStream] = set()
+        self.listening = trio.Event()
+
+    async def run(self) -> None:
+        """Serve, through deaths and new starts, until cancelled."""
+        while True:
+            with trio.CancelScope() as scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._end_at_death, scope)
+                    await self._serve()
+            while not self._runner.alive:
+                await trio.sleep(0.02)
+
+    async def _end_at_death(self, scope: trio.CancelScope) -> None:
+        await self._runner.died.wait()
+        scope.cancel()
+
+    async def _serve(self) -> None:
+        host, port = parse_address(self._runner.settings.address)
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        self.listening.set()
+        server = HttpServer(self._handle, HttpLimits(body_bytes=BODY_BYTES))
+
+        async def serve_stream(stream: trio.SocketStream) -> None:
+            switched = SwitchedStream(stream)
+            self._streams.add(switched)
+            try:
+                await server.serve_stream(switched)
+            finally:
+                self._streams.discard(switched)
+
+        await trio.serve_listeners(serve_stream, listeners)
+
+    def silence(self) -> None:
+        """Never send anything again on the connections that are open now."""
+        for stream in self._streams:
+            stream.silent = True
+
+    async def _handle(self, exchange: Exchange) -> None:
+        await self._runner.thawed.wait()
+        request = exchange.request
+        try:
+            if request.path == "/generate":
+                await self._generate(exchange)
+            elif request.path == "/cancel":
+                self._runner.cancel(
+                    msgspec.json.decode(request.body, type=CancelRequest)
+                )
+                await exchange.respond(200, JSON_TYPE, b"{}")
+            elif request.path == "/load":
+                report = _ENCODER.encode(self._runner.get_load())
+                await exchange.respond(200, JSON_TYPE, report)
+            elif request.path == "/forward":
+                await self._forward(exchange)
+            elif request.path == "/kv":
+                await self._move_kv(exchange)
+            else:
+                await exchange.respond(404, [])
+        except msgspec.DecodeError as error:
+            await exchange.respond(400, [], str(error).encode())
+
+    async def _generate(self, exchange: Exchange) -> None:
+        order = msgspec.json.decode(exchange.request.body, type=GenerateRequest)
+        try:
+            session = self._runner.start(order)
+        except EngineRefused as refusal:
+            headers = [
+                ("X-Outcome", "not-run"),
+                ("X-Reason", refusal.reason),
+                ("X-Stage", refusal.stage),
+            ]
+            await exchange.respond(503, headers)
+            return
+        try:
+            await exchange.start(200, STREAM_TYPE)
+            while (batch := await session.next_batch()) is not None:
+                await exchange.send(_ENCODER.encode_lines(batch) or b"\n")
+            await exchange.finish()
+        finally:
+            session.close()
+
+    async def _forward(self, exchange: Exchange) -> None:
+        order = msgspec.json.decode(exchange.request.body, type=ForwardRequest)
+        runner = self._runner
+        if order.version != runner.settings.version:
+            await exchange.respond(409, [])
+            return
+        await trio.sleep(runner.stage_seconds(order.end_layer - order.first_layer))
+        layers = range(order.first_layer, order.end_layer)
+        activation = run_layers(order.activation, runner.version_seed, layers)
+        runner.note_run(order.request_id, 1)
+        if runner.alive:
+            answer = _ENCODER.encode(ForwardAnswer(activation))
+            await exchange.respond(200, JSON_TYPE, answer)
+
+    async def _move_kv(self, exchange: Exchange) -> None:
+        request = exchange.request
+        if request.method == "POST":
+            self._runner.import_kv(msgspec.json.decode(request.body, type=KvState))
+            await exchange.respond(200, JSON_TYPE, b"{}")
+        else:
+            state = self._runner.export_kv(unquote(request.query))
+            await exchange.respond(200, JSON_TYPE, _ENCODER.encode(state))
+
+
+class EngineProcess:
+    """The emulator's process: its runners and their switches.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+    """
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self._settings = settings
+        self.cluster = Cluster(Links(settings.links))
+        self.cluster.forwarder = Forwarder(HttpClient())
+        self.hosts_by_id: dict[str, RunnerHost] = {}
+        for runner_settings in settings.runners:
+            runner = self.cluster.add(runner_settings)
+            self.hosts_by_id[runner_settings.instance_id] = RunnerHost(runner)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        host, port = parse_address(self._settings.control)
+        server = HttpServer(self._handle)
+        async with trio.open_nursery() as nursery:
+            for runner_host in self.hosts_by_id.values():
+                nursery.start_soon(runner_host.run)
+            for runner_host in self.hosts_by_id.values():
+                await runner_host.listening.wait()
+            listeners = await trio.open_tcp_listeners(port, host=host)
+            line = {"event_name": "started", "runners": len(self.hosts_by_id)}
+            print(json.dumps(line), flush=True)
+            await trio.serve_listeners(server.serve_stream, listeners)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        request = exchange.request
+        if request.path == "/ledger":
+            ledger = {
+                instance_id: dict(runner.tokens_by_request)
+                for instance_id, runner in self.cluster.runners_by_id.items()
+            }
+            await exchange.respond(200, JSON_TYPE, _ENCODER.encode(ledger))
+            return
+        try:
+            order = msgspec.json.decode(request.body, type=ControlOrder)
+            carry_out(self.cluster, order)
+        except (msgspec.DecodeError, KeyError) as error:
+            await exchange.respond(400, [], str(error).encode())
+            return
+        if order.action == "silence":
+            self.hosts_by_id[order.instance_id].silence()
+        await exchange.respond(200, JSON_TYPE, b"{}")
+
+
+def main() -> None:
+    """Run the emulated engine."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--settings", required=True, help="path of the settings")
+    arguments = parser.parse_args()
+    logging.basicConfig(stream=sys.stderr)
+    data = Path(arguments.settings).read_bytes()
+    settings = msgspec.json.decode(data, type=EngineSettings)
+    try:
+        trio.run(EngineProcess(settings).run)
+    except KeyboardInterrupt:
+        sys.exit(0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wigeondrift_emulator/runner.py
@@ -0,0 +1,281 @@
+"""One emulated runner: slots, prefix cache, load reports and fault switches."""
+
+from collections import OrderedDict, deque
+
+import msgspec
+import trio
+import xxhash
+
+from wigeondrift.engine import CancelRequest, EngineRefused, GenerateRequest
+from wigeondrift.engine_memory import MemoryRunner
+from wigeondrift.entities import LoadReport
+from wigeondrift.errors import ConnectFailed
+from wigeondrift_emulator.links import Links
+from wigeondrift_emulator.session import Session
+from wigeondrift_emulator.slots import Slots
+from wigeondrift_emulator.tokens import make_version_seed
+
+CACHE_BLOCK_CHARACTERS = 64
+LEDGER_ENTRIES = 100_000
+LOAD_SAMPLES = 1024
+
+
+class RunnerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of one emulated runner.
+
+    Attributes
+    ----------
+    instance_id, address, failure_domain, service, version : str
+        As in the platform's list.
+    first_layer, end_layer : int
+        Range of layers held, the end excluded.
+    kind : str
+        Kind of accelerator.
+    slots : int
+        Requests that run at once.
+    token_seconds : float
+        Time of one token in the whole range, in seconds.
+    batch_slowdown : float
+        Part of ``token_seconds`` that each further running request adds.
+    prefill_seconds : float
+        Time of 1000 characters that the prefix cache does not hold, in seconds.
+    queue_length : int
+        Requests that wait for a slot before more are refused.
+    load_lag : float
+        Age of the load reports, in seconds.
+    cache_blocks : int
+        Blocks of 64 characters that the prefix cache holds.
+    checks_fencing : bool
+        Whether an order with an old fencing number is refused.
+    """
+
+    instance_id: str
+    address: str
+    failure_domain: str
+    service: str
+    version: str
+    first_layer: int
+    end_layer: int
+    kind: str = ""
+    slots: int = 8
+    token_seconds: float = 0.005
+    batch_slowdown: float = 0.0
+    prefill_seconds: float = 0.01
+    queue_length: int = 64
+    load_lag: float = 0.5
+    cache_blocks: int = 4096
+    checks_fencing: bool = False
+
+
+class KvState(msgspec.Struct, frozen=True):
+    """Exported KV cache of a text, as the digests of its blocks."""
+
+    blocks: tuple[int, ...]
+
+
+class Runner(MemoryRunner):
+    """Emulated runner, also usable without a socket by ``MemoryEngine``.
+
+    Parameters
+    ----------
+    settings : RunnerSettings
+    cluster : Cluster
+        The runners of the same process and the links between them.
+    """
+
+    def __init__(self, settings: RunnerSettings, cluster: "Cluster") -> None:
+        self.settings = settings
+        self.cluster = cluster
+        self.slots = Slots(settings.slots)
+        self.alive = True
+        self.cut = False
+        self.leaving = False
+        self.incarnation = 1
+        self.thawed = trio.Event()
+        self.thawed.set()
+        self.died = trio.Event()
+        self.crash_marker = ""
+        self.crash_after_tokens = 0
+        self.die_after_tokens: int | None = None
+        self.cross_tokens = 0
+        self.skip_tokens = 0
+        self.fencing = 0
+        self.version_seed = make_version_seed(settings.version)
+        self.sessions: set[Session] = set()
+        self.tokens_by_request: OrderedDict[str, int] = OrderedDict()
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+        self._samples: deque[tuple[float, int, int]] = deque(maxlen=LOAD_SAMPLES)
+
+    async def reach(self) -> None:
+        """Return once a new connection would be answered."""
+        if self.cut or not self.alive:
+            raise ConnectFailed(f"no connection to {self.settings.address}")
+        await self.thawed.wait()
+
+    def start(self, order: GenerateRequest) -> Session:
+        """Take the order, or refuse it before any of it runs."""
+        self._check_order(order)
+        stages = []
+        for stage in order.stages:
+            runner = self.cluster.runners_by_id.get(stage.instance_id)
+            if runner is not None and runner is not self:
+                runner.check_stage(order)
+            stages.append(runner)
+        return Session(self, order, stages)
+
+    def _check_order(self, order: GenerateRequest) -> None:
+        self.check_stage(order)
+        if order.stages[0].instance_id != self.settings.instance_id:
+            raise EngineRefused("version", self.settings.instance_id)
+        if self.slots.queued >= self.settings.queue_length:
+            raise EngineRefused("full", self.settings.instance_id)
+        if self.settings.checks_fencing and order.fencing < self.fencing:
+            raise EngineRefused("fenced", self.settings.instance_id)
+        self.fencing = max(self.fencing, order.fencing)
+
+    def check_stage(self, order: GenerateRequest) -> None:
+        """Refuse an order that this runner takes no part in."""
+        if self.leaving:
+            raise EngineRefused("leaving", self.settings.instance_id)
+        if order.version != self.settings.version:
+            raise EngineRefused("version", self.settings.instance_id)
+        if order.service != self.settings.service:
+            raise EngineRefused("version", self.settings.instance_id)
+
+    def cancel(self, order: CancelRequest) -> None:
+        """Drop one attempt; unknown ones are ignored."""
+        for session in list(self.sessions):
+            if session.is_attempt(order.request_id, order.attempt):
+                session.end_early()
+
+    def get_load(self) -> LoadReport:
+        """Return the load as it was ``load_lag`` seconds ago."""
+        horizon = trio.current_time() - self.settings.load_lag
+        while len(self._samples) > 1 and self._samples[1][0] <= horizon:
+            self._samples.popleft()
+        running, queued = 0, 0
+        if self._samples and self._samples[0][0] <= horizon:
+            _, running, queued = self._samples[0]
+        return LoadReport(
+            self.settings.instance_id, running, queued, self.settings.token_seconds
+        )
+
+    def note_load(self) -> None:
+        """Keep a sample of the load for later reports."""
+        now = trio.current_time()
+        self._samples.append((now, self.slots.running, self.slots.queued))
+
+    def note_run(self, request_id: str, tokens: int) -> None:
+        """Write into the ledger that a request ran here."""
+        ledger = self.tokens_by_request
+        ledger[request_id] = ledger.get(request_id, 0) + tokens
+        if len(ledger) > LEDGER_ENTRIES:
+            ledger.popitem(last=False)
+        if tokens and self.die_after_tokens is not None:
+            self.die_after_tokens -= tokens
+            if self.die_after_tokens <= 0:
+                self.die()
+
+    def stage_seconds(self, layers: int) -> float:
+        """Return the time of one token in ``layers`` of the range, in seconds."""
+        held = self.settings.end_layer - self.settings.first_layer
+        crowd = 1 + self.settings.batch_slowdown * max(0, self.slots.running - 1)
+        return self.settings.token_seconds * crowd * layers / held
+
+    def prefill(self, text: str) -> float:
+        """Put a text into the prefix cache and return the time it takes."""
+        missing = 0
+        for block in _iter_blocks(text):
+            if block not in self._blocks:
+                missing += 1
+            self._touch(block)
+        characters = missing * CACHE_BLOCK_CHARACTERS
+        return self.settings.prefill_seconds * characters / 1000
+
+    def _touch(self, block: int) -> None:
+        self._blocks[block] = None
+        self._blocks.move_to_end(block)
+        if len(self._blocks) > self.settings.cache_blocks:
+            self._blocks.popitem(last=False)
+
+    def export_kv(self, text: str) -> KvState:
+        """Return the cached blocks of a text, up to the first one missing."""
+        blocks = []
+        for block in _iter_blocks(text):
+            if block not in self._blocks:
+                break
+            blocks.append(block)
+        return KvState(tuple(blocks))
+
+    def import_kv(self, state: KvState) -> None:
+        """Take over blocks that another runner exported."""
+        for block in state.blocks:
+            self._touch(block)
+
+    def die(self) -> None:
+        """End at once, with all that runs here."""
+        self.alive = False
+        self.die_after_tokens = None
+        self._blocks.clear()
+        for session in list(self.sessions):
+            session.lose(self)
+        self.died.set()
+
+    def revive(self) -> None:
+        """Start again, empty, as a new incarnation."""
+        self.alive = True
+        self.leaving = False
+        self.incarnation += 1
+        self.died = trio.Event()
+        self.thawed.set()
+
+    def freeze(self) -> None:
+        """Stop making progress, with all connections open."""
+        self.thawed = trio.Event()
+
+    def thaw(self) -> None:
+        """Go on after a freeze."""
+        self.thawed.set()
+
+    def silence(self) -> None:
+        """Never send anything again on the streams that are open now."""
+        for session in self.sessions:
+            if session.head is self:
+                session.silent = True
+
+
+class Cluster:
+    """The emulated runners of one process.
+
+    Parameters
+    ----------
+    links : Links, optional
+        Delays between runners.
+    """
+
+    def __init__(self, links: Links | None = None) -> None:
+        self.links = links or Links(())
+        self.runners_by_id: dict[str, Runner] = {}
+        self.forwarder = None
+
+    def add(self, settings: RunnerSettings) -> Runner:
+        """Add a runner."""
+        runner = Runner(settings, self)
+        self.runners_by_id[settings.instance_id] = runner
+        return runner
+
+    def link_seconds(self, source: Runner, target: Runner) -> float:
+        """Return the delay of one message between two runners, in seconds."""
+        first, second = source.settings, target.settings
+        return self.links.get_seconds(
+            (first.instance_id, first.failure_domain, first.kind),
+            (second.instance_id, second.failure_domain, second.kind),
+        )
+
+
+def _iter_blocks(text: str):
+    digest = 0
+    for start in range(0, len(text), CACHE_BLOCK_CHARACTERS):
+        block = text[start : start + CACHE_BLOCK_CHARACTERS]
+        digest = xxhash.xxh3_64_intdigest(block.encode(), seed=digest)
+        yield digest
--- /dev/null
+++ b/wigeondrift_emulator/tokens.py
@@ -0,0 +1,72 @@
+"""Tokens of the emulated model: a function of prompt, index and layers that ran."""
+
+import re
+import struct
+from collections.abc import Iterable
+
+import xxhash
+
+_STOP_PATTERN = re.compile(r"\[stop (\d+)\]")
+_pack_step = struct.Struct("<QI").pack
+
+
+def digest_prompt(service: str, prompt: str) -> int:
+    """Return the number that stands for a prompt to a service."""
+    return xxhash.xxh3_64_intdigest(f"{service}\0{prompt}".encode())
+
+
+def make_version_seed(version: str) -> int:
+    """Return the number that stands for the weights of a model version."""
+    return xxhash.xxh3_64_intdigest(version.encode())
+
+
+def begin_token(prompt_digest: int, index: int) -> int:
+    """Return the activation of the token ``index`` before its first layer."""
+    return xxhash.xxh3_64_intdigest(_pack_step(prompt_digest, index))
+
+
+def run_layers(activation: int, version_seed: int, layers: Iterable[int]) -> int:
+    """Return the activation after ``layers`` have run on it in order."""
+    for layer in layers:
+        activation = xxhash.xxh3_64_intdigest(
+            _pack_step(activation, layer), seed=version_seed
+        )
+    return activation
+
+
+def format_token(activation: int) -> str:
+    """Return the text of the token that the last layer's activation stands for."""
+    return f"{activation & 0xFFFFFF:06x} "
+
+
+def count_answer(prompt: str, max_tokens: int) -> tuple[int, str]:
+    """Return the length of the whole answer and its finish reason.
+
+    A prompt that holds ``[stop N]`` is answered with ``N`` tokens at most.
+    """
+    match = _STOP_PATTERN.search(prompt)
+    if match and int(match.group(1)) < max_tokens:
+        return int(match.group(1)), "stop"
+    return max_tokens, "length"
+
+
+def expected_tokens(
+    prompt: str, service: str, version: str, layers: int, count: int
+) -> list[str]:
+    """Return the first ``count`` tokens that a sound pipeline gives.
+
+    Parameters
+    ----------
+    prompt, service, version : str
+        As in the request.
+    layers : int
+        Layers of the whole model.
+    count : int
+        Tokens wanted.
+    """
+    digest = digest_prompt(service, prompt)
+    seed = make_version_seed(version)
+    return [
+        format_token(run_layers(begin_token(digest, index), seed, range(layers)))
+        for index in range(count)
+    ]
