--- /dev/null
+++ b/wigeondrift/systems/fleet.py
@@ -0,0 +1,143 @@
+"""Index of a service's upstreams by version, range of layers and failure domain."""
+
+import bisect
+import random
+from collections.abc import Iterable
+
+import xxhash
+
+from wigeondrift.entities import Instance, InstanceState, Role
+
+HASH_MASK = (1 << 64) - 1
+ENDS_WITHIN = 3
+
+
+class Group:
+    """Upstreams that can stand in for each other.
+
+    Attributes
+    ----------
+    first_layer, end_layer : int
+        Range of layers that each holds; both zero for a plain service.
+    failure_domain : str
+        Failure domain that all are in.
+    instances : list of Instance
+        Ordered by the hash of their names, as on a ring.
+    """
+
+    __slots__ = ("_hashes", "end_layer", "failure_domain", "first_layer", "instances")
+
+    def __init__(self, instances: Iterable[Instance]) -> None:
+        ring = sorted(
+            (xxhash.xxh3_64_intdigest(instance.instance_id.encode()), instance)
+            for instance in instances
+        )
+        self.instances = [instance for _, instance in ring]
+        self._hashes = [place for place, _ in ring]
+        first = self.instances[0]
+        self.first_layer = first.first_layer
+        self.end_layer = first.end_layer
+        self.failure_domain = first.failure_domain
+
+    def get_home(self, prompt_hash: int) -> Instance:
+        """Return the upstream whose place on the ring follows ``prompt_hash``.
+
+        All processes find the same one without exchange, and a change of the group
+        moves few prompts.
+        """
+        place = bisect.bisect(self._hashes, prompt_hash & HASH_MASK)
+        return self.instances[place % len(self.instances)]
+
+    def pick(self, rng: random.Random) -> Instance:
+        """Return one upstream by chance."""
+        return self.instances[int(rng.random() * len(self.instances))]
+
+
+class Cover:
+    """Groups of one model version, with the boundaries between their ranges.
+
+    Attributes
+    ----------
+    groups : list of Group
+    boundaries : list of int
+        First and end layers of all ranges, ascending.
+    """
+
+    __slots__ = ("_ends_by_place", "_groups_by_boundary", "boundaries", "groups")
+
+    def __init__(self, groups: list[Group]) -> None:
+        self.groups = groups
+        places = {group.first_layer for group in groups}
+        places.update(group.end_layer for group in groups)
+        self.boundaries = sorted(places)
+        self._groups_by_boundary = {
+            boundary: [g for g in groups if g.first_layer <= boundary < g.end_layer]
+            for boundary in self.boundaries
+        }
+        self._ends_by_place: dict[tuple[Group, int, int], list[int]] = {}
+
+    def list_ends(self, group: Group, boundary: int, layers: int) -> list[int]:
+        """Return where a stage from ``boundary`` may end: always at its range's end.
+
+        Ends before that only spare time, since a runner that holds the next layer
+        takes over anywhere in its range; so a few of them are enough.
+        """
+        place = (group, boundary, layers)
+        ends = self._ends_by_place.get(place)
+        if ends is None:
+            last = min(group.end_layer, layers)
+            within = [b for b in self.boundaries if boundary < b < last]
+            ends = self._ends_by_place[place] = [*within[-ENDS_WITHIN:], last]
+        return ends
+
+    def list_groups(self, boundary: int) -> list[Group]:
+        """Return the groups whose range holds the layer after ``boundary``."""
+        return self._groups_by_boundary.get(boundary, [])
+
+
+class Fleet:
+    """Index of the live upstreams of all services.
+
+    Parameters
+    ----------
+    instances : iterable of Instance
+        The platform's list.
+    """
+
+    __slots__ = ("_covers_by_version", "_groups_by_service")
+
+    def __init__(self, instances: Iterable[Instance]) -> None:
+        runners: dict[tuple[str, str], dict[tuple, list[Instance]]] = {}
+        plain: dict[str, dict[str, list[Instance]]] = {}
+        for instance in instances:
+            if instance.state is not InstanceState.LIVE:
+                continue
+            domain = instance.failure_domain
+            if instance.role is Role.RUNNER:
+                place = (instance.first_layer, instance.end_layer, domain)
+                model = (instance.service, instance.version)
+                groups = runners.setdefault(model, {})
+                groups.setdefault(place, []).append(instance)
+            elif instance.role is Role.SERVICE:
+                domains = plain.setdefault(instance.service, {})
+                domains.setdefault(domain, []).append(instance)
+        self._covers_by_version = {
+            model: Cover([Group(members) for members in groups.values()])
+            for model, groups in runners.items()
+        }
+        self._groups_by_service = {
+            service: [Group(members) for members in domains.values()]
+            for service, domains in plain.items()
+        }
+
+    def list_versions(self, service: str) -> list[str]:
+        """Return the model versions that runners of a service hold, ascending."""
+        return sorted(v for name, v in self._covers_by_version if name == service)
+
+    def get_cover(self, service: str, version: str) -> Cover | None:
+        """Return the groups of a model version, if any runner holds it."""
+        return self._covers_by_version.get((service, version))
+
+    def list_groups(self, service: str) -> list[Group]:
+        """Return the groups of a plain service, one a failure domain."""
+        return self._groups_by_service.get(service, [])
--- /dev/null
+++ b/wigeondrift/systems/latencies.py
@@ -0,0 +1,92 @@
+"""Learns the time of stages and links from the pace of whole routes."""
+
+from collections.abc import Iterator, Sequence
+
+from wigeondrift.entities import Instance
+
+LEARNING_RATE = 0.3
+DEFAULT_TOKEN_SECONDS = 0.02
+FIRST_LINK_SECONDS = 0.001
+
+
+class Latencies:
+    """Estimates of stage time and link time.
+
+    A route shows only the sum of its parts. Each observation moves all parts of the
+    route by an equal share of the error; routes that share some parts tell which one
+    is slow, as in normalized least mean squares.
+    """
+
+    __slots__ = ("_excess_by_id", "_seconds_by_pair")
+
+    def __init__(self) -> None:
+        self._excess_by_id: dict[str, float] = {}
+        self._seconds_by_pair: dict[tuple[str, str], float] = {}
+
+    def get_link(self, source_domain: str, target_domain: str) -> float:
+        """Return the one-way time between two failure domains, in seconds."""
+        known = self._seconds_by_pair.get((source_domain, target_domain))
+        if known is not None:
+            return known
+        return 0.0 if source_domain == target_domain else FIRST_LINK_SECONDS
+
+    def get_stage(self, instance_id: str, reported: float) -> float:
+        """Return the time of one token in a runner's whole range, in seconds.
+
+        Parameters
+        ----------
+        instance_id : str
+        reported : float
+            The runner's own figure; zero if it gives none.
+        """
+        base = reported or DEFAULT_TOKEN_SECONDS
+        return max(0.0, base + self._excess_by_id.get(instance_id, 0.0))
+
+    def learn(
+        self,
+        runners: Sequence[Instance],
+        reported_by_id: dict[str, float],
+        shares: Sequence[float],
+        seconds: float,
+    ) -> None:
+        """Take in the observed time of one token over a route.
+
+        Parameters
+        ----------
+        runners : sequence of Instance
+            Runners in the order of their layers.
+        reported_by_id : dict of str to float
+            Stage times that runners report themselves, in seconds.
+        shares : sequence of float
+            Part of its range that each runner ran.
+        seconds : float
+            Observed time of one token.
+        """
+        pairs = [
+            (source.failure_domain, target.failure_domain)
+            for source, target in iter_hops(runners)
+        ]
+        expected = sum(self.get_link(*pair) for pair in pairs)
+        for runner, share in zip(runners, shares, strict=True):
+            reported = reported_by_id.get(runner.instance_id, 0.0)
+            expected += share * self.get_stage(runner.instance_id, reported)
+        step = LEARNING_RATE * (seconds - expected) / (len(runners) + len(pairs))
+        for pair in pairs:
+            self._seconds_by_pair[pair] = max(0.0, self.get_link(*pair) + step)
+        for runner in runners:
+            known = self._excess_by_id.get(runner.instance_id, 0.0)
+            self._excess_by_id[runner.instance_id] = known + step
+
+    def keep_only(self, instance_ids: set[str]) -> None:
+        """Forget runners that are not among ``instance_ids``."""
+        for instance_id in list(self._excess_by_id):
+            if instance_id not in instance_ids:
+                del self._excess_by_id[instance_id]
+
+
+def iter_hops(runners: Sequence[Instance]) -> Iterator[tuple[Instance, Instance]]:
+    """Yield the links of a route; the last stage hands tokens back to the first."""
+    if len(runners) < 2:
+        return
+    yield from zip(runners, runners[1:], strict=False)
+    yield runners[-1], runners[0]
--- /dev/null
+++ b/wigeondrift/systems/streams.py
@@ -0,0 +1,182 @@
+"""State of one token stream over the attempts that produce it."""
+
+import enum
+from collections import Counter
+from collections.abc import Iterable
+
+from wigeondrift.engine import (
+    EndEvent,
+    EngineEvent,
+    FailureEvent,
+    GenerateRequest,
+    TokenEvent,
+)
+from wigeondrift.entities import Route
+
+
+class Drop(enum.StrEnum):
+    """Why an engine's event was not taken."""
+
+    REQUEST = "request"
+    ATTEMPT = "attempt"
+    INDEX = "index"
+    STAGES = "stages"
+    COUNT = "count"
+    ENDED = "ended"
+
+
+class VersionChanged(Exception):
+    """A route of another model version was offered to a begun answer.
+
+    Parameters
+    ----------
+    begun, offered : str
+        Versions of the answer and of the route.
+    """
+
+    def __init__(self, begun: str, offered: str) -> None:
+        super().__init__(f"begun with {begun}, offered {offered}")
+        self.begun = begun
+        self.offered = offered
+
+
+class TokenStream:
+    """Takes the events of one request's attempts and gives its tokens once.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier of the request.
+    max_tokens : int
+        Most tokens of the whole answer.
+
+    Attributes
+    ----------
+    attempt : int
+        Number of the current attempt, from one; zero before the first.
+    route : Route or None
+        Route of the current attempt.
+    version : str
+        Model version of the tokens taken; empty before the first token.
+    tokens : list of str
+        Tokens taken, in order.
+    finish_reason : str
+        Reason of the end mark; empty before it.
+    failure : FailureEvent or None
+        Failure that ended the current attempt.
+    has_gap : bool
+        Whether the current attempt skipped an index, so that it cannot go on.
+    drops_by_reason : Counter
+        Events that were not taken.
+    """
+
+    __slots__ = (
+        "attempt",
+        "drops_by_reason",
+        "failure",
+        "finish_reason",
+        "has_gap",
+        "max_tokens",
+        "request_id",
+        "route",
+        "route_ids",
+        "tokens",
+        "version",
+    )
+
+    def __init__(self, request_id: str, max_tokens: int) -> None:
+        self.request_id = request_id
+        self.max_tokens = max_tokens
+        self.attempt = 0
+        self.route: Route | None = None
+        self.route_ids: tuple[str, ...] = ()
+        self.version = ""
+        self.tokens: list[str] = []
+        self.finish_reason = ""
+        self.failure: FailureEvent | None = None
+        self.has_gap = False
+        self.drops_by_reason: Counter[Drop] = Counter()
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the end mark has come."""
+        return bool(self.finish_reason)
+
+    def begin(self, route: Route) -> None:
+        """Start the next attempt on ``route``; the former one is no longer heard.
+
+        Raises
+        ------
+        VersionChanged
+            If tokens of another model version have been taken.
+        """
+        if self.tokens and route.version != self.version:
+            raise VersionChanged(self.version, route.version)
+        self.attempt += 1
+        self.route = route
+        self.route_ids = route.instance_ids
+        self.version = route.version
+        self.failure = None
+        self.has_gap = False
+
+    def make_order(
+        self, service: str, prompt: str, priority: int, fencing: int, traceparent: str
+    ) -> GenerateRequest:
+        """Return the order of the current attempt, with the tokens taken so far."""
+        return GenerateRequest(
+            request_id=self.request_id,
+            attempt=self.attempt,
+            service=service,
+            version=self.route.version,
+            stages=self.route.stages,
+            prompt=prompt,
+            tokens=tuple(self.tokens),
+            max_tokens=self.max_tokens,
+            priority=priority,
+            fencing=fencing,
+            traceparent=traceparent,
+        )
+
+    def accept(self, events: Iterable[EngineEvent]) -> list[str]:
+        """Take the events that are due and return the texts of new tokens."""
+        texts = []
+        for event in events:
+            reason = self._find_fault(event)
+            if reason is not None:
+                self.drops_by_reason[reason] += 1
+            elif isinstance(event, TokenEvent):
+                self.tokens.append(event.text)
+                texts.append(event.text)
+            elif isinstance(event, EndEvent):
+                self.finish_reason = event.finish_reason
+            else:
+                self.failure = event
+        return texts
+
+    def _find_fault(self, event: EngineEvent) -> Drop | None:
+        if event.request_id != self.request_id:
+            return Drop.REQUEST
+        if event.attempt != self.attempt:
+            return Drop.ATTEMPT
+        if self.finish_reason:
+            return Drop.ENDED
+        if isinstance(event, TokenEvent):
+            return self._find_token_fault(event)
+        if isinstance(event, EndEvent):
+            return self._find_end_fault(event)
+        return None
+
+    def _find_token_fault(self, event: TokenEvent) -> Drop | None:
+        if event.stages != self.route_ids:
+            return Drop.STAGES
+        due = len(self.tokens)
+        if event.index != due or due >= self.max_tokens:
+            self.has_gap = self.has_gap or event.index > due
+            return Drop.INDEX
+        return None
+
+    def _find_end_fault(self, event: EndEvent) -> Drop | None:
+        if event.count != len(self.tokens) or not event.finish_reason:
+            self.has_gap = True
+            return Drop.COUNT
+        return None
--- a/wigeondrift_emulator/session.py
+++ b/wigeondrift_emulator/session.py
@@ -209,6 +209,8 @@
             if previous is not None:
                 seconds += self.head.cluster.link_seconds(previous, runner)
             previous = runner
+        if previous is not None and previous is not self.head:
+            seconds += self.head.cluster.link_seconds(previous, self.head)
         return seconds
 
     async def _run_token(self) -> list[EngineEvent]:
