Add the agent and the entry's link to it

The agent holds the one watch on the table and on the instance list, spreads versions, leave marks and deaths of upstreams among peers by digests to three random ones, and relays all of it to its entries. All decisions are in systems/replica, membership, leaving, deaths, control (agent) and attachment (entry); agent.py and link.py only carry them out.

A starting agent holds a table that it gets until every peer asked has answered or had its second, so that a stale read of the platform does not win over a peer.

Seen with three agents as processes: a change in force at all agents and links; an agent cut from the platform gets it from its peers; one restarted in an outage gets the table from its peers; a leave mark overtakes the list; an entry goes on and reads the platform itself after its agent was killed.

--- /dev/null
+++ b/tests/control_plane.py
@@ -0,0 +1,176 @@
+"""Agents as processes, and the links of entries on a thread of this process."""
+
+import contextlib
+import logging
+import random
+import threading
+
+import msgspec
+import trio
+
+from tests.processes import Process, free_address, wait_until, write_settings
+from wigeondrift.entities import Instance, Role
+from wigeondrift.errors import PlatformError, WigeondriftError
+from wigeondrift.http import HttpClient
+from wigeondrift.link import Link
+from wigeondrift.platform_http import HttpPlatformStore
+from wigeondrift.status import ask_status
+from wigeondrift.systems.attachment import Attachment
+from wigeondrift.table import TABLE_KEY, LimitRow, Table, serialize_table
+from wigeondrift.tables import Tables
+from wigeondrift.timer import TrioClock
+
+ROW = "team/service"
+DOMAINS = ("rajkot", "morbi", "jamnagar")
+
+
+def make_table(running):
+    return Table(limits_by_row={ROW: LimitRow(running=running)})
+
+
+class ControlPlane:
+    """A platform, agents with an address of the platform each, and links."""
+
+    def __init__(self):
+        self.agents = []
+        self.links = []
+        self.platform = None
+        self._scope = None
+        self._token = None
+
+    def start(self, count):
+        self.callers = [free_address() for _ in range(count + 1)]
+        listen = [part for each in self.callers for part in ("--listen", each)]
+        self.platform = Process("wigeondrift_emulator.platform", listen)
+        self.platform.wait_for_event("started")
+        self.posts = [free_address() for _ in range(count)]
+        for index in range(count):
+            self.agents.append(self._start_agent(index))
+        self.set_instances()
+        self._started = threading.Event()
+        self._thread = threading.Thread(target=self._run_links, daemon=True)
+        self._thread.start()
+        assert self._started.wait(10)
+
+    def _start_agent(self, index):
+        document = {
+            "instance_id": f"i-{index}",
+            "failure_domain": DOMAINS[index % len(DOMAINS)],
+            "post": self.posts[index],
+            "platform": self.callers[index],
+            "seeds": self.posts,
+            "gossip_interval": 0.1,
+        }
+        path = write_settings(document)
+        process = Process("wigeondrift.agent", ["--settings", path])
+        process.wait_for_event("started")
+        return process
+
+    def restart_agent(self, index):
+        self.agents[index].kill()
+        self.agents[index] = self._start_agent(index)
+
+    def set_instances(self, *more):
+        agents = [
+            Instance(f"i-{index}", 1, Role.AGENT, post, "rajkot")
+            for index, post in enumerate(self.posts)
+        ]
+        put = msgspec.to_builtins((*agents, *more))
+        self.control("/control/instances", {"put": put})
+
+    def control(self, path, document):
+        async def post():
+            client = HttpClient()
+            body = msgspec.json.encode(document)
+            async with client.request(
+                self.callers[-1], "POST", path, body=body
+            ) as response:
+                assert response.status == 200, await response.read()
+                await response.read()
+            await client.close()
+
+        trio.run(post)
+
+    def write_table(self, running):
+        async def write():
+            client = HttpClient()
+            store = HttpPlatformStore(client, self.callers[-1])
+            while True:
+                with contextlib.suppress(PlatformError):
+                    found = await store.get(TABLE_KEY)
+                    data = serialize_table(make_table(running))
+                    await store.put(TABLE_KEY, data, found.revision)
+                    break
+            await client.close()
+
+        trio.run(write)
+
+    def ask_status(self, index):
+        try:
+            return trio.run(ask_status, self.posts[index], free_address())
+        except WigeondriftError:
+            return None
+
+    def _run_links(self):
+        trio.run(self._serve_links)
+
+    async def _serve_links(self):
+        logger = logging.getLogger("wigeondrift.tests")
+        logger.setLevel(logging.CRITICAL)
+        async with trio.open_nursery() as nursery:
+            for index, post in enumerate(self.posts):
+                link = self._make_link(index, post, logger)
+                await link.start(nursery)
+                self.links.append(link)
+            self._token = trio.lowlevel.current_trio_token()
+            self._scope = nursery.cancel_scope
+            self._started.set()
+        for link in self.links:
+            await link.close()
+
+    def _make_link(self, index, agent, logger):
+        address = free_address()
+        attachment = Attachment(
+            Tables(),
+            f"i-{index}/entry-0",
+            address,
+            1,
+            agent,
+            3,
+            random.Random(index),
+            direct_read=0.5,
+        )
+        store = HttpPlatformStore(HttpClient(), self.callers[index])
+        return Link(attachment, address, store, TrioClock(), logger)
+
+    def do(self, function, *arguments):
+        """Call a function on the links' thread."""
+        return trio.from_thread.run_sync(function, *arguments, trio_token=self._token)
+
+    def get_limit(self, index):
+        tables = self.links[index].attachment.tables
+        row = tables.table.limits_by_row.get(ROW)
+        return row.running if row else None
+
+    def wait_for_link(self, index, limit):
+        wait_until(lambda: self.get_limit(index) == limit, f"link {index}: {limit}")
+
+    def wait_for_all(self, limit):
+        for index in range(len(self.links)):
+            self.wait_for_link(index, limit)
+        version = self.links[0].attachment.tables.table_version
+        for index in range(len(self.agents)):
+            wait_until(
+                lambda index=index: (
+                    (self.ask_status(index) or {}).get("table_version") == version
+                ),
+                f"agent {index}: version {version}",
+            )
+
+    def close(self):
+        if self._token is not None:
+            self._token.run_sync_soon(self._scope.cancel)
+            self._thread.join(10)
+        for process in (*self.agents, self.platform):
+            if process is not None:
+                process.kill()
--- /dev/null
+++ b/tests/features/steps/agents.py
@@ -0,0 +1,93 @@
+from behave import given, step, then, when
+
+from tests.control_plane import ControlPlane
+from tests.processes import wait_until
+from wigeondrift.entities import Instance, InstanceState, Role
+
+
+@given("a platform with {count:d} agents and an entry's link to each")
+def start_control_plane(context, count):
+    context.plane = ControlPlane()
+    context.closers = [*getattr(context, "closers", []), context.plane.close]
+    context.plane.start(count)
+
+
+@step("the operators write the table with a limit of {limit:d}")
+def write_table(context, limit):
+    context.plane.write_table(limit)
+
+
+@step("every agent and every link has the limit of {limit:d} in force")
+def check_everywhere(context, limit):
+    context.plane.wait_for_all(limit)
+
+
+@when("agent {index:d} is cut from the platform")
+def cut_agent(context, index):
+    caller = context.plane.callers[index]
+    context.plane.control("/control", {"down_by_caller": {caller: "hang"}})
+
+
+@when("the platform goes down")
+def take_platform_down(context):
+    context.plane.control("/control", {"down": "hang"})
+
+
+@when("agent {index:d} is killed and started again")
+def restart_agent(context, index):
+    context.plane.restart_agent(index)
+
+
+@when("agent {index:d} is killed")
+def kill_agent(context, index):
+    context.plane.agents[index].kill()
+
+
+@given('an upstream "{name}" that every link sees as live')
+def add_upstream(context, name):
+    upstream = Instance(name, 1, Role.RUNNER, "127.0.0.1:9", "nowhere")
+    context.plane.set_instances(upstream)
+    for link in context.plane.links:
+        wait_for_state(link, name, InstanceState.LIVE)
+
+
+def wait_for_state(link, name, state):
+    def look():
+        instance = link.attachment.tables.instances_by_id.get(name)
+        return instance is not None and instance.state is state
+
+    wait_until(look, f"{name} is {state}")
+
+
+@when('link {index:d} reports that "{name}" is leaving')
+def report_leaving(context, index, name):
+    link = context.plane.links[index]
+    context.plane.do(link.report_leaving, name, 1)
+
+
+@then('every link sees "{name}" as leaving')
+def check_leaving(context, name):
+    for link in context.plane.links:
+        wait_for_state(link, name, InstanceState.LEAVING)
+
+
+@then("link {index:d} notices that its agent is silent")
+def check_agent_lost(context, index):
+    wait_until(lambda: context.plane.links[index].agent_lost, "the agent is lost")
+
+
+@then("link {index:d} has the limit of {limit:d} in force")
+def check_link(context, index, limit):
+    context.plane.wait_for_link(index, limit)
+
+
+@when('link {index:d} reports that "{fingerprint}" is quarantined')
+def report_quarantined(context, index, fingerprint):
+    context.plane.do(context.plane.links[index].report_quarantine, fingerprint)
+
+
+@then('every link refuses "{fingerprint}"')
+def check_quarantined(context, fingerprint):
+    for link in context.plane.links:
+        tables = link.attachment.tables
+        wait_until(lambda t=tables: fingerprint in t.quarantined, fingerprint)
--- /dev/null
+++ b/wigeondrift/agent.py
@@ -0,0 +1,169 @@
+"""The agent of one instance: its main function and its life-cycle."""
+
+import logging
+import random
+import sys
+from pathlib import Path
+
+import cyclopts
+import trio
+
+from wigeondrift.application import Component
+from wigeondrift.errors import SettingsError
+from wigeondrift.events import Event, configure_logging, log_event
+from wigeondrift.loads import POLL_SECONDS, LoadPoller, choose_polled
+from wigeondrift.platform import PlatformStore
+from wigeondrift.post import PostOffice
+from wigeondrift.settings import AgentSettings, load_settings
+from wigeondrift.shell import carry_out
+from wigeondrift.systems.actions import Actions
+from wigeondrift.systems.control import AgentControl
+from wigeondrift.timer import Clock, TimerService
+from wigeondrift.watcher import Watcher, choose_watch_wait
+
+EXIT_SETTINGS = 2
+
+
+class Agent(Component):
+    """Runs an agent's decisions: feeds them and carries out what they return.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+    control : AgentControl
+    store : PlatformStore
+    poller : LoadPoller
+    timers : TimerService
+    clock : Clock
+    rng : random.Random
+        Source of the jitter of platform calls.
+    logger : logging.Logger
+    """
+
+    __slots__ = (
+        "_clock",
+        "_control",
+        "_logger",
+        "_poller",
+        "_post",
+        "_settings",
+        "_timers",
+        "_watcher",
+    )
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        control: AgentControl,
+        store: PlatformStore,
+        poller: LoadPoller,
+        timers: TimerService,
+        clock: Clock,
+        rng: random.Random,
+        logger: logging.Logger,
+    ) -> None:
+        self._settings = settings
+        self._control = control
+        self._poller = poller
+        self._timers = timers
+        self._clock = clock
+        self._logger = logger
+        self._post: PostOffice | None = None
+        self._watcher = Watcher(
+            store,
+            rng,
+            self._choose_wait,
+            lambda stored: self._do(control.note_table(stored, clock.now())),
+            lambda listed: self._do(control.note_instances(listed, clock.now())),
+            lambda name: self._do(control.note_platform_failed(name, clock.now())),
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen, ask the seeds and start the watches and timers."""
+        self._post = PostOffice(self._settings.post)
+        log_event(
+            self._logger, logging.INFO, Event.STARTED, address=self._settings.post
+        )
+        self._do(self._control.start(self._clock.now()))
+        self._timers.subscribe("tick", self._settings.gossip_interval, self._tick)
+        self._timers.subscribe("loads", POLL_SECONDS, self._poll_loads)
+        nursery.start_soon(self._receive)
+        nursery.start_soon(self._watcher.watch_table)
+        nursery.start_soon(self._watcher.watch_list)
+        nursery.start_soon(self._timers.run)
+
+    async def stop(self) -> None:
+        """Tell the peers that the agent is leaving."""
+        self._control.leaving = True
+        self._do(self._control.tick(self._clock.now()))
+        log_event(self._logger, logging.INFO, Event.STOP_REQUESTED)
+        await trio.sleep(self._settings.gossip_interval)
+
+    async def close(self) -> None:
+        """Close the sockets."""
+        if self._post is not None:
+            await self._post.close()
+
+    def _do(self, actions: Actions) -> None:
+        carry_out(actions, self._post, self._logger)
+
+    def _choose_wait(self) -> float:
+        agents = len(self._control.membership.list_owners())
+        return choose_watch_wait(agents, self._settings.watch_wait)
+
+    async def _receive(self) -> None:
+        while True:
+            message = await self._post.receive()
+            self._do(self._control.receive(message, self._clock.now()))
+
+    async def _tick(self, now: float) -> None:
+        self._do(self._control.tick(now))
+
+    async def _poll_loads(self, now: float) -> None:
+        control = self._control
+        upstreams = choose_polled(
+            control.marks.apply(control.replica.instances),
+            control.instance_id,
+            self._settings.failure_domain,
+        )
+        if upstreams and control.entries_by_id:
+            self._do(control.note_loads(await self._poller.poll(upstreams)))
+
+
+app = cyclopts.App(name="wigeondrift-agent", help="Agent of one instance.")
+
+
+@app.default
+def run(*, settings: Path) -> None:
+    """Run the agent until it is told to stop.
+
+    Parameters
+    ----------
+    settings : Path
+        JSON file with the settings.
+    """
+    from wigeondrift.composition import compose_agent
+
+    try:
+        loaded = load_settings(str(settings), AgentSettings)
+    except SettingsError as error:
+        logger = configure_logging("INFO")
+        log_event(
+            logger,
+            logging.ERROR,
+            Event.SETTINGS_REFUSED,
+            path=error.path,
+            location=error.location,
+            reason=error.reason,
+        )
+        sys.exit(EXIT_SETTINGS)
+    trio.run(compose_agent(loaded).run_until_signalled)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/wigeondrift/events.py
+++ b/wigeondrift/events.py
@@ -37,6 +37,7 @@
     AGENT_LOST = 3201, "The agent sends nothing; the last state stays in force."
     AGENT_BACK = 3202, "The agent sends again."
     PEER_LOST = 3203, "A peer agent sends nothing."
+    PEER_BACK = 3204, "A peer agent sends again."
     INSTANCE_LEAVING = 3301, "An instance takes no new work."
     REQUEST_QUARANTINED = 3401, "A fingerprint is refused since upstreams died of it."
 
--- /dev/null
+++ b/wigeondrift/link.py
@@ -0,0 +1,154 @@
+"""An entry's side of its agent: fills the tables and reports to the agent."""
+
+import logging
+
+import trio
+
+from wigeondrift.application import Component
+from wigeondrift.errors import PlatformError
+from wigeondrift.messages import SuspectNews
+from wigeondrift.platform import PlatformStore
+from wigeondrift.post import PostOffice
+from wigeondrift.shell import carry_out
+from wigeondrift.systems.actions import Actions
+from wigeondrift.systems.attachment import Attachment, SuspectListener
+from wigeondrift.table import TABLE_KEY
+from wigeondrift.timer import Clock
+
+LINK_SECONDS = 0.5
+DIRECT_CALL_SECONDS = 2.0
+
+
+class Link(Component):
+    """Connection of one entry to its agent.
+
+    Parameters
+    ----------
+    attachment : Attachment
+        Decides; fills the process's tables.
+    listen : str
+        ``host:port`` where the entry takes messages.
+    store : PlatformStore
+        Read directly while the agent is silent.
+    clock : Clock
+    logger : logging.Logger
+    """
+
+    __slots__ = ("_clock", "_listen", "_logger", "_post", "_store", "attachment")
+
+    def __init__(
+        self,
+        attachment: Attachment,
+        listen: str,
+        store: PlatformStore,
+        clock: Clock,
+        logger: logging.Logger,
+    ) -> None:
+        self.attachment = attachment
+        self._listen = listen
+        self._store = store
+        self._clock = clock
+        self._logger = logger
+        self._post: PostOffice | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a table is in force."""
+        return self.attachment.is_ready
+
+    @property
+    def agent_lost(self) -> bool:
+        """Whether the agent is silent."""
+        return self.attachment.agent_lost
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen and start the tasks."""
+        self._post = PostOffice(self._listen)
+        nursery.start_soon(self._receive)
+        nursery.start_soon(self._tick)
+        nursery.start_soon(self._read_directly)
+
+    async def stop(self) -> None:
+        """Tell the agent that the entry takes no new work."""
+        self.announce_stop()
+
+    async def close(self) -> None:
+        """Close the sockets."""
+        if self._post is not None:
+            await self._post.close()
+
+    def announce_stop(self) -> None:
+        """Tell the agent that a planned stop has begun."""
+        self.attachment.stopping = True
+        self._do(self.attachment.tick(self._clock.now()))
+
+    def report_demand(
+        self, row: str, requests: float, tokens: float, running: int
+    ) -> None:
+        """Count what a row was asked for.
+
+        Parameters
+        ----------
+        row : str
+            ``team/service``.
+        requests, tokens : float
+            Asked for since the last call, with what was refused.
+        running : int
+            Requests running or waiting now.
+        """
+        self.attachment.add_demand(row, requests, tokens, running)
+
+    def report_leaving(self, instance_id: str, incarnation: int) -> None:
+        """Tell that an upstream refused work since it is leaving."""
+        now = self._clock.now()
+        self._do(self.attachment.report_leaving(instance_id, incarnation, now))
+
+    def report_death(self, fingerprint: str, upstream: str) -> None:
+        """Tell that ``upstream`` died running ``fingerprint``."""
+        self.report_suspects(SuspectNews(((fingerprint, (upstream,)),), (), ()))
+
+    def report_clear(self, fingerprint: str) -> None:
+        """Tell that a request with ``fingerprint`` ran to its end."""
+        self.report_suspects(SuspectNews((), (fingerprint,), ()))
+
+    def report_quarantine(self, fingerprint: str) -> None:
+        """Tell that ``fingerprint`` is refused from now on."""
+        self.report_suspects(SuspectNews((), (), (fingerprint,)))
+
+    def report_suspects(self, news: SuspectNews) -> None:
+        """Tell the other instances of deaths, clearings and quarantines."""
+        self._do(self.attachment.report_suspects(news, self._clock.now()))
+
+    def subscribe_suspects(self, listener: SuspectListener) -> None:
+        """Call ``listener`` with the news of other instances."""
+        self.attachment.suspect_listeners.append(listener)
+
+    def _do(self, actions: Actions) -> None:
+        if self._post is not None:
+            carry_out(actions, self._post, self._logger)
+
+    async def _receive(self) -> None:
+        while True:
+            message = await self._post.receive()
+            self._do(self.attachment.receive(message, self._clock.now()))
+
+    async def _tick(self) -> None:
+        while True:
+            self._do(self.attachment.tick(self._clock.now()))
+            await trio.sleep(LINK_SECONDS)
+
+    async def _read_directly(self) -> None:
+        while True:
+            await trio.sleep(LINK_SECONDS)
+            if self.attachment.is_direct_read_due(self._clock.now()):
+                await self._read_platform()
+
+    async def _read_platform(self) -> None:
+        attachment = self.attachment
+        with trio.move_on_after(DIRECT_CALL_SECONDS):
+            try:
+                stored = await self._store.get(TABLE_KEY)
+                listed = await self._store.list_instances(0, 0.0)
+            except PlatformError:
+                return
+            self._do(attachment.note_platform(stored, listed, self._clock.now()))
--- /dev/null
+++ b/wigeondrift/loads.py
@@ -0,0 +1,80 @@
+"""Polls upstreams for their load reports."""
+
+import msgspec
+import trio
+import xxhash
+
+from wigeondrift.entities import Instance, InstanceState, LoadReport, Role
+from wigeondrift.errors import TransportError
+from wigeondrift.http import HttpClient
+
+POLL_SECONDS = 0.5
+POLL_TIMEOUT_SECONDS = 1.0
+POLLED_UPSTREAMS = 48
+POLLS_AT_ONCE = 8
+REPORT_BYTES = 4096
+
+
+def choose_polled(
+    instances: tuple[Instance, ...], instance_id: str, failure_domain: str
+) -> list[Instance]:
+    """Return the upstreams that one agent polls.
+
+    All of its failure domain, or a bounded subset chosen by rendezvous hashing,
+    so that agents spread over a large domain's upstreams.
+    """
+    upstreams = [
+        instance
+        for instance in instances
+        if instance.role is not Role.AGENT
+        and instance.failure_domain == failure_domain
+        and instance.state is InstanceState.LIVE
+    ]
+    if len(upstreams) <= POLLED_UPSTREAMS:
+        return upstreams
+
+    def rank(instance: Instance) -> int:
+        text = f"{instance_id}/{instance.instance_id}"
+        return xxhash.xxh3_64_intdigest(text.encode())
+
+    return sorted(upstreams, key=rank)[:POLLED_UPSTREAMS]
+
+
+class LoadPoller:
+    """Asks upstreams for their load.
+
+    Parameters
+    ----------
+    client : HttpClient
+    """
+
+    __slots__ = ("_client", "_limiter")
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+        self._limiter = trio.CapacityLimiter(POLLS_AT_ONCE)
+
+    async def poll(self, upstreams: list[Instance]) -> tuple[LoadReport, ...]:
+        """Return the reports of those upstreams that give one in time."""
+        reports: list[LoadReport] = []
+        async with trio.open_nursery() as nursery:
+            for upstream in upstreams:
+                nursery.start_soon(self._poll_one, upstream, reports)
+        return tuple(reports)
+
+    async def _poll_one(self, upstream: Instance, reports: list[LoadReport]) -> None:
+        async with self._limiter:
+            with trio.move_on_after(POLL_TIMEOUT_SECONDS):
+                report = await self._get_load(upstream.address)
+                if report is not None and report.instance_id == upstream.instance_id:
+                    reports.append(report)
+
+    async def _get_load(self, address: str) -> LoadReport | None:
+        try:
+            async with self._client.request(address, "GET", "/load") as response:
+                data = await response.read(REPORT_BYTES)
+                if response.status != 200:
+                    return None
+                return msgspec.json.decode(data, type=LoadReport)
+        except (TransportError, msgspec.DecodeError):
+            return None
--- a/wigeondrift/messages.py
+++ b/wigeondrift/messages.py
@@ -24,6 +24,10 @@
         Version in force in the entry.
     stopping : bool
         Whether the entry is in a planned stop.
+    instances_revision : int
+        Revision of the instance list that the entry has.
+    marks : int
+        Hash of the leave marks that the entry has.
     """
 
     entry_id: str
@@ -31,6 +35,8 @@
     address: str
     table_version: int
     stopping: bool = False
+    instances_revision: int = 0
+    marks: int = 0
 
 
 class TableNews(msgspec.Struct, frozen=True, tag="table"):
@@ -87,12 +93,30 @@
 
 
 class DemandNews(msgspec.Struct, frozen=True, tag="demand"):
-    """Demand that an entry (or an agent for its entries) has seen."""
+    """Demand that an entry (or an agent for its entries) has seen.
+
+    Attributes
+    ----------
+    source : str
+        Entry or instance that reports.
+    incarnation : int
+        Grows with each start of the reporting process.
+    sequence : int
+        Grows with each report.
+    demands : tuple of Demand
+        All rows with demand.
+    address : str
+        Where to send the slices.
+    acknowledged : int
+        Sequence of the report whose slices are in force at the reporter.
+    """
 
     source: str
     incarnation: int
     sequence: int
     demands: tuple[Demand, ...]
+    address: str = ""
+    acknowledged: int = 0
 
 
 class Slice(msgspec.Struct, frozen=True):
@@ -107,7 +131,8 @@
     running : int
         Requests granted at once.
     seconds : float
-        Time from receipt after which the slice is no longer valid.
+        Validity, counted from the time at which the holder sent the report that
+        the slice answers.
     """
 
     row: str
@@ -118,11 +143,26 @@
 
 
 class SliceNews(msgspec.Struct, frozen=True, tag="slices"):
-    """Slices granted to the receiver by the soft owner of the rows."""
+    """Slices granted to the receiver by the soft owner of the rows.
+
+    Attributes
+    ----------
+    owner : str
+        Instance that grants them.
+    sequence : int
+        Sequence of the report that they answer.
+    slices : tuple of Slice
+    processes : int
+        Entry processes on the receiver's instance.
+    entries : int
+        Entry processes reachable in the whole system.
+    """
 
     owner: str
     sequence: int
     slices: tuple[Slice, ...]
+    processes: int = 1
+    entries: int = 1
 
 
 class SuspectNews(msgspec.Struct, frozen=True, tag="suspects"):
@@ -143,6 +183,23 @@
     quarantined: tuple[str, ...]
 
 
+class PeerSample(msgspec.Struct, frozen=True, array_like=True):
+    """What an agent knows of another one.
+
+    Attributes
+    ----------
+    instance_id, address : str
+    incarnation : int
+    entries : int
+        Entry processes on its instance.
+    """
+
+    instance_id: str
+    address: str
+    incarnation: int
+    entries: int
+
+
 class Digest(msgspec.Struct, frozen=True, tag="digest"):
     """Periodic greeting of an agent to a peer, with what it has.
 
@@ -154,13 +211,19 @@
         ``host:port`` where the agent takes messages.
     failure_domain : str
     heartbeat : int
-        Grows with each digest.
+        Grows with each digest; zero in the questions of a process that starts.
     table_version, instances_revision : int
         Newest versions that the agent has.
     leaving : bool
         Whether the agent's instance is in a planned stop.
-    heartbeats : tuple of (str, str, int, int)
-        A sample of other agents: name, address, incarnation, heartbeat.
+    samples : tuple of PeerSample
+        Some other agents.
+    entries : int
+        Entry processes on the agent's instance.
+    marks : int
+        Hash of the leave marks that the agent has.
+    reply : bool
+        Whether it answers another digest; a reply is not answered.
     """
 
     instance_id: str
@@ -171,7 +234,10 @@
     table_version: int
     instances_revision: int
     leaving: bool = False
-    heartbeats: tuple[tuple[str, str, int, int], ...] = ()
+    samples: tuple[PeerSample, ...] = ()
+    entries: int = 0
+    marks: int = 0
+    reply: bool = False
 
 
 class Want(msgspec.Struct, frozen=True, tag="want"):
--- a/wigeondrift/settings.py
+++ b/wigeondrift/settings.py
@@ -137,8 +137,10 @@
         ``host:port`` of the platform's key-value service.
     seeds : tuple of str
         ``host:port`` of some peers, for a start without the platform.
+    configured_instances : int
+        Instances that the limits are shared among when none can be reached.
     gossip_interval : float
-        Time between two digests, in seconds.
+        Time between two rounds of digests, in seconds.
     watch_wait : float
         Longest wait of one watch on the platform, in seconds.
     """
@@ -148,7 +150,8 @@
     post: Address
     platform: Address
     seeds: tuple[Address, ...] = ()
-    gossip_interval: Seconds = 0.25
+    configured_instances: Positive = 8
+    gossip_interval: Seconds = 0.5
     watch_wait: Seconds = 20.0
     telemetry: TelemetrySettings = TelemetrySettings()
 
--- /dev/null
+++ b/wigeondrift/shell.py
@@ -0,0 +1,29 @@
+"""Carries out what the control systems return."""
+
+import logging
+
+from wigeondrift.events import Event, log_event
+from wigeondrift.post import PostOffice
+from wigeondrift.systems.actions import Actions
+
+WARNINGS = frozenset(
+    {Event.TABLE_REFUSED, Event.PLATFORM_LOST, Event.AGENT_LOST, Event.PEER_LOST}
+)
+
+
+def carry_out(actions: Actions, post: PostOffice, logger: logging.Logger) -> None:
+    """Open connections anew, send the messages and log the events."""
+    for address in actions.resets:
+        post.forget(address)
+    for send in actions.sends:
+        post.send(send.address, send.message)
+    for notice in actions.notices:
+        level = logging.WARNING if notice.event in WARNINGS else logging.INFO
+        log_event(
+            logger,
+            level,
+            notice.event,
+            subject=notice.subject,
+            number=notice.number,
+            reason=notice.reason,
+        )
--- /dev/null
+++ b/wigeondrift/systems/membership.py
@@ -0,0 +1,262 @@
+"""Peers of an agent: whom it knows, whom it reaches, whom it sends digests to."""
+
+import random
+from collections.abc import Iterable
+
+from wigeondrift.entities import Instance, Role
+from wigeondrift.events import Event
+from wigeondrift.messages import Digest, PeerSample
+from wigeondrift.systems.actions import Actions
+
+FANOUT = 3
+SAMPLES = 4
+PEER_TIMEOUT_SECONDS = 2.0
+RESET_SECONDS = 5.0
+FORGET_SECONDS = 120.0
+PEERS = 2048
+
+
+class Peer:
+    """Agent of another instance.
+
+    Attributes
+    ----------
+    instance_id, address, failure_domain : str
+    incarnation, heartbeat : int
+    entries : int
+        Entry processes on its instance.
+    heard_at : float
+        Time of its last digest, in seconds.
+    asked_at : float or None
+        Time of the first digest to it since, in seconds.
+    reset_at : float
+        Time at which the connection to it was last opened anew, in seconds.
+    table_version, instances_revision : int
+        As it last announced them.
+    leaving : bool
+    lost : bool
+        Whether it left a digest unanswered for too long.
+    """
+
+    __slots__ = (
+        "address",
+        "asked_at",
+        "entries",
+        "failure_domain",
+        "heard_at",
+        "heartbeat",
+        "incarnation",
+        "instance_id",
+        "instances_revision",
+        "leaving",
+        "lost",
+        "reset_at",
+        "table_version",
+    )
+
+    def __init__(
+        self, instance_id: str, address: str, incarnation: int, now: float
+    ) -> None:
+        self.instance_id = instance_id
+        self.address = address
+        self.failure_domain = ""
+        self.incarnation = incarnation
+        self.heartbeat = 0
+        self.entries = 1
+        self.heard_at = now
+        self.asked_at: float | None = None
+        self.reset_at = now
+        self.table_version = 0
+        self.instances_revision = 0
+        self.leaving = False
+        self.lost = False
+
+
+class Membership:
+    """Sends digests to a few random peers and notes who answers.
+
+    A peer that has not been asked is taken to be reachable; one that left a
+    digest unanswered is lost until it is heard again, and one lost peer is tried
+    at each tick.
+
+    Parameters
+    ----------
+    instance_id, address : str
+        Of the agent itself.
+    incarnation : int
+        Grows with each start of the agent.
+    seeds : sequence of str
+        Addresses of some peers.
+    rng : random.Random
+        Source of the choices.
+    """
+
+    __slots__ = (
+        "_rng",
+        "_seeds",
+        "address",
+        "heartbeat",
+        "incarnation",
+        "instance_id",
+        "peers_by_id",
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        address: str,
+        incarnation: int,
+        seeds: Iterable[str],
+        rng: random.Random,
+    ) -> None:
+        self.instance_id = instance_id
+        self.address = address
+        self.incarnation = incarnation
+        self.heartbeat = 0
+        self.peers_by_id: dict[str, Peer] = {}
+        self._seeds = tuple(seed for seed in seeds if seed != address)
+        self._rng = rng
+
+    def note_list(self, instances: Iterable[Instance], now: float) -> list[Peer]:
+        """Add the listed agents that are not known; return them."""
+        added = []
+        for instance in instances:
+            if instance.role is Role.AGENT:
+                peer = self._add(instance.instance_id, instance.address, 0, now)
+                if peer is not None:
+                    added.append(peer)
+        return added
+
+    def note_digest(self, digest: Digest, now: float) -> bool:
+        """Note a digest; true if its sender was lost or unknown before."""
+        if digest.instance_id == self.instance_id:
+            return False
+        peer = self.peers_by_id.get(digest.instance_id)
+        if peer is None:
+            peer = self._add(
+                digest.instance_id, digest.address, digest.incarnation, now
+            )
+            if peer is None:
+                return False
+            peer.lost = True
+        if (digest.incarnation, digest.heartbeat) < (peer.incarnation, peer.heartbeat):
+            return False
+        was_lost = peer.lost or digest.incarnation > peer.incarnation > 0
+        self._update(peer, digest, now)
+        for sample in digest.samples:
+            self._note_sample(sample, now)
+        return was_lost
+
+    def _update(self, peer: Peer, digest: Digest, now: float) -> None:
+        peer.address = digest.address
+        peer.failure_domain = digest.failure_domain
+        peer.incarnation = digest.incarnation
+        peer.heartbeat = digest.heartbeat
+        peer.entries = digest.entries
+        peer.table_version = digest.table_version
+        peer.instances_revision = digest.instances_revision
+        peer.leaving = digest.leaving
+        peer.heard_at = now
+        peer.asked_at = None
+        peer.lost = False
+
+    def _note_sample(self, sample: PeerSample, now: float) -> None:
+        peer = self.peers_by_id.get(sample.instance_id)
+        if peer is None:
+            peer = self._add(
+                sample.instance_id, sample.address, sample.incarnation, now
+            )
+        elif sample.incarnation > peer.incarnation:
+            peer.address = sample.address
+        if peer is not None:
+            peer.entries = sample.entries
+
+    def _add(
+        self, instance_id: str, address: str, incarnation: int, now: float
+    ) -> Peer | None:
+        if instance_id == self.instance_id or instance_id in self.peers_by_id:
+            return None
+        if len(self.peers_by_id) >= PEERS:
+            return None
+        peer = Peer(instance_id, address, incarnation, now)
+        self.peers_by_id[instance_id] = peer
+        return peer
+
+    def note_asked(self, peer: Peer, now: float) -> None:
+        """Note that ``peer`` owes an answer from ``now`` on."""
+        if peer.asked_at is None:
+            peer.asked_at = now
+
+    def list_reachable(self) -> list[Peer]:
+        """Return the peers that are not known to be lost."""
+        return [peer for peer in self.peers_by_id.values() if not peer.lost]
+
+    def list_owners(self) -> list[str]:
+        """Return the names of the agents that may own limits, itself included."""
+        peers = [peer for peer in self.list_reachable() if not peer.leaving]
+        return [self.instance_id, *(peer.instance_id for peer in peers)]
+
+    def count_entries(self) -> int:
+        """Return the entry processes of the reachable peers."""
+        return sum(peer.entries for peer in self.list_reachable())
+
+    def choose_peers(self) -> list[Peer]:
+        """Return random reachable peers to send something to."""
+        reachable = self.list_reachable()
+        return self._rng.sample(reachable, min(FANOUT, len(reachable)))
+
+    def choose_seed(self) -> str | None:
+        """Return a seed to try while no peer is reachable, if any."""
+        if not self._seeds or self.list_reachable():
+            return None
+        return self._rng.choice(self._seeds)
+
+    def choose_targets(self, now: float) -> list[Peer]:
+        """Return the peers of one tick: some reachable ones and one lost one."""
+        targets = self.choose_peers()
+        for peer in targets:
+            self.note_asked(peer, now)
+        lost = [peer for peer in self.peers_by_id.values() if peer.lost]
+        if lost:
+            targets.append(self._rng.choice(lost))
+        return targets
+
+    def list_seeds(self) -> tuple[str, ...]:
+        """Return the addresses of the settings."""
+        return self._seeds
+
+    def choose_samples(self) -> tuple[PeerSample, ...]:
+        """Return random reachable peers to tell another one of."""
+        return tuple(
+            PeerSample(peer.instance_id, peer.address, peer.incarnation, peer.entries)
+            for peer in self._sample_reachable()
+        )
+
+    def _sample_reachable(self) -> list[Peer]:
+        reachable = self.list_reachable()
+        return self._rng.sample(reachable, min(SAMPLES, len(reachable)))
+
+    def check(self, listed_ids: frozenset[str], now: float, actions: Actions) -> None:
+        """Find the peers that left a digest unanswered; open connections anew."""
+        for peer in list(self.peers_by_id.values()):
+            if peer.lost:
+                self._tend_lost(peer, listed_ids, now, actions)
+            elif _is_overdue(peer, now):
+                peer.lost = True
+                peer.reset_at = now
+                actions.resets.append(peer.address)
+                actions.notify(Event.PEER_LOST, peer.instance_id)
+
+    def _tend_lost(
+        self, peer: Peer, listed_ids: frozenset[str], now: float, actions: Actions
+    ) -> None:
+        if now - peer.reset_at >= RESET_SECONDS:
+            peer.reset_at = now
+            actions.resets.append(peer.address)
+        silent = now - peer.heard_at
+        if peer.instance_id not in listed_ids and silent >= FORGET_SECONDS:
+            del self.peers_by_id[peer.instance_id]
+
+
+def _is_overdue(peer: Peer, now: float) -> bool:
+    return peer.asked_at is not None and now - peer.asked_at > PEER_TIMEOUT_SECONDS
--- /dev/null
+++ b/wigeondrift/systems/replica.py
@@ -0,0 +1,196 @@
+"""Which version of the table and of the instance list is in force."""
+
+import enum
+from collections.abc import Iterable
+
+from wigeondrift.entities import Instance
+from wigeondrift.table import Table, parse_table
+
+SETTLE_SECONDS = 1.0
+SETTLE_LIMIT_SECONDS = 3.0
+PULL_SECONDS = 0.5
+
+
+class Verdict(enum.Enum):
+    """What became of a table that arrived."""
+
+    APPLIED = "applied"
+    HELD = "held"
+    STALE = "stale"
+    REFUSED = "refused"
+
+
+class Candidate:
+    """Checked table that is not in force yet."""
+
+    __slots__ = ("data", "table", "version")
+
+    def __init__(self, version: int, data: bytes, table: Table) -> None:
+        self.version = version
+        self.data = data
+        self.table = table
+
+
+class Startup:
+    """Sources that a starting process has asked and those that answered.
+
+    Attributes
+    ----------
+    asked, answered : set of str
+    announced : int
+        Newest table version that any source says it has.
+    started_at : float or None
+        Time of the first question, in seconds.
+    """
+
+    __slots__ = ("announced", "answered", "asked", "started_at")
+
+    def __init__(self) -> None:
+        self.asked: set[str] = set()
+        self.answered: set[str] = set()
+        self.announced = 0
+        self.started_at: float | None = None
+
+    def ask(self, source: str, now: float) -> None:
+        """Note a question to ``source``."""
+        self.asked.add(source)
+        if self.started_at is None:
+            self.started_at = now
+
+    def is_settled(self, version: int, now: float) -> bool:
+        """Whether the table ``version`` at hand may be put in force.
+
+        It may when every source has answered, or has had its time, and none
+        has announced a newer one; an announced one that does not arrive is
+        waited for up to a bound.
+        """
+        if self.started_at is None:
+            return True
+        elapsed = now - self.started_at
+        if elapsed >= SETTLE_LIMIT_SECONDS:
+            return True
+        if version < self.announced:
+            return False
+        return self.asked <= self.answered or elapsed >= SETTLE_SECONDS
+
+
+class Replica:
+    """Newest table and instance list that a process has.
+
+    Only a higher version is applied. A starting process holds what it gets
+    until its peers have had time to say that they have a newer one.
+
+    Attributes
+    ----------
+    table : Table
+    data : bytes
+        Serialized table in force.
+    table_version : int
+        Zero before any table is in force.
+    instances : tuple of Instance
+    instances_revision : int
+        Zero before any list is known.
+    startup : Startup
+    refused_version : int
+        Newest version that did not pass its checks.
+    """
+
+    __slots__ = (
+        "_candidate",
+        "_list_pull_ends_at",
+        "_table_pull_ends_at",
+        "data",
+        "instances",
+        "instances_revision",
+        "refusal",
+        "refused_version",
+        "startup",
+        "table",
+        "table_version",
+    )
+
+    def __init__(self) -> None:
+        self.table = Table()
+        self.data = b""
+        self.table_version = 0
+        self.instances: tuple[Instance, ...] = ()
+        self.instances_revision = 0
+        self.startup = Startup()
+        self.refused_version = 0
+        self.refusal = ""
+        self._candidate: Candidate | None = None
+        self._table_pull_ends_at = 0.0
+        self._list_pull_ends_at = 0.0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a table is in force."""
+        return self.table_version > 0
+
+    @property
+    def newest_version(self) -> int:
+        """Newest version at hand, in force or held."""
+        if self._candidate is not None:
+            return self._candidate.version
+        return self.table_version
+
+    def offer_table(self, version: int, data: bytes, now: float) -> Verdict:
+        """Take a table that arrived; only a checked, newer one is kept."""
+        if version <= max(self.newest_version, self.refused_version):
+            return Verdict.STALE
+        try:
+            table = parse_table(data)
+        except ValueError as error:
+            self.refused_version = version
+            self.refusal = str(error)
+            return Verdict.REFUSED
+        self._candidate = Candidate(version, data, table)
+        return Verdict.APPLIED if self.settle(now) else Verdict.HELD
+
+    def settle(self, now: float) -> bool:
+        """Put the held table in force if nothing speaks against it."""
+        candidate = self._candidate
+        if candidate is None:
+            return False
+        if not self.is_ready and not self.startup.is_settled(candidate.version, now):
+            return False
+        self._candidate = None
+        self.table = candidate.table
+        self.data = candidate.data
+        self.table_version = candidate.version
+        return True
+
+    def offer_instances(self, revision: int, instances: Iterable[Instance]) -> bool:
+        """Apply a list that arrived if it is newer."""
+        if revision <= self.instances_revision:
+            return False
+        self.instances_revision = revision
+        self.instances = tuple(instances)
+        return True
+
+    def note_announced(self, source: str, version: int) -> None:
+        """Note that ``source`` says that it has table ``version``."""
+        if self.is_ready:
+            return
+        self.startup.answered.add(source)
+        self.startup.announced = max(self.startup.announced, version)
+
+    def start_table_pull(self, version: int, now: float) -> bool:
+        """Whether to ask for announced table ``version`` now.
+
+        One question is under way at a time, so that several peers with the
+        same news do not all send it.
+        """
+        if version <= max(self.newest_version, self.refused_version):
+            return False
+        if now < self._table_pull_ends_at:
+            return False
+        self._table_pull_ends_at = now + PULL_SECONDS
+        return True
+
+    def start_list_pull(self, revision: int, now: float) -> bool:
+        """Whether to ask for announced list ``revision`` now."""
+        if revision <= self.instances_revision or now < self._list_pull_ends_at:
+            return False
+        self._list_pull_ends_at = now + PULL_SECONDS
+        return True
--- a/wigeondrift/tables.py
+++ b/wigeondrift/tables.py
@@ -44,10 +44,13 @@
         Fingerprints that are refused.
     entries : int
         Entries of this system that are reachable and not stopping; at least one.
+    floor_parts : int
+        Parts into which a limit is divided when no slice of it is held.
     """
 
     __slots__ = (
         "entries",
+        "floor_parts",
         "instances_by_id",
         "instances_revision",
         "loads_by_id",
@@ -66,6 +69,7 @@
         self.slices_by_row: dict[str, HeldSlice] = {}
         self.quarantined: set[str] = set()
         self.entries = 1
+        self.floor_parts = 1
 
     def list_upstreams(self, service: str, role: Role) -> list[Instance]:
         """Return the live upstreams of a service."""
--- /dev/null
+++ b/wigeondrift/watcher.py
@@ -0,0 +1,126 @@
+"""The one watch of an instance on the platform's table and instance list."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from wigeondrift.backoff import Backoff
+from wigeondrift.errors import PlatformError
+from wigeondrift.platform import InstanceList, PlatformStore, Versioned
+from wigeondrift.systems.control import PLATFORM_LIST, PLATFORM_TABLE
+from wigeondrift.table import TABLE_KEY
+
+LEAST_WATCH_SECONDS = 2.0
+WATCH_GRACE_SECONDS = 2.0
+WATCHES_PER_SECOND = 100.0
+WATCHES_PER_AGENT = 2
+LEAST_RETRY_SECONDS = 0.2
+MOST_RETRY_SECONDS = 2.0
+
+
+def choose_watch_wait(agents: int, most: float) -> float:
+    """Return the longest wait of one watch, in seconds.
+
+    A short wait finds a connection that has gone silent early; the wait grows
+    with the fleet so that the calls of all agents stay within a rate.
+
+    Parameters
+    ----------
+    agents : int
+        Agents that watch.
+    most : float
+        Longest wait allowed by the settings, in seconds.
+    """
+    fair = agents * WATCHES_PER_AGENT / WATCHES_PER_SECOND
+    return min(most, max(LEAST_WATCH_SECONDS, fair))
+
+
+class Watcher:
+    """Keeps one watch on the table and one on the list open.
+
+    Parameters
+    ----------
+    store : PlatformStore
+    rng : random.Random
+        Source of the jitter between tries.
+    choose_wait : callable
+        Returns the longest wait of the next watch, in seconds.
+    on_table, on_list, on_failure : callable
+        Take what a watch gave, or the name of the watch that failed.
+
+    Attributes
+    ----------
+    calls : int
+        Calls made to the platform.
+    """
+
+    __slots__ = (
+        "_choose_wait",
+        "_on_failure",
+        "_on_list",
+        "_on_table",
+        "_rng",
+        "_store",
+        "calls",
+    )
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        rng: random.Random,
+        choose_wait: Callable[[], float],
+        on_table: Callable[[Versioned], None],
+        on_list: Callable[[InstanceList], None],
+        on_failure: Callable[[str], None],
+    ) -> None:
+        self._store = store
+        self._rng = rng
+        self._choose_wait = choose_wait
+        self._on_table = on_table
+        self._on_list = on_list
+        self._on_failure = on_failure
+        self.calls = 0
+
+    async def watch_table(self) -> None:
+        """Watch the table until cancelled."""
+
+        async def call(after: int, wait: float) -> int:
+            stored = await self._store.watch(TABLE_KEY, after, wait)
+            self._on_table(stored)
+            return stored.revision
+
+        await self._repeat(PLATFORM_TABLE, call)
+
+    async def watch_list(self) -> None:
+        """Watch the instance list until cancelled."""
+
+        async def call(after: int, wait: float) -> int:
+            listed = await self._store.list_instances(after, wait)
+            self._on_list(listed)
+            return listed.revision
+
+        await self._repeat(PLATFORM_LIST, call)
+
+    async def _repeat(
+        self, name: str, call: Callable[[int, float], Awaitable[int]]
+    ) -> None:
+        backoff = Backoff(LEAST_RETRY_SECONDS, MOST_RETRY_SECONDS, self._rng)
+        after = 0
+        wait = 0.0
+        while True:
+            self.calls += 1
+            started_at = trio.current_time()
+            try:
+                with trio.fail_after(wait + WATCH_GRACE_SECONDS):
+                    revision = await call(after, wait)
+            except (PlatformError, trio.TooSlowError):
+                self._on_failure(name)
+                await trio.sleep(backoff.next_wait())
+                continue
+            if revision > after:
+                backoff.reset()
+                after = revision
+            elif trio.current_time() - started_at < wait / 2.0:
+                await trio.sleep(backoff.next_wait())
+            wait = self._choose_wait()
