Run model requests over attempts with resume, quarantine and a retry budget

Seen to fail first: a route over a dead later stage was run by the emulator as if it lived; a first stage now refuses it as unreachable, which is not a run.

--- /dev/null
+++ b/tests/generations.py
@@ -0,0 +1,161 @@
+"""Model requests over emulated runners in virtual time."""
+
+import random
+
+import trio
+from trio.testing import MockClock
+
+from tests.engines import LAYERS, SERVICE, make_instance, make_runner_settings
+from wigeondrift.engine_memory import MemoryEngine
+from wigeondrift.entities import Instance, Role
+from wigeondrift.errors import RequestError
+from wigeondrift.generation import GenerationJob, Generator
+from wigeondrift.settings import RequestSettings
+from wigeondrift.systems.quarantine import Quarantine, make_fingerprint
+from wigeondrift.systems.routing import Routing
+from wigeondrift.table import LimitRow, ServiceKind, ServiceRow, Table
+from wigeondrift.tables import Tables
+from wigeondrift.timer import TrioClock
+from wigeondrift_emulator.runner import Cluster
+from wigeondrift_emulator.tokens import expected_tokens
+
+TEAM = "counters"
+TICK_SECONDS = 0.1
+NEWS_SECONDS = 0.3
+
+
+class Caller:
+    """One request and what its caller saw."""
+
+    def __init__(self, prompt, count):
+        self.prompt = prompt
+        self.count = count
+        self.tokens = []
+        self.token_times = []
+        self.finish_reason = ""
+        self.error = None
+        self.attempts = 0
+        self.done = trio.Event()
+
+    def list_expected(self, version):
+        return expected_tokens(self.prompt, SERVICE, version, LAYERS, self.count)
+
+
+class Bed:
+    """Emulated runners and one or more processes that route to them."""
+
+    def __init__(self, seed=1, entries=1, version="v1"):
+        self.cluster = Cluster()
+        self.engine = MemoryEngine({})
+        self.rng = random.Random(seed)
+        self.version = version
+        self.tables = []
+        self.generators = []
+        self.callers = []
+        self.nursery = None
+        self._numbers = iter(range(1, 1_000_000))
+        for number in range(entries):
+            self._add_entry(f"rajkot-{number}")
+
+    def _add_entry(self, name):
+        tables = Tables()
+        rng = random.Random(self.rng.random())
+        routing = Routing(tables, "rajkot", rng, name)
+        generator = Generator(
+            self.engine,
+            routing,
+            Quarantine(tables),
+            RequestSettings(),
+            TrioClock(),
+            publish=lambda news: self.nursery.start_soon(self._spread, name, news),
+        )
+        self.tables.append((name, tables))
+        self.generators.append(generator)
+
+    async def _spread(self, source, news):
+        await trio.sleep(NEWS_SECONDS)
+        for (name, _), generator in zip(self.tables, self.generators, strict=True):
+            if name != source:
+                generator.take_suspects(news)
+
+    def add_runner(self, name, first, end, **fields):
+        settings = make_runner_settings(name, first, end, f"{name}:1", **fields)
+        self.engine.runners_by_address[settings.address] = self.cluster.add(settings)
+        return self.cluster.runners_by_id[name]
+
+    def add_grid(self, columns, cuts=(0, 4, 8, LAYERS), **fields):
+        """Add ``columns`` runners for each range between two cuts."""
+        for first, end in zip(cuts, cuts[1:], strict=False):
+            for column in range(columns):
+                self.add_runner(f"r{first}-{column}", first, end, **fields)
+
+    def publish_tables(self):
+        """Give all processes the list and the table."""
+        row = ServiceRow(ServiceKind.MODEL, layers=LAYERS, version=self.version)
+        runners = self.cluster.runners_by_id.values()
+        instances = [make_instance(runner.settings) for runner in runners]
+        for name, _ in self.tables:
+            instances.append(Instance(name, 1, Role.AGENT, f"{name}:1", "rajkot"))
+        for _, tables in self.tables:
+            tables.table = Table(
+                services_by_name={SERVICE: row},
+                limits_by_row={f"{TEAM}/{SERVICE}": LimitRow()},
+            )
+            tables.instances_by_id = {one.instance_id: one for one in instances}
+            tables.instances_revision += 1
+
+    def call(self, prompt, count, entry=0):
+        """Start a request and return its caller."""
+        caller = Caller(prompt, count)
+        self.callers.append(caller)
+        self.nursery.start_soon(self._call, caller, self.generators[entry])
+        return caller
+
+    async def _call(self, caller, generator):
+        job = GenerationJob(
+            f"rajkot-1.entry-0.1.{next(self._numbers)}",
+            TEAM,
+            SERVICE,
+            caller.prompt,
+            caller.count,
+            fingerprint=make_fingerprint(TEAM, SERVICE, caller.prompt, ""),
+        )
+        caller.request_id = job.request_id
+        try:
+            async with generator.open(job) as generation:
+                async for texts in generation:
+                    caller.tokens.extend(texts)
+                    now = trio.current_time()
+                    caller.token_times.extend([now] * len(texts))
+                caller.finish_reason = generation.finish_reason
+                caller.attempts = generation.attempts
+        except RequestError as error:
+            caller.error = error
+        caller.done.set()
+
+    async def _tick(self):
+        while True:
+            for generator in self.generators:
+                await generator.tick(trio.current_time())
+            await trio.sleep(TICK_SECONDS)
+
+    def run(self, main):
+        """Run the coroutine function ``main`` in virtual time."""
+
+        async def run_all():
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                for generator in self.generators:
+                    await generator.start(nursery)
+                self.publish_tables()
+                nursery.start_soon(self._tick)
+                await main()
+                nursery.cancel_scope.cancel()
+
+        trio.run(run_all, clock=MockClock(autojump_threshold=0))
+
+    async def wait(self, seconds=120.0):
+        """Wait until all callers have their answer."""
+        with trio.fail_after(seconds):
+            for caller in self.callers:
+                await caller.done.wait()
--- a/wigeondrift/engine.py
+++ b/wigeondrift/engine.py
@@ -131,7 +131,8 @@
     Parameters
     ----------
     reason : str
-        ``leaving``, ``full``, ``fenced`` or ``version``.
+        ``leaving``, ``full``, ``fenced``, ``version`` or, of a later stage that the
+        first one cannot reach, ``unreachable``.
     stage : str
         Runner that refused; empty if not known.
     """
--- a/wigeondrift/engine_http.py
+++ b/wigeondrift/engine_http.py
@@ -17,7 +17,7 @@
 from wigeondrift.http import ClientResponse, HttpClient
 
 LINE_BYTES = 1048576
-HEAD_TIMEOUT_SECONDS = 2.0
+HEAD_TIMEOUT_SECONDS = 1.5
 CALL_TIMEOUT_SECONDS = 2.0
 REFUSED_STATUS = 503
 
--- a/wigeondrift/engine_memory.py
+++ b/wigeondrift/engine_memory.py
@@ -13,9 +13,9 @@
     GenerateRequest,
 )
 from wigeondrift.entities import LoadReport
-from wigeondrift.errors import ConnectFailed, ConnectionLost
+from wigeondrift.errors import ConnectFailed, ConnectionSilent
 
-HEAD_TIMEOUT_SECONDS = 2.0
+HEAD_TIMEOUT_SECONDS = 1.5
 
 
 class MemorySession(abc.ABC):
@@ -121,7 +121,7 @@
             with trio.fail_after(self._head_timeout):
                 await runner.reach()
         except trio.TooSlowError as error:
-            raise ConnectionLost(f"{address} stayed silent") from error
+            raise ConnectionSilent(f"{address} stayed silent") from error
         return runner
 
 
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -202,5 +202,9 @@
     """The connection broke or went silent after bytes had been sent."""
 
 
+class ConnectionSilent(ConnectionLost):
+    """The connection stayed open and nothing came in time."""
+
+
 class ProtocolViolation(TransportError):
     """The other side sent something that its protocol does not allow."""
--- a/wigeondrift/http.py
+++ b/wigeondrift/http.py
@@ -9,6 +9,7 @@
 from wigeondrift.errors import (
     ConnectFailed,
     ConnectionLost,
+    ConnectionSilent,
     ErrorKind,
     ProtocolViolation,
     RequestError,
@@ -597,7 +598,7 @@
                     await channel.send(method, target, whole, body)
                     response = await channel.read_head()
             except trio.TooSlowError as error:
-                raise ConnectionLost(f"{address} stayed silent") from error
+                raise ConnectionSilent(f"{address} stayed silent") from error
             yield response
         except BaseException:
             await channel.close()
--- /dev/null
+++ b/wigeondrift/systems/quarantine.py
@@ -0,0 +1,322 @@
+"""Requests that upstreams die of: suspects, and those that are refused."""
+
+import xxhash
+
+from wigeondrift.messages import SuspectNews
+from wigeondrift.tables import Tables
+
+SUSPECT_SECONDS = 300.0
+QUARANTINE_SECONDS = 600.0
+SETTLE_SECONDS = 0.5
+PROBATION_TOKENS = 8
+LONGEST_PROBATION_TOKENS = 64
+DEATHS_TO_QUARANTINE = 2
+FACTS = 4096
+SEPARATOR = "@"
+
+
+def make_fingerprint(team: str, service: str, prompt: str, parameters: str) -> str:
+    """Return the name under which repeats of a request are known."""
+    whole = "\0".join((team, service, parameters, prompt))
+    return xxhash.xxh3_128_hexdigest(whole.encode())
+
+
+class Run:
+    """One request running on upstreams.
+
+    Attributes
+    ----------
+    fingerprint : str
+    epochs_by_id : dict of str to int
+        Upstreams and how often each had died, as seen here, when the run began.
+    tokens : int
+        Tokens that the run has given.
+    is_exclusive : bool
+        Whether no other suspect may share its upstreams.
+    """
+
+    __slots__ = ("epochs_by_id", "fingerprint", "is_exclusive", "tokens")
+
+    def __init__(self, fingerprint: str, epochs_by_id: dict[str, int]) -> None:
+        self.fingerprint = fingerprint
+        self.epochs_by_id = epochs_by_id
+        self.tokens = 0
+        self.is_exclusive = False
+
+
+class Facts:
+    """Set of facts, each only ever added, that count for a stated time.
+
+    A fact is kept as long again after it has stopped to count, so that a process
+    which still holds it cannot bring it back.
+
+    Parameters
+    ----------
+    seconds : float
+        Time for which a fact counts.
+    """
+
+    __slots__ = ("_added_at_by_fact", "_seconds")
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._added_at_by_fact: dict[tuple[str, str], float] = {}
+
+    def add(self, name: str, detail: str, now: float) -> bool:
+        """Add a fact; false if it was known."""
+        fact = (name, detail)
+        if fact in self._added_at_by_fact:
+            return False
+        while len(self._added_at_by_fact) >= FACTS:
+            del self._added_at_by_fact[next(iter(self._added_at_by_fact))]
+        self._added_at_by_fact[fact] = now
+        return True
+
+    def counts(self, name: str, detail: str, now: float) -> bool:
+        """Whether a fact is known and young enough."""
+        added_at = self._added_at_by_fact.get((name, detail))
+        return added_at is not None and now - added_at <= self._seconds
+
+    def get_age(self, name: str, detail: str, now: float) -> float:
+        """Return the time since a known fact was added, in seconds."""
+        return now - self._added_at_by_fact[name, detail]
+
+    def list_young(self, now: float) -> list[tuple[str, str]]:
+        """Return the facts that count."""
+        return [
+            fact
+            for fact, added_at in self._added_at_by_fact.items()
+            if now - added_at <= self._seconds
+        ]
+
+    def expire(self, now: float) -> None:
+        """Drop facts that stopped to count long ago."""
+        for fact, added_at in list(self._added_at_by_fact.items()):
+            if now - added_at > 2 * self._seconds:
+                del self._added_at_by_fact[fact]
+
+
+class Quarantine:
+    """Decides which requests are suspects and which are refused.
+
+    All state that instances exchange is sets of facts, so that news may come late,
+    twice and in any order: a fingerprint ran on an upstream when it died; that death
+    is cleared, since the request ran whole later; a fingerprint is refused.
+
+    Parameters
+    ----------
+    tables : Tables
+        Its ``quarantined`` is kept up to date.
+    """
+
+    __slots__ = (
+        "_cleared",
+        "_deaths",
+        "_epochs_by_id",
+        "_probation_by_fingerprint",
+        "_refused",
+        "_runs_by_upstream",
+        "_tables",
+        "_upstreams_by_fingerprint",
+    )
+
+    def __init__(self, tables: Tables) -> None:
+        self._tables = tables
+        self._deaths = Facts(SUSPECT_SECONDS)
+        self._cleared = Facts(SUSPECT_SECONDS)
+        self._refused = Facts(QUARANTINE_SECONDS)
+        self._upstreams_by_fingerprint: dict[str, set[str]] = {}
+        self._runs_by_upstream: dict[str, set[Run]] = {}
+        self._epochs_by_id: dict[str, int] = {}
+        self._probation_by_fingerprint: dict[str, int] = {}
+
+    def is_refused(self, fingerprint: str) -> bool:
+        """Whether requests with this fingerprint are not run."""
+        return fingerprint in self._tables.quarantined
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether an upstream died while it ran this fingerprint."""
+        return fingerprint in self._upstreams_by_fingerprint
+
+    def is_held(self, fingerprint: str, now: float) -> bool:
+        """Whether a suspect has to wait.
+
+        It waits while another run of the same fingerprint is on trial, and after a
+        second death until the news of other instances about that death are in.
+        """
+        upstreams = self._upstreams_by_fingerprint.get(fingerprint)
+        if upstreams is None:
+            return False
+        if len(upstreams) >= DEATHS_TO_QUARANTINE and not all(
+            self._has_settled(fingerprint, upstream, now) for upstream in upstreams
+        ):
+            return True
+        return any(
+            run.is_exclusive and run.fingerprint == fingerprint
+            for runs in self._runs_by_upstream.values()
+            for run in runs
+        )
+
+    def list_shunned(self, fingerprint: str) -> set[str]:
+        """Return the upstreams that a run must not use.
+
+        A suspect shuns those that died of it and those where another suspect is on
+        trial; the others shun the latter where they can, see ``is_suspect``.
+        """
+        shunned = {
+            instance_id
+            for instance_id, runs in self._runs_by_upstream.items()
+            if any(run.is_exclusive for run in runs)
+        }
+        for upstream in self._upstreams_by_fingerprint.get(fingerprint, ()):
+            shunned.add(upstream.rpartition("/")[0])
+        return shunned
+
+    def begin(self, fingerprint: str, instance_ids: tuple[str, ...]) -> Run:
+        """Note that a request runs on upstreams from now on."""
+        epochs = {name: self._epochs_by_id.get(name, 0) for name in instance_ids}
+        run = Run(fingerprint, epochs)
+        run.is_exclusive = self.is_suspect(fingerprint)
+        for name in instance_ids:
+            self._runs_by_upstream.setdefault(name, set()).add(run)
+        return run
+
+    def end(self, run: Run) -> None:
+        """Note that a run has ended."""
+        for name in run.epochs_by_id:
+            runs = self._runs_by_upstream.get(name)
+            if runs is not None:
+                runs.discard(run)
+                if not runs:
+                    del self._runs_by_upstream[name]
+
+    def note_tokens(self, run: Run, tokens: int) -> None:
+        """Note progress; a suspect that gets past its trial may share again."""
+        run.tokens += tokens
+        if run.is_exclusive:
+            probation = self._probation_by_fingerprint.get(run.fingerprint, 0)
+            run.is_exclusive = run.tokens < max(probation, PROBATION_TOKENS)
+
+    def note_death(self, run: Run, instance_id: str, now: float) -> SuspectNews | None:
+        """Blame an upstream's death on all that ran there; return what is new.
+
+        Parameters
+        ----------
+        run : Run
+            Run that saw the death; others see the same one later.
+        instance_id : str
+            The upstream.
+        now : float
+            Seconds of the process's clock.
+        """
+        epoch = self._epochs_by_id.get(instance_id, 0)
+        if run.epochs_by_id.get(instance_id) != epoch:
+            return None
+        self._epochs_by_id[instance_id] = epoch + 1
+        instance = self._tables.instances_by_id.get(instance_id)
+        incarnation = instance.incarnation if instance is not None else 0
+        upstream = f"{instance_id}/{incarnation}"
+        blamed = [
+            other
+            for other in self._runs_by_upstream.get(instance_id, ())
+            if other.epochs_by_id[instance_id] == epoch
+        ]
+        fresh = set()
+        for other in blamed:
+            self._extend_probation(other)
+            if self._deaths.add(other.fingerprint, upstream, now):
+                fresh.add(other.fingerprint)
+        self._rebuild(now)
+        if not fresh:
+            return None
+        return SuspectNews(tuple((name, (upstream,)) for name in sorted(fresh)), (), ())
+
+    def note_success(self, fingerprint: str, now: float) -> SuspectNews | None:
+        """Clear a fingerprint that ran whole; return what is new."""
+        self._probation_by_fingerprint.pop(fingerprint, None)
+        upstreams = self._upstreams_by_fingerprint.get(fingerprint)
+        if not upstreams:
+            return None
+        cleared = tuple(
+            f"{fingerprint}{SEPARATOR}{upstream}" for upstream in sorted(upstreams)
+        )
+        news = SuspectNews((), cleared, ())
+        self.merge(news, now)
+        return news
+
+    def merge(self, news: SuspectNews, now: float) -> None:
+        """Take in what another instance has seen."""
+        for fingerprint, upstreams in news.deaths:
+            for upstream in upstreams:
+                self._deaths.add(fingerprint, upstream, now)
+        for fact in news.cleared:
+            fingerprint, _, upstream = fact.partition(SEPARATOR)
+            self._cleared.add(fingerprint, upstream, now)
+        for fingerprint in news.quarantined:
+            self._refused.add(fingerprint, "", now)
+        self._rebuild(now)
+
+    def tick(self, now: float) -> SuspectNews | None:
+        """Refuse the fingerprints whose guilt is settled; return what is new."""
+        for facts in (self._deaths, self._cleared, self._refused):
+            facts.expire(now)
+        self._rebuild(now)
+        guilty = tuple(
+            fingerprint
+            for fingerprint in self._upstreams_by_fingerprint
+            if self._is_guilty(fingerprint, now)
+            and self._refused.add(fingerprint, "", now)
+        )
+        if not guilty:
+            return None
+        self._rebuild(now)
+        return SuspectNews((), (), guilty)
+
+    def get_news(self, now: float) -> SuspectNews:
+        """Return all facts that count, for a process that starts."""
+        deaths: dict[str, list[str]] = {}
+        for fingerprint, upstream in self._deaths.list_young(now):
+            deaths.setdefault(fingerprint, []).append(upstream)
+        return SuspectNews(
+            tuple((name, tuple(upstreams)) for name, upstreams in deaths.items()),
+            tuple(SEPARATOR.join(fact) for fact in self._cleared.list_young(now)),
+            tuple(fingerprint for fingerprint, _ in self._refused.list_young(now)),
+        )
+
+    def _has_settled(self, fingerprint: str, upstream: str, now: float) -> bool:
+        return self._deaths.get_age(fingerprint, upstream, now) >= SETTLE_SECONDS
+
+    def _is_guilty(self, fingerprint: str, now: float) -> bool:
+        """Whether two deaths speak against it and one of them against it alone.
+
+        Two suspects that instances sent to the same upstream at once share both
+        deaths; neither is refused for that.
+        """
+        upstreams = self._upstreams_by_fingerprint[fingerprint]
+        if len(upstreams) < DEATHS_TO_QUARANTINE:
+            return False
+        if not all(self._has_settled(fingerprint, one, now) for one in upstreams):
+            return False
+        shared: set[str] = set()
+        for other, others in self._upstreams_by_fingerprint.items():
+            if other != fingerprint and len(others) >= DEATHS_TO_QUARANTINE:
+                shared |= others
+        return bool(upstreams - shared)
+
+    def _extend_probation(self, run: Run) -> None:
+        wanted = min(run.tokens + PROBATION_TOKENS, LONGEST_PROBATION_TOKENS)
+        known = self._probation_by_fingerprint.get(run.fingerprint, 0)
+        self._probation_by_fingerprint[run.fingerprint] = max(known, wanted)
+
+    def _rebuild(self, now: float) -> None:
+        by_fingerprint: dict[str, set[str]] = {}
+        for fingerprint, upstream in self._deaths.list_young(now):
+            if not self._cleared.counts(fingerprint, upstream, now):
+                by_fingerprint.setdefault(fingerprint, set()).add(upstream)
+        self._upstreams_by_fingerprint = by_fingerprint
+        for fingerprint in list(self._probation_by_fingerprint):
+            if fingerprint not in by_fingerprint:
+                del self._probation_by_fingerprint[fingerprint]
+        refused = {fingerprint for fingerprint, _ in self._refused.list_young(now)}
+        self._tables.quarantined.clear()
+        self._tables.quarantined.update(refused)
--- a/wigeondrift/systems/routing.py
+++ b/wigeondrift/systems/routing.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Collection, Iterable
 
-from wigeondrift.entities import Instance, InstanceState, Route, Stage
+from wigeondrift.entities import Instance, InstanceState, Role, Route, Stage
 from wigeondrift.errors import ErrorKind, RequestError
 from wigeondrift.systems.fleet import Cover, Fleet, Group
 from wigeondrift.systems.health import Health
@@ -125,12 +125,15 @@
         The process's own.
     rng : random.Random
         Source of chance.
+    instance_id : str
+        The process's own instance.
     """
 
     __slots__ = (
         "_failure_domain",
         "_fleet",
         "_fleet_key",
+        "_instance_id",
         "_instances",
         "_rng",
         "_tables",
@@ -139,8 +142,15 @@
         "loads",
     )
 
-    def __init__(self, tables: Tables, failure_domain: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        tables: Tables,
+        failure_domain: str,
+        rng: random.Random,
+        instance_id: str = "",
+    ) -> None:
         self._tables = tables
+        self._instance_id = instance_id
         self._failure_domain = failure_domain
         self._rng = rng
         self._fleet = Fleet(())
@@ -267,30 +277,33 @@
             )
         return total
 
-    def list_reserved(self, service: str, version: str, rank: int, of: int) -> set[str]:
-        """Return the runners that other processes use for suspect requests.
+    def list_reserved(self, service: str) -> set[str]:
+        """Return the runners left to other instances for their suspect requests.
 
-        Parameters
-        ----------
-        service, version : str
-        rank, of : int
-            Place of this process among all, from zero, and their number.
+        The runners of each range are dealt out over the live agents, so that two
+        instances seldom try two suspects on one runner.
         """
-        cover = self._fleet.get_cover(service, version)
-        reserved: set[str] = set()
-        if cover is None or of < 2:
-            return reserved
-        members_by_range: dict[tuple[int, int], list[str]] = {}
-        for group in cover.groups:
+        agents = sorted(
+            instance.instance_id
+            for instance in self._tables.instances_by_id.values()
+            if instance.role is Role.AGENT and instance.state is InstanceState.LIVE
+        )
+        row = self._tables.table.services_by_name.get(service)
+        if row is None or self._instance_id not in agents:
+            return set()
+        rank = agents.index(self._instance_id)
+        cover = self._fleet.get_cover(service, row.version)
+        names_by_range: dict[tuple[int, int], list[str]] = {}
+        for group in cover.groups if cover is not None else ():
             place = (group.first_layer, group.end_layer)
             names = [instance.instance_id for instance in group.instances]
-            members_by_range.setdefault(place, []).extend(names)
-        for names in members_by_range.values():
-            names.sort()
-            reserved.update(
-                name for index, name in enumerate(names) if index % of != rank
-            )
-        return reserved
+            names_by_range.setdefault(place, []).extend(names)
+        return {
+            name
+            for names in names_by_range.values()
+            for index, name in enumerate(sorted(names))
+            if index % len(agents) != rank
+        }
 
     def _refresh(self, now: float) -> Fleet:
         instances_by_id = self._tables.instances_by_id
--- a/wigeondrift_emulator/runner.py
+++ b/wigeondrift_emulator/runner.py
@@ -135,6 +135,8 @@
 
     def check_stage(self, order: GenerateRequest) -> None:
         """Refuse an order that this runner takes no part in."""
+        if not self.alive:
+            raise EngineRefused("unreachable", self.settings.instance_id)
         if self.leaving:
             raise EngineRefused("leaving", self.settings.instance_id)
         if order.version != self.settings.version:
