--- /dev/null
+++ b/wigeondrift_emulator/processes.py
@@ -0,0 +1,122 @@
+"""Starts and ends programs as processes, each by its id, for tests and experiments."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any, TypeVar
+
+ROOT = Path(__file__).parent.parent
+WAIT_SECONDS = 30.0
+STEP_SECONDS = 0.02
+LOG_TAIL_CHARACTERS = 2000
+
+Result = TypeVar("Result")
+
+
+def free_address() -> str:
+    """Return a loopback ``host:port`` that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def wait_until(condition: Callable[[], Result], what: str) -> Result:
+    """Return the first true result of ``condition``.
+
+    Raises
+    ------
+    AssertionError
+        If it stays false; ``what`` is named in the message.
+    """
+    deadline = time.monotonic() + WAIT_SECONDS
+    while time.monotonic() < deadline:
+        result = condition()
+        if result:
+            return result
+        time.sleep(STEP_SECONDS)
+    raise AssertionError(f"waited in vain: {what}")
+
+
+class Process:
+    """One running program with its log.
+
+    Parameters
+    ----------
+    module : str
+        Module that is run.
+    arguments : sequence of str
+        Its command line.
+    address : str, optional
+        ``host:port`` at which it is reached.
+    """
+
+    __slots__ = ("_log", "address", "popen")
+
+    def __init__(
+        self, module: str, arguments: Sequence[str], address: str | None = None
+    ) -> None:
+        self.address = address
+        self._log = tempfile.NamedTemporaryFile(suffix=".log")  # noqa: SIM115
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=self._log,
+            stderr=self._log,
+            env=environment,
+        )
+
+    @property
+    def log(self) -> str:
+        """Whole output so far."""
+        return Path(self._log.name).read_text(errors="replace")
+
+    def list_events(self, name: str) -> list[dict[str, Any]]:
+        """Return the logged events of one name."""
+        events = []
+        for line in self.log.splitlines():
+            if line.startswith("{") and f'"{name}"' in line:
+                events.append(json.loads(line))
+        return events
+
+    def wait_for_event(self, name: str) -> list[dict[str, Any]]:
+        """Wait until the log has an event of that name; return them all."""
+
+        def look() -> list[dict[str, Any]]:
+            if self.popen.poll() is not None:
+                raise AssertionError(f"the process ended:\n{self.log}")
+            return self.list_events(name)
+
+        return wait_until(look, f"event {name}\n{self.log[-LOG_TAIL_CHARACTERS:]}")
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.popen.poll() is None:
+            self.popen.kill()
+        self.popen.wait()
+
+    def pause(self) -> None:
+        """Stop the process from running until ``go_on``."""
+        self.signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        """Let a paused process run on."""
+        self.signal(signal.SIGCONT)
+
+
+def write_settings(document: object) -> str:
+    """Return the path of a new settings file with the JSON document."""
+    with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+        json.dump(document, file)
+    return file.name
