--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -165,6 +165,13 @@
     """The platform refused the call for its rate; nothing was written."""
 
 
+class PlatformRefused(PlatformError):
+    """The platform refused the call as invalid; nothing was written.
+
+    Such as a value that is too large or a lease that has ended.
+    """
+
+
 class RevisionConflict(PlatformError):
     """A compare-and-swap found another revision; nothing was written.
 
@@ -195,5 +202,9 @@
     """The connection broke or went silent after bytes had been sent."""
 
 
+class ConnectionSilent(ConnectionLost):
+    """The connection stayed open and nothing came in time."""
+
+
 class ProtocolViolation(TransportError):
     """The other side sent something that its protocol does not allow."""
