Share limits out by soft owners; fuzz the control plane in virtual time

systems/shares grants slices that end, counted from the report that they answer. An owner never grants more than the limit less what may still be in force elsewhere and the floors of instances that it does not hear, so a second owner across a cut does not multiply the limit. systems.shares.get_limit(tables, row, now) is what admission uses: slice if valid, else floor.

tests/machines/control.py runs 5 agents and 5 entries under cuts, outages, stale reads, silent connections, restarts and leave marks. Found by it and mended: an agent just restarted told the owner that no entry runs on its instance, before the entry had greeted it; the owner lent its floor away and the sum was 96 of 80.

--- /dev/null
+++ b/tests/features/steps/control_faults.py
@@ -0,0 +1,19 @@
+from behave import then
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from tests.machines.control import ControlMachine
+
+SETTINGS = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=20,
+    stateful_step_count=20,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+@then("the control machine finds no broken promise")
+def run_machine(context):
+    run_state_machine_as_test(ControlMachine, settings=SETTINGS)
--- /dev/null
+++ b/tests/machines/control.py
@@ -0,0 +1,316 @@
+"""Agents and entries under faults in virtual time, against a simple oracle."""
+
+import random
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from wigeondrift.entities import Instance, InstanceState, Role
+from wigeondrift.platform_core import DownMode, Faults, StoreCore
+from wigeondrift.systems.attachment import Attachment
+from wigeondrift.systems.control import AgentControl
+from wigeondrift.systems.shares import compute_floor, get_limit
+from wigeondrift.table import TABLE_KEY, LimitRow, Table, serialize_table
+from wigeondrift.tables import Tables
+from wigeondrift_emulator.network import Process, VirtualNetwork
+
+DOMAINS = ("rajkot", "morbi", "jamnagar")
+NODES = 5
+ROW = "team/service"
+LIMIT = 80.0
+IN_FORCE_SECONDS = 4.0
+LEAVE_SECONDS = 3.0
+FORCED_WINDOW_SECONDS = 7.0
+UPSTREAM = Instance("runner-1", 1, Role.RUNNER, "10.0.1.1:1", "rajkot")
+
+nodes = st.integers(0, NODES - 1)
+domains = st.sampled_from(DOMAINS)
+
+
+class ControlMachine(RuleBasedStateMachine):
+    """Any number of faults at once; the oracle tracks who could reach whom."""
+
+    def __init__(self):
+        super().__init__()
+        self.rng = random.Random(7)
+        self.core = StoreCore(Faults())
+        self.network = VirtualNetwork(self.core, self.rng)
+        self.network.on_step = self.check_step
+        self.incarnation = 0
+        self.version = 0
+        self.accepted_at = 0.0
+        self.limits_by_version = {}
+        self.fair_since = [0.0] * NODES
+        self.seen_version = {}
+        self.settled = {}
+        self.marked_at = None
+        self.seen_leaving = set()
+        self.restarted_at = []
+        self.forced = []
+
+    # World
+
+    @initialize()
+    def build(self):
+        agents = [
+            Instance(f"i-{i}", 1, Role.AGENT, self.agent_address(i), self.domain(i))
+            for i in range(NODES)
+        ]
+        self.core.set_instances(0.0, (*agents, UPSTREAM))
+        self.put_table(LIMIT)
+        for i in range(NODES):
+            self.start_agent(i)
+            self.start_entry(i)
+        self.network.advance(6.0)
+
+    def domain(self, i):
+        return DOMAINS[i % len(DOMAINS)]
+
+    def agent_address(self, i):
+        return f"10.0.0.{i}:1"
+
+    def entry_address(self, i):
+        return f"10.0.0.{i}:2"
+
+    def agent(self, i):
+        return self.network.processes_by_address[self.agent_address(i)]
+
+    def entry(self, i):
+        return self.network.processes_by_address[self.entry_address(i)]
+
+    def put_table(self, limit):
+        row = LimitRow(requests=limit, tokens=limit * 100, running=int(limit))
+        data = serialize_table(Table(limits_by_row={ROW: row}))
+        found = self.core._newest(TABLE_KEY).revision
+        self.version = self.core.put(self.network.now, TABLE_KEY, data, found)
+        self.accepted_at = self.network.now
+        self.limits_by_version[self.version] = limit
+
+    def start_agent(self, i):
+        self.incarnation += 1
+        control = AgentControl(
+            f"i-{i}",
+            self.domain(i),
+            self.agent_address(i),
+            self.incarnation,
+            [self.agent_address(j) for j in range(NODES)],
+            random.Random(self.incarnation),
+            NODES,
+        )
+        process = self.make_process(f"agent-{i}", self.agent_address(i), i, control)
+        self.settled[process.address] = self.best_reachable(i)
+        self.network.add(process)
+
+    def start_entry(self, i):
+        self.incarnation += 1
+        attachment = Attachment(
+            Tables(),
+            f"i-{i}/entry-0",
+            self.entry_address(i),
+            self.incarnation,
+            self.agent_address(i),
+            NODES,
+            random.Random(self.incarnation),
+        )
+        process = self.make_process(f"entry-{i}", self.entry_address(i), i, attachment)
+        self.seen_version[i] = 0
+        self.seen_leaving.discard(i)
+        self.network.add(process)
+
+    def make_process(self, name, address, i, decisions):
+        now = self.network.now
+        phase = self.rng.uniform(0.0, 0.5)
+        return Process(name, address, self.domain(i), decisions, now, phase)
+
+    def best_reachable(self, i):
+        """Newest version that a peer reachable from agent i has, if certain."""
+        versions = [0]
+        for j in range(NODES):
+            if j != i and self.agent_address(j) in self.network.processes_by_address:
+                peer = self.agent(j)
+                cut = frozenset((self.domain(i), self.domain(j))) in self.network.cuts
+                if peer.is_up and not cut:
+                    versions.append(peer.decisions.replica.table_version)
+        return max(versions)
+
+    def touch(self):
+        """A fault begins or ends: reachability is certain only from now on."""
+        self.fair_since = [self.network.now] * NODES
+
+    # Oracle
+
+    def has_platform(self, i):
+        mode = self.core.down_mode(self.domain(i))
+        return mode is DownMode.UP and not self.core.faults.stale_reads
+
+    def reaches(self, i):
+        """Whether agent i gets news from the platform or from a peer that does."""
+        if not self.agent(i).is_up:
+            return False
+        if self.has_platform(i):
+            return True
+        return any(
+            self.network.can_pass(self.agent(j), self.agent(i)) and self.has_platform(j)
+            for j in range(NODES)
+        )
+
+    def check_step(self):
+        for i in range(NODES):
+            self.check_entry_version(i)
+            self.check_settled(i)
+            self.check_leaving(i)
+        self.check_limit()
+
+    def check_entry_version(self, i):
+        version = self.entry(i).decisions.tables.table_version
+        assert version >= self.seen_version[i], "an older table is in force"
+        self.seen_version[i] = version
+        fair = max(self.fair_since[i], self.accepted_at)
+        if self.network.now - fair > IN_FORCE_SECONDS and self.reaches(i):
+            assert version == self.version, (
+                f"entry {i} has {version}, {self.version} was accepted"
+            )
+
+    def check_settled(self, i):
+        process = self.agent(i)
+        replica = process.decisions.replica
+        if replica.is_ready and process.address in self.settled:
+            best = self.settled.pop(process.address)
+            assert replica.table_version >= best, "a restart brought an older table"
+
+    def check_leaving(self, i):
+        upstream = self.entry(i).decisions.tables.instances_by_id.get("runner-1")
+        if upstream is None:
+            return
+        if upstream.state is InstanceState.LEAVING:
+            self.seen_leaving.add(i)
+            return
+        assert i not in self.seen_leaving, "a leaving instance came back"
+        if self.marked_at is None or not self.agent(i).is_up:
+            return
+        source, marked_at = self.marked_at
+        fair = max(self.fair_since[i], self.fair_since[source], marked_at)
+        joined = self.network.can_pass(self.agent(source), self.agent(i))
+        if joined and self.network.now - fair > LEAVE_SECONDS:
+            raise AssertionError(f"entry {i} has no leave mark")
+
+    def check_limit(self):
+        now = self.network.now
+        in_force = [self.entry(i).decisions.tables.table_version for i in range(NODES)]
+        in_force += [
+            self.agent(i).decisions.replica.table_version for i in range(NODES)
+        ]
+        limit = max(self.limits_by_version.get(v, 0.0) for v in in_force)
+        self.forced = [
+            (at, value)
+            for at, value in self.forced
+            if now - at < FORCED_WINDOW_SECONDS and value > limit
+        ]
+        self.forced.append((now, limit))
+        limit = max(value for _, value in self.forced)
+        self.restarted_at = [
+            at for at in self.restarted_at if now - at < FORCED_WINDOW_SECONDS
+        ]
+        total = 0.0
+        running = 0
+        for i in range(NODES):
+            held = get_limit(self.entry(i).decisions.tables, ROW, now)
+            total += held.requests
+            running += held.running
+        row = LimitRow(requests=limit, tokens=limit, running=int(limit))
+        floor = compute_floor(row, NODES)
+        extra = len(self.restarted_at)
+        assert total <= limit + floor.requests * extra + 1e-6, (total, limit, extra)
+        assert running <= int(limit) + floor.running * extra, (running, limit, extra)
+
+    # Rules
+
+    @rule(seconds=st.sampled_from([0.3, 1.0, 5.0]))
+    def wait(self, seconds):
+        self.network.advance(seconds)
+
+    @rule(i=nodes, requests=st.sampled_from([0.0, 5.0, 60.0, 300.0]))
+    def send_traffic(self, i, requests):
+        for _ in range(4):
+            attachment = self.entry(i).decisions
+            attachment.add_demand(ROW, requests / 2, requests * 50, int(requests))
+            self.network.advance(0.5)
+
+    @rule(limit=st.sampled_from([40.0, 80.0, 160.0]))
+    def change_table(self, limit):
+        self.put_table(limit)
+        self.network.advance(0.2)
+
+    @rule(first=domains, second=domains)
+    def cut_domains(self, first, second):
+        if first != second:
+            self.network.cuts.add(frozenset((first, second)))
+            self.touch()
+
+    @rule(domain=domains, mode=st.sampled_from([DownMode.RESET, DownMode.UP]))
+    def cut_platform(self, domain, mode):
+        self.core.faults.down_by_caller[domain] = mode
+        self.touch()
+
+    @rule(mode=st.sampled_from([DownMode.RESET, DownMode.UP]))
+    def toggle_platform(self, mode):
+        self.core.faults.down = mode
+        self.touch()
+
+    @rule(seconds=st.sampled_from([0.0, 20.0]))
+    def read_stale(self, seconds):
+        self.core.faults.stale_reads = seconds
+        self.touch()
+
+    @rule()
+    def heal(self):
+        self.network.cuts.clear()
+        self.core.faults.down = DownMode.UP
+        self.core.faults.down_by_caller = {}
+        self.core.faults.stale_reads = 0.0
+        self.touch()
+        self.network.advance(1.0)
+
+    @rule(i=nodes)
+    def restart_agent(self, i):
+        self.start_agent(i)
+        self.touch()
+
+    @rule(i=nodes)
+    def restart_entry(self, i):
+        self.restarted_at.append(self.network.now)
+        self.start_entry(i)
+        self.touch()
+
+    @rule(i=nodes)
+    def kill_agent(self, i):
+        self.agent(i).is_up = False
+        self.touch()
+
+    @rule(i=nodes, j=nodes)
+    def silence(self, i, j):
+        if i != j:
+            self.network.silent.add((self.agent_address(i), self.agent_address(j)))
+
+    @precondition(lambda self: self.marked_at is None)
+    @rule(i=nodes)
+    def upstream_refuses(self, i):
+        self.core.faults.list_lag = 10.0
+        entry = self.entry(i)
+        if not self.agent(i).is_up:
+            return
+        self.marked_at = (i, self.network.now)
+        self.touch()
+        actions = entry.decisions.report_leaving("runner-1", 1, self.network.now)
+        self.network.perform(entry, actions)
+        self.network.advance(0.1)
+
+    @invariant()
+    def bounded(self):
+        assert len(self.network._queue) < 2000
--- a/wigeondrift/composition.py
+++ b/wigeondrift/composition.py
@@ -36,6 +36,7 @@
         make_incarnation(),
         settings.seeds,
         rng,
+        settings.configured_instances,
     )
     agent = Agent(
         settings,
--- a/wigeondrift/messages.py
+++ b/wigeondrift/messages.py
@@ -73,7 +73,7 @@
     leaving: tuple[tuple[str, int], ...]
 
 
-class Demand(msgspec.Struct, frozen=True):
+class Demand(msgspec.Struct, frozen=True, array_like=True):
     """What one limit was asked for since the last report, per second.
 
     Attributes
@@ -84,12 +84,15 @@
         Wanted rates, with what was refused.
     running : int
         Requests wanted at once.
+    held : int
+        Sequence of the report whose slice is in force; zero if none is.
     """
 
     row: str
     requests: float
     tokens: float
     running: int
+    held: int = 0
 
 
 class DemandNews(msgspec.Struct, frozen=True, tag="demand"):
@@ -104,22 +107,28 @@
     sequence : int
         Grows with each report.
     demands : tuple of Demand
-        All rows with demand.
+        All rows with demand, and those that an owner asked about.
+    instance_id : str
+        Set by the agent that passes the report on to the rows' owner.
     address : str
         Where to send the slices.
-    acknowledged : int
-        Sequence of the report whose slices are in force at the reporter.
+    processes : int
+        Entry processes on the instance.
+    interval : float
+        Time between two reports, in seconds.
     """
 
     source: str
     incarnation: int
     sequence: int
     demands: tuple[Demand, ...]
+    instance_id: str = ""
     address: str = ""
-    acknowledged: int = 0
+    processes: int = 1
+    interval: float = 0.5
 
 
-class Slice(msgspec.Struct, frozen=True):
+class Slice(msgspec.Struct, frozen=True, array_like=True):
     """Part of one limit granted to one holder.
 
     Attributes
@@ -156,6 +165,8 @@
         Entry processes on the receiver's instance.
     entries : int
         Entry processes reachable in the whole system.
+    holder : str
+        Entry that the slices are for.
     """
 
     owner: str
@@ -163,6 +174,13 @@
     slices: tuple[Slice, ...]
     processes: int = 1
     entries: int = 1
+    holder: str = ""
+
+
+class RowsNews(msgspec.Struct, frozen=True, tag="rows"):
+    """Rows that are in use elsewhere and that the receiver is to report on."""
+
+    rows: tuple[str, ...]
 
 
 class SuspectNews(msgspec.Struct, frozen=True, tag="suspects"):
@@ -277,6 +295,7 @@
     | LeaveNews
     | DemandNews
     | SliceNews
+    | RowsNews
     | SuspectNews
     | Digest
     | Want
--- a/wigeondrift/systems/attachment.py
+++ b/wigeondrift/systems/attachment.py
@@ -1,9 +1,10 @@
 """Decisions of an entry about its agent: what it reports and what it applies."""
 
+import math
 import random
 from collections.abc import Callable, Iterable
 
-from wigeondrift.entities import Instance, LoadReport
+from wigeondrift.entities import Instance, LoadReport, Role
 from wigeondrift.events import Event
 from wigeondrift.messages import (
     Demand,
@@ -13,6 +14,8 @@
     LeaveNews,
     LoadNews,
     Message,
+    RowsNews,
+    Slice,
     SliceNews,
     SuspectNews,
     TableNews,
@@ -31,6 +34,7 @@
 REPORTS = 16
 DEMAND_DECAY = 0.5
 ROWS = 8192
+WANTED_SECONDS = 30.0
 
 SuspectListener = Callable[[SuspectNews], None]
 
@@ -40,6 +44,8 @@
 
     Attributes
     ----------
+    wanted_until : float
+        Time until which it is reported even without demand, in seconds.
     requests, tokens : float
         Smoothed rates per second.
     running : float
@@ -53,9 +59,11 @@
         "requests",
         "running",
         "tokens",
+        "wanted_until",
     )
 
     def __init__(self) -> None:
+        self.wanted_until = 0.0
         self.requests = 0.0
         self.tokens = 0.0
         self.running = 0.0
@@ -191,6 +199,8 @@
         if self.heard_at is None:
             self.heard_at = now
             self._direct_read_at = now + self._choose_direct_wait()
+        if self.replica.settle(now):
+            self._put_in_force(actions)
         self.marks.expire(now)
         self.deaths.expire(now)
         self._drop_slices(now)
@@ -213,6 +223,8 @@
                 self._note_loads(message.reports)
             case SliceNews():
                 self._note_slices(message, now, actions)
+            case RowsNews():
+                self._want_rows(message.rows, now)
             case SuspectNews():
                 self._note_suspects(message, now)
             case Want():
@@ -251,10 +263,19 @@
         """Take what a direct read of the platform gave."""
         actions = Actions()
         self._offer_instances(listed.revision, listed.instances, now)
+        if not self.is_ready:
+            self._ask_agents(now, actions)
         if stored.revision:
             self._offer_table(stored.revision, stored.value, now, actions)
         return actions
 
+    def _ask_agents(self, now: float, actions: Actions) -> None:
+        """Ask the agents of other instances, as the platform's read may be stale."""
+        for instance in self.replica.instances:
+            if instance.role is Role.AGENT:
+                self.replica.startup.ask(instance.address, now)
+                actions.send(instance.address, Want(self._address, 0, 0))
+
     def _choose_direct_wait(self) -> float:
         return self._direct_read * self._rng.uniform(1.0, 2.0)
 
@@ -288,11 +309,10 @@
         demands = []
         for row, meter in list(self.meters_by_row.items()):
             meter.fold(elapsed)
-            if meter.is_idle:
+            if meter.is_idle and meter.wanted_until <= now:
                 del self.meters_by_row[row]
             else:
-                running = round(meter.running)
-                demands.append(Demand(row, meter.requests, meter.tokens, running))
+                demands.append(self._build_demand(row, meter, now))
         self._sequence += 1
         self._sent_at_by_sequence[self._sequence] = now
         self._sent_at_by_sequence.pop(self._sequence - REPORTS, None)
@@ -303,23 +323,35 @@
                 self._incarnation,
                 self._sequence,
                 tuple(demands),
-                self._address,
+                address=self._address,
             ),
         )
 
+    def _build_demand(self, row: str, meter: DemandMeter, now: float) -> Demand:
+        held = self.tables.slices_by_row.get(row)
+        sequence = held.sequence if held is not None and held.ends_at > now else 0
+        running = math.ceil(meter.running - 0.01)
+        if meter.is_idle:
+            return Demand(row, 0.0, 0.0, 0, sequence)
+        return Demand(row, meter.requests, meter.tokens, running, sequence)
+
     def _offer_table(
         self, version: int, data: bytes, now: float, actions: Actions
     ) -> None:
         verdict = self.replica.offer_table(version, data, now)
         if verdict is Verdict.APPLIED:
-            self.tables.table = self.replica.table
-            self.tables.table_version = self.replica.table_version
-            actions.notify(Event.TABLE_APPLIED, self.entry_id, version)
+            self._put_in_force(actions)
         elif verdict is Verdict.REFUSED:
             actions.notify(
                 Event.TABLE_REFUSED, self.entry_id, version, self.replica.refusal
             )
 
+    def _put_in_force(self, actions: Actions) -> None:
+        self.tables.table = self.replica.table
+        self.tables.table_version = self.replica.table_version
+        version = self.replica.table_version
+        actions.notify(Event.TABLE_APPLIED, self.entry_id, version)
+
     def _offer_instances(
         self, revision: int, instances: tuple[Instance, ...], now: float
     ) -> None:
@@ -358,13 +390,27 @@
         if sent_at is None:
             return
         for granted in news.slices:
-            ends_at = sent_at + granted.seconds
-            self.tables.slices_by_row[granted.row] = HeldSlice(granted, ends_at)
+            self._hold(granted, news.sequence, sent_at + granted.seconds)
+
+    def _hold(self, granted: Slice, sequence: int, ends_at: float) -> None:
+        slices_by_row = self.tables.slices_by_row
+        held = slices_by_row.get(granted.row)
+        if held is None or held.sequence < sequence:
+            slices_by_row[granted.row] = HeldSlice(granted, ends_at, sequence)
+        meter = self.meters_by_row.get(granted.row)
+        if meter is not None:
+            meter.wanted_until = ends_at + WANTED_SECONDS
+
+    def _want_rows(self, rows: Iterable[str], now: float) -> None:
+        for row in rows:
+            self.add_demand(row, 0.0, 0.0, 0)
+            if row in self.meters_by_row:
+                self.meters_by_row[row].wanted_until = now + WANTED_SECONDS
 
     def _drop_slices(self, now: float) -> None:
         slices_by_row = self.tables.slices_by_row
         for row, held in list(slices_by_row.items()):
-            if held.ends_at <= now:
+            if held.ends_at + held.granted.seconds <= now:
                 del slices_by_row[row]
 
     def _note_suspects(self, news: SuspectNews, now: float) -> None:
--- a/wigeondrift/systems/control.py
+++ b/wigeondrift/systems/control.py
@@ -1,19 +1,23 @@
 """Decisions of an agent: what it applies, asks, tells its peers and its entries."""
 
+import math
 import random
 from collections.abc import Iterable
 
 import msgspec
 
-from wigeondrift.entities import Instance, LoadReport
+from wigeondrift.entities import Instance, LoadReport, Role
 from wigeondrift.events import Event
 from wigeondrift.messages import (
+    Demand,
+    DemandNews,
     Digest,
     Hello,
     InstancesNews,
     LeaveNews,
     LoadNews,
     Message,
+    RowsNews,
     SliceNews,
     Status,
     StatusRequest,
@@ -27,9 +31,18 @@
 from wigeondrift.systems.leaving import LeaveMarks, Mark
 from wigeondrift.systems.membership import Membership, Peer
 from wigeondrift.systems.replica import Replica, Verdict
+from wigeondrift.systems.shares import (
+    ROWS,
+    ShareOwner,
+    choose_owner,
+    choose_report_seconds,
+)
 
 ENTRY_TIMEOUT_SECONDS = 3.0
 ENTRIES = 64
+REPORT_SLACK = 0.9
+NO_USE_SECONDS = 1.0
+NO_ENTRY_SECONDS = 10.0
 PLATFORM_TABLE = "platform/table"
 PLATFORM_LIST = "platform/instances"
 
@@ -43,13 +56,16 @@
         Its newest greeting.
     heard_at : float
         Time of that greeting, in seconds.
+    reported_at : float
+        Time at which its demand was last passed on, in seconds.
     """
 
-    __slots__ = ("heard_at", "hello")
+    __slots__ = ("heard_at", "hello", "reported_at")
 
-    def __init__(self, hello: Hello, now: float) -> None:
+    def __init__(self, hello: Hello, now: float, reported_at: float) -> None:
         self.hello = hello
         self.heard_at = now
+        self.reported_at = reported_at
 
 
 class AgentControl:
@@ -65,11 +81,17 @@
         Addresses of some peers.
     rng : random.Random
         Source of the random choices.
+    configured_instances : int
+        Instances that the limits are shared among when none can be reached.
     """
 
     __slots__ = (
+        "_entry_seen_at",
         "_failure_domain",
         "_handlers_by_type",
+        "_owners",
+        "_owners_by_row",
+        "_sequence",
         "deaths",
         "entries_by_id",
         "leaving",
@@ -77,6 +99,7 @@
         "membership",
         "platform_reached",
         "replica",
+        "shares",
     )
 
     def __init__(
@@ -87,6 +110,7 @@
         incarnation: int,
         seeds: Iterable[str],
         rng: random.Random,
+        configured_instances: int = 1,
     ) -> None:
         self._failure_domain = failure_domain
         self.membership = Membership(instance_id, address, incarnation, seeds, rng)
@@ -96,6 +120,11 @@
         self.entries_by_id: dict[str, EntryRecord] = {}
         self.platform_reached: bool | None = None
         self.leaving = False
+        self._sequence = 0
+        self._entry_seen_at = 0.0
+        self._owners: tuple[str, ...] = ()
+        self._owners_by_row: dict[str, str] = {}
+        self.shares = ShareOwner(instance_id, configured_instances)
         self._handlers_by_type = {
             Digest: self._take_digest,
             Want: self._take_want,
@@ -104,6 +133,9 @@
             LeaveNews: self._take_leave,
             SuspectNews: self._take_suspects,
             Hello: self._take_hello,
+            DemandNews: self._take_demand,
+            SliceNews: self._take_slices,
+            RowsNews: self._take_rows,
             StatusRequest: self._take_status_request,
         }
 
@@ -120,6 +152,7 @@
     def start(self, now: float) -> Actions:
         """Ask the seeds what they have; the platform is asked by the shell."""
         actions = Actions()
+        self._entry_seen_at = now
         self.replica.startup.ask(PLATFORM_TABLE, now)
         self.replica.startup.ask(PLATFORM_LIST, now)
         for address in self.membership.list_seeds():
@@ -132,6 +165,8 @@
         actions = Actions()
         if self.replica.settle(now):
             self._announce_table(now, actions)
+        if not self.replica.is_ready:
+            self._ask_again(actions)
         self.marks.expire(now)
         self.deaths.expire(now)
         self._drop_entries(now)
@@ -140,8 +175,18 @@
         self.membership.heartbeat += 1
         self._send_digests(now, actions)
         self._greet_entries(actions)
+        self._tend_shares(now, actions)
         return actions
 
+    def _ask_again(self, actions: Actions) -> None:
+        unanswered = self.replica.startup.asked - self.replica.startup.answered
+        for address in self.membership.list_seeds():
+            if address in unanswered:
+                actions.send(address, self._build_question())
+        for peer in self.membership.peers_by_id.values():
+            if peer.instance_id in unanswered:
+                actions.send(peer.address, self._build_question())
+
     def receive(self, message: Message, now: float) -> Actions:
         """Take one message of a peer, an entry or an operator's tool."""
         actions = Actions()
@@ -404,13 +449,18 @@
         records = self.entries_by_id.values()
         return sum(not record.hello.stopping for record in records)
 
+    def _count_all_entries(self) -> int:
+        return max(1, self._count_entries() + self.membership.count_entries())
+
     def _take_hello(self, hello: Hello, now: float, actions: Actions) -> None:
         record = self.entries_by_id.get(hello.entry_id)
         if record is not None and record.hello.incarnation > hello.incarnation:
             return
         if record is None and len(self.entries_by_id) >= ENTRIES:
             return
-        self.entries_by_id[hello.entry_id] = EntryRecord(hello, now)
+        self._entry_seen_at = now
+        reported_at = record.reported_at if record is not None else -math.inf
+        self.entries_by_id[hello.entry_id] = EntryRecord(hello, now, reported_at)
         replica = self.replica
         if hello.table_version < replica.table_version:
             actions.send(hello.address, TableNews(replica.table_version, replica.data))
@@ -435,10 +485,122 @@
 
     def _greet_entries(self, actions: Actions) -> None:
         entries = self._count_entries()
-        total = max(1, entries + self.membership.count_entries())
+        total = self._count_all_entries()
         news = SliceNews(self.instance_id, 0, (), max(1, entries), total)
         self._send_entries(news, actions)
 
+    # Shares
+
+    def _take_demand(self, news: DemandNews, now: float, actions: Actions) -> None:
+        if news.instance_id:
+            answer = self._grant(news, now)
+            if answer.slices:
+                actions.send(news.address, answer)
+        else:
+            self._report_demand(news, now, actions)
+
+    def _report_demand(self, news: DemandNews, now: float, actions: Actions) -> None:
+        record = self.entries_by_id.get(news.source)
+        if record is None or record.hello.incarnation != news.incarnation:
+            return
+        owners = self.membership.list_owners()
+        wait = choose_report_seconds(len(owners), len(news.demands))
+        if now - record.reported_at < wait * REPORT_SLACK:
+            return
+        record.reported_at = now
+        demands_by_owner: dict[str, list[Demand]] = {}
+        for demand in news.demands:
+            owner = self._get_owner(demand.row, owners)
+            demands_by_owner.setdefault(owner, []).append(demand)
+        for owner, demands in demands_by_owner.items():
+            report = msgspec.structs.replace(
+                news,
+                demands=tuple(demands),
+                instance_id=self.instance_id,
+                address=self.address,
+                processes=max(1, self._count_entries()),
+                interval=wait,
+            )
+            self._send_report(owner, report, now, actions)
+
+    def _get_owner(self, row: str, owners: tuple[str, ...]) -> str:
+        if owners != self._owners:
+            self._owners = owners
+            self._owners_by_row.clear()
+        owner = self._owners_by_row.get(row)
+        if owner is None:
+            if len(self._owners_by_row) >= ROWS:
+                self._owners_by_row.clear()
+            owner = self._owners_by_row[row] = choose_owner(row, owners)
+        return owner
+
+    def _send_report(
+        self, owner: str, report: DemandNews, now: float, actions: Actions
+    ) -> None:
+        if owner != self.instance_id:
+            actions.send(self.membership.peers_by_id[owner].address, report)
+            return
+        answer = self._grant(report, now)
+        if answer.slices:
+            self._take_slices(answer, now, actions)
+
+    def _grant(self, report: DemandNews, now: float) -> SliceNews:
+        expected_ids = self._list_expected()
+        return self.shares.take(report, self.replica.table, expected_ids, now)
+
+    def _list_expected(self) -> frozenset[str]:
+        return frozenset(
+            instance.instance_id
+            for instance in self.replica.instances
+            if instance.role is Role.AGENT
+        )
+
+    def _take_slices(self, news: SliceNews, now: float, actions: Actions) -> None:
+        record = self.entries_by_id.get(news.holder)
+        if record is not None:
+            answer = msgspec.structs.replace(
+                news,
+                processes=max(1, self._count_entries()),
+                entries=self._count_all_entries(),
+            )
+            actions.send(record.hello.address, answer)
+
+    def _tend_shares(self, now: float, actions: Actions) -> None:
+        self.shares.forget(now)
+        unheard = self.shares.list_unheard(self._list_expected(), now)
+        for instance_id, rows in unheard.items():
+            peer = self.membership.peers_by_id.get(instance_id)
+            news = RowsNews(tuple(rows))
+            if instance_id == self.instance_id:
+                self._take_rows(news, now, actions)
+            elif peer is not None and not peer.lost:
+                actions.send(peer.address, news)
+
+    def _take_rows(self, news: RowsNews, now: float, actions: Actions) -> None:
+        self._send_entries(news, actions)
+        if now - self._entry_seen_at > NO_ENTRY_SECONDS:
+            self._report_no_use(news, now, actions)
+
+    def _report_no_use(self, news: RowsNews, now: float, actions: Actions) -> None:
+        """Tell the owners that no entry here uses the rows.
+
+        Not before an entry that is only out of touch would have been heard.
+        """
+        owners = self.membership.list_owners()
+        self._sequence += 1
+        for row in news.rows:
+            report = DemandNews(
+                self.instance_id,
+                self.membership.incarnation,
+                self._sequence,
+                (Demand(row, 0.0, 0.0, 0),),
+                self.instance_id,
+                self.address,
+                processes=0,
+                interval=NO_USE_SECONDS,
+            )
+            self._send_report(self._get_owner(row, owners), report, now, actions)
+
     # Operators
 
     def _take_status_request(
--- a/wigeondrift/systems/membership.py
+++ b/wigeondrift/systems/membership.py
@@ -191,10 +191,10 @@
         """Return the peers that are not known to be lost."""
         return [peer for peer in self.peers_by_id.values() if not peer.lost]
 
-    def list_owners(self) -> list[str]:
+    def list_owners(self) -> tuple[str, ...]:
         """Return the names of the agents that may own limits, itself included."""
         peers = [peer for peer in self.list_reachable() if not peer.leaving]
-        return [self.instance_id, *(peer.instance_id for peer in peers)]
+        return (self.instance_id, *(peer.instance_id for peer in peers))
 
     def count_entries(self) -> int:
         """Return the entry processes of the reachable peers."""
--- /dev/null
+++ b/wigeondrift/systems/shares.py
@@ -0,0 +1,436 @@
+"""Limits of teams shared out among entry processes.
+
+Each row of the table has a soft owner, the agent that rendezvous hashing picks
+among the reachable ones. Entries report their demand to it and are granted slices
+that end. What an owner has granted and may still be in force, and the floors of
+those that it does not hear, never add up to more than the limit; so a second owner
+on the other side of a cut, which counts in the same way, does not multiply it.
+
+The validity of a slice is counted from the time at which its holder sent the report
+that it answers, so that clocks need not agree and a late answer is worth less. A
+holder whose slice has ended keeps to the lower of slice and floor for as long again,
+since its owner has lent the rest to others.
+"""
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from wigeondrift.messages import Demand, DemandNews, Slice, SliceNews
+from wigeondrift.table import LimitRow, Table
+from wigeondrift.tables import Tables
+
+REPORT_SECONDS = 0.5
+VALIDITY_REPORTS = 6
+CURRENT_REPORTS = 4
+FORGET_REPORTS = 18
+SMALL_FLEET_AGENTS = 64
+SMALL_REPORT_ROWS = 24
+LEAST_SHARE = 0.1
+ROTATION_SECONDS = 5.0
+GRANTS = 16
+ROWS = 8192
+
+
+class Limit(msgspec.Struct, frozen=True, array_like=True):
+    """Amounts that one process may use.
+
+    Attributes
+    ----------
+    requests, tokens : float
+        Rates per second.
+    running : int
+        Requests at once.
+    """
+
+    requests: float = 0.0
+    tokens: float = 0.0
+    running: int = 0
+
+
+def compute_floor(row: LimitRow, parts: int) -> Limit:
+    """Return the part of a limit that is used without its owner.
+
+    At least one request may run at once, so that a limit below the number of
+    parts does not refuse the team altogether.
+    """
+    running = max(1, row.running // parts) if row.running else 0
+    return Limit(row.requests / parts, row.tokens / parts, running)
+
+
+def get_limit(tables: Tables, row: str, now: float) -> Limit:
+    """Return what the process may use of ``row`` now.
+
+    Parameters
+    ----------
+    tables : Tables
+    row : str
+        ``team/service``.
+    now : float
+        Seconds of the process's clock.
+    """
+    whole = tables.table.limits_by_row.get(row)
+    if whole is None:
+        return Limit()
+    floor = compute_floor(whole, tables.floor_parts)
+    held = tables.slices_by_row.get(row)
+    if held is None or held.ends_at + held.granted.seconds <= now:
+        return floor
+    granted = held.granted
+    top = floor if held.ends_at <= now else whole
+    return Limit(
+        min(granted.requests, top.requests),
+        min(granted.tokens, top.tokens),
+        min(granted.running, top.running),
+    )
+
+
+def choose_owner(row: str, owners: Iterable[str]) -> str:
+    """Return the soft owner of ``row`` by rendezvous hashing."""
+    return max(
+        owners, key=lambda owner: xxhash.xxh3_64_intdigest(f"{owner}/{row}".encode())
+    )
+
+
+def choose_report_seconds(agents: int, rows: int) -> float:
+    """Return the time between two reports, which grows with fleet and rows.
+
+    Parameters
+    ----------
+    agents : int
+        Reachable agents.
+    rows : int
+        Rows in one report.
+    """
+    fleet = max(1.0, agents / SMALL_FLEET_AGENTS)
+    return REPORT_SECONDS * fleet * max(1.0, rows / SMALL_REPORT_ROWS)
+
+
+class Grant:
+    """Slice that may be in force at its holder.
+
+    Attributes
+    ----------
+    sequence : int
+        Report that it answered.
+    amount : tuple of float
+        Requests, tokens, running.
+    made_at, ends_at : float
+        Time of the grant, and latest time at which it may be in force, in seconds.
+    """
+
+    __slots__ = ("amount", "ends_at", "made_at", "sequence")
+
+    def __init__(
+        self,
+        sequence: int,
+        amount: tuple[float, ...],
+        made_at: float,
+        ends_at: float,
+    ) -> None:
+        self.sequence = sequence
+        self.amount = amount
+        self.made_at = made_at
+        self.ends_at = ends_at
+
+
+class Holder:
+    """Entry process that reports one row.
+
+    Attributes
+    ----------
+    instance_id : str
+    processes : int
+        Entry processes on its instance; zero if the instance reports that it has
+        none.
+    interval : float
+        Time between two of its reports, in seconds.
+    known_at, heard_at : float
+        Times of its first and last report, in seconds.
+    current_until : float
+        Time until which it is taken to use nothing but its slices, in seconds.
+    demand : tuple of float
+        Requests, tokens, running.
+    grants : list of Grant
+    """
+
+    __slots__ = (
+        "current_until",
+        "demand",
+        "grants",
+        "heard_at",
+        "incarnation",
+        "instance_id",
+        "interval",
+        "known_at",
+        "processes",
+        "sequence",
+    )
+
+    def __init__(self, report: DemandNews, now: float) -> None:
+        self.instance_id = report.instance_id
+        self.processes = report.processes
+        self.incarnation = report.incarnation
+        self.interval = report.interval
+        self.sequence = 0
+        self.known_at = now
+        self.heard_at = now
+        self.current_until = now
+        self.demand = (0.0, 0.0, 0.0)
+        self.grants: list[Grant] = []
+
+    def note(self, report: DemandNews, demand: Demand, now: float) -> None:
+        """Take a report: grants older than the one in force have ended."""
+        self.processes = report.processes
+        self.interval = report.interval
+        self.sequence = report.sequence
+        self.heard_at = now
+        self.demand = (demand.requests, demand.tokens, float(demand.running))
+        if not report.processes:
+            self.current_until = now + CURRENT_REPORTS * self.interval
+        for grant in self.grants:
+            if grant.sequence == demand.held:
+                self.current_until = grant.made_at + CURRENT_REPORTS * self.interval
+        self.grants = [
+            grant
+            for grant in self.grants
+            if grant.sequence >= demand.held and grant.ends_at > now
+        ]
+
+    def list_outstanding(self, now: float) -> tuple[float, float, float]:
+        """Return the most that its grants may let it use."""
+        amounts = [grant.amount for grant in self.grants if grant.ends_at > now]
+        if not amounts:
+            return (0.0, 0.0, 0.0)
+        return tuple(map(max, zip(*amounts, strict=True)))
+
+
+class ShareOwner:
+    """Grants slices of the rows that the agent is asked for.
+
+    Parameters
+    ----------
+    instance_id : str
+        Of the agent.
+    configured_instances : int
+        Instances that the floors are worked out from.
+    """
+
+    __slots__ = (
+        "_configured_instances",
+        "_holders_by_source_by_row",
+        "_instance_id",
+    )
+
+    def __init__(self, instance_id: str, configured_instances: int) -> None:
+        self._instance_id = instance_id
+        self._configured_instances = configured_instances
+        self._holders_by_source_by_row: dict[str, dict[str, Holder]] = {}
+
+    def take(
+        self,
+        report: DemandNews,
+        table: Table,
+        expected_ids: frozenset[str],
+        now: float,
+    ) -> SliceNews:
+        """Take a report and return the slices that answer it.
+
+        Parameters
+        ----------
+        report : DemandNews
+        table : Table
+            In force at the owner.
+        expected_ids : frozenset of str
+            Instances that may use their floors, heard or not.
+        now : float
+            Seconds.
+        """
+        slices = []
+        for demand in report.demands:
+            granted = self._take_row(report, demand, table, expected_ids, now)
+            if granted is not None:
+                slices.append(granted)
+        return SliceNews(
+            self._instance_id, report.sequence, tuple(slices), holder=report.source
+        )
+
+    def _take_row(
+        self,
+        report: DemandNews,
+        demand: Demand,
+        table: Table,
+        expected_ids: frozenset[str],
+        now: float,
+    ) -> Slice | None:
+        whole = table.limits_by_row.get(demand.row)
+        holders = self._get_holders(demand.row)
+        if whole is None or holders is None:
+            return None
+        holder = self._note(holders, report, demand, now)
+        validity = report.interval * VALIDITY_REPORTS
+        if holder is None or not holder.processes:
+            return None
+        if now - holder.known_at < validity:
+            return None
+        amount = self._grant(whole, holders, report.source, expected_ids, now)
+        grant = Grant(report.sequence, amount, now, now + validity)
+        holder.grants.append(grant)
+        del holder.grants[:-GRANTS]
+        requests, tokens, running = amount
+        return Slice(demand.row, requests, tokens, int(running), validity)
+
+    def list_unheard(
+        self, expected_ids: frozenset[str], now: float
+    ) -> dict[str, list[str]]:
+        """Return the rows that expected instances ought to report, by instance."""
+        rows_by_id: dict[str, list[str]] = {}
+        for row, holders in self._holders_by_source_by_row.items():
+            heard = {
+                holder.instance_id
+                for holder in holders.values()
+                if holder.heard_at + CURRENT_REPORTS * holder.interval > now
+            }
+            for instance_id in expected_ids - heard:
+                rows_by_id.setdefault(instance_id, []).append(row)
+        return rows_by_id
+
+    def forget(self, now: float) -> None:
+        """Drop holders that are silent, rows that nobody asks for."""
+        for row, holders in list(self._holders_by_source_by_row.items()):
+            for source, holder in list(holders.items()):
+                if holder.heard_at + FORGET_REPORTS * holder.interval < now:
+                    del holders[source]
+            if not any(any(holder.demand) for holder in holders.values()):
+                del self._holders_by_source_by_row[row]
+
+    def _get_holders(self, row: str) -> dict[str, Holder] | None:
+        holders = self._holders_by_source_by_row.get(row)
+        if holders is None and len(self._holders_by_source_by_row) < ROWS:
+            holders = self._holders_by_source_by_row[row] = {}
+        return holders
+
+    def _note(
+        self,
+        holders: dict[str, Holder],
+        report: DemandNews,
+        demand: Demand,
+        now: float,
+    ) -> Holder | None:
+        holder = holders.get(report.source)
+        if holder is not None and holder.incarnation < report.incarnation:
+            holder.known_at = now
+            holder.incarnation = report.incarnation
+            holder.sequence = 0
+        if holder is None:
+            holder = holders[report.source] = Holder(report, now)
+        if (report.incarnation, report.sequence) <= (
+            holder.incarnation,
+            holder.sequence,
+        ):
+            return None
+        holder.note(report, demand, now)
+        return holder
+
+    def _grant(
+        self,
+        whole: LimitRow,
+        holders: dict[str, Holder],
+        source: str,
+        expected_ids: frozenset[str],
+        now: float,
+    ) -> tuple[float, ...]:
+        limits = (whole.requests, whole.tokens, float(whole.running))
+        floor = compute_floor(whole, self._configured_instances)
+        floors = (floor.requests, floor.tokens, float(floor.running))
+        unheard = self._count_unheard(holders, expected_ids)
+        rotation = int(now / ROTATION_SECONDS)
+        held_by_source = {
+            name: holder.list_outstanding(now) for name, holder in holders.items()
+        }
+        amounts = []
+        for index, limit in enumerate(limits):
+            taken = unheard * floors[index]
+            budget = limit - taken
+            demands = {}
+            for name, holder in holders.items():
+                held = held_by_source[name][index]
+                if name == source or holder.current_until > now:
+                    if holder.processes:
+                        demands[name] = holder.demand[index]
+                else:
+                    held = max(held, floors[index] / max(1, holder.processes))
+                    budget -= held
+                if name != source:
+                    taken += held
+            is_count = index == len(limits) - 1
+            target = divide(max(0.0, budget), demands, is_count, rotation)[source]
+            amount = max(0.0, min(target, limit - taken))
+            amounts.append(float(math.floor(amount + 1e-6)) if is_count else amount)
+        return tuple(amounts)
+
+    def _count_unheard(
+        self, holders: dict[str, Holder], expected_ids: frozenset[str]
+    ) -> float:
+        parts_by_id: dict[str, float] = {}
+        for holder in holders.values():
+            part = 1.0 / max(1, holder.processes)
+            part += parts_by_id.get(holder.instance_id, 0.0)
+            parts_by_id[holder.instance_id] = min(1.0, part)
+        if not expected_ids:
+            return max(0.0, self._configured_instances - sum(parts_by_id.values()))
+        return sum(1.0 - parts_by_id.get(name, 0.0) for name in expected_ids)
+
+
+def divide(
+    budget: float, demands: dict[str, float], whole_numbers: bool, rotation: int
+) -> dict[str, float]:
+    """Divide ``budget`` among holders by demand.
+
+    Demand that fits is met and the rest divided equally, so that a holder can
+    grow before its next report. Demand that does not fit is met in proportion.
+    A holder without demand gets a small part.
+
+    Parameters
+    ----------
+    budget : float
+    demands : dict of str to float
+        By holder.
+    whole_numbers : bool
+        Whether parts are whole numbers.
+    rotation : int
+        Changes now and then; decides who gets the last whole numbers.
+
+    Returns
+    -------
+    dict of str to float
+        Parts by holder, together at most ``budget``.
+    """
+    least = LEAST_SHARE * budget / len(demands)
+    wants = {name: max(demand, least) for name, demand in demands.items()}
+    total = sum(wants.values())
+    if total <= 0.0:
+        return dict.fromkeys(demands, 0.0)
+    if total <= budget:
+        spare = (budget - total) / len(wants)
+        parts = {name: want + spare for name, want in wants.items()}
+    else:
+        parts = {name: want * budget / total for name, want in wants.items()}
+    return _round_parts(parts, budget, rotation) if whole_numbers else parts
+
+
+def _round_parts(
+    parts: dict[str, float], budget: float, rotation: int
+) -> dict[str, float]:
+    whole = {name: float(math.floor(part)) for name, part in parts.items()}
+    left = round(math.floor(budget + 1e-6) - sum(whole.values()))
+
+    def rank(name: str) -> tuple[float, int]:
+        turn = xxhash.xxh3_64_intdigest(f"{name}/{rotation}".encode())
+        return (round(whole[name] - parts[name], 3), turn)
+
+    for name in sorted(parts, key=rank)[: max(0, left)]:
+        whole[name] += 1.0
+    return whole
--- a/wigeondrift/tables.py
+++ b/wigeondrift/tables.py
@@ -14,13 +14,16 @@
         As its owner sent it.
     ends_at : float
         Time from which it is no longer valid, in seconds of the process's clock.
+    sequence : int
+        Sequence of the report that it answers.
     """
 
-    __slots__ = ("ends_at", "granted")
+    __slots__ = ("ends_at", "granted", "sequence")
 
-    def __init__(self, granted: Slice, ends_at: float) -> None:
+    def __init__(self, granted: Slice, ends_at: float, sequence: int = 0) -> None:
         self.granted = granted
         self.ends_at = ends_at
+        self.sequence = sequence
 
 
 class Tables:
--- /dev/null
+++ b/wigeondrift_emulator/network.py
@@ -0,0 +1,217 @@
+"""Message list in virtual time that joins the control systems of many processes.
+
+Every process is a pair of decisions and an address. Messages may be delayed, lost or
+cut off; time moves only by ``VirtualNetwork.advance``.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from wigeondrift.errors import PlatformError
+from wigeondrift.messages import serialize_message
+from wigeondrift.platform_core import StoreCore
+from wigeondrift.systems.actions import Actions, Notice
+from wigeondrift.systems.attachment import Attachment
+from wigeondrift.systems.control import PLATFORM_LIST, PLATFORM_TABLE, AgentControl
+from wigeondrift.table import TABLE_KEY
+
+FRAME_BYTES = 8 + 52 + 52
+PLATFORM_RETRY_SECONDS = 1.0
+TICK_SECONDS = 0.5
+
+
+class Process:
+    """One process on the network.
+
+    Attributes
+    ----------
+    name, address, failure_domain : str
+    decisions : AgentControl or Attachment
+    is_up : bool
+    started_at : float
+        Seconds.
+    next_tick_at : float
+        Seconds.
+    """
+
+    __slots__ = (
+        "address",
+        "decisions",
+        "failure_domain",
+        "is_up",
+        "name",
+        "next_tick_at",
+        "platform_at",
+        "seen_by_name",
+        "started_at",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        failure_domain: str,
+        decisions: AgentControl | Attachment,
+        now: float,
+        phase: float,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.failure_domain = failure_domain
+        self.decisions = decisions
+        self.is_up = True
+        self.started_at = now
+        self.next_tick_at = now + phase
+        self.platform_at = now
+        self.seen_by_name = {PLATFORM_TABLE: -1, PLATFORM_LIST: -1}
+
+
+class VirtualNetwork:
+    """Processes, the messages under way between them and the platform.
+
+    Parameters
+    ----------
+    core : StoreCore
+        Platform; a process's caller name is its name.
+    rng : random.Random
+        Source of delays and losses.
+    step : float
+        Resolution of time, in seconds.
+
+    Attributes
+    ----------
+    now : float
+        Seconds.
+    loss : float
+        Probability that a message is lost.
+    cuts : set of frozenset of str
+        Pairs of failure domains that cannot reach each other.
+    silent : set of (str, str)
+        Sender's and receiver's address of connections that have gone silent; a
+        reset by the sender heals one.
+    sent_bytes_by_address : dict of str to int
+    received_bytes_by_address : dict of str to int
+    notices : list of Notice
+    """
+
+    def __init__(self, core: StoreCore, rng: random.Random, step: float = 0.1) -> None:
+        self.core = core
+        self.now = 0.0
+        self.loss = 0.0
+        self.least_delay = 0.0005
+        self.most_delay = 0.005
+        self.cuts: set[frozenset[str]] = set()
+        self.silent: set[tuple[str, str]] = set()
+        self.processes_by_address: dict[str, Process] = {}
+        self.sent_bytes_by_address: dict[str, int] = {}
+        self.received_bytes_by_address: dict[str, int] = {}
+        self.notices: list[tuple[str, Notice]] = []
+        self.on_step: Callable[[], None] | None = None
+        self._rng = rng
+        self._step = step
+        self._numbers = itertools.count()
+        self._queue: list = []
+
+    def add(self, process: Process) -> None:
+        """Put a process on the network, in place of one at the same address."""
+        self.processes_by_address[process.address] = process
+        if isinstance(process.decisions, AgentControl):
+            self.perform(process, process.decisions.start(self.now))
+
+    def perform(self, process: Process, actions: Actions) -> None:
+        """Carry out what a process's decisions return."""
+        for address in actions.resets:
+            self.silent.discard((process.address, address))
+        for send in actions.sends:
+            self._send(process, send.address, send.message)
+        for notice in actions.notices:
+            self.notices.append((process.name, notice))
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass: deliver, tick and let the platform be watched."""
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            until = min(end, self.now + self._step)
+            self._deliver(until)
+            self.now = until
+            for process in list(self.processes_by_address.values()):
+                if process.is_up:
+                    self._run(process)
+            if self.on_step is not None:
+                self.on_step()
+
+    def can_pass(self, source: Process, target: Process) -> bool:
+        """Whether a message gets from one process to another."""
+        if not source.is_up or not target.is_up:
+            return False
+        pair = frozenset((source.failure_domain, target.failure_domain))
+        return pair not in self.cuts
+
+    def _send(self, source: Process, address: str, message) -> None:
+        data = serialize_message(message)
+        size = len(data) + FRAME_BYTES
+        sent = self.sent_bytes_by_address
+        sent[source.address] = sent.get(source.address, 0) + size
+        if self.loss and self._rng.random() < self.loss:
+            return
+        if (source.address, address) in self.silent:
+            return
+        due = self.now + self._rng.uniform(self.least_delay, self.most_delay)
+        entry = (due, next(self._numbers), source, address, message, size)
+        heapq.heappush(self._queue, entry)
+
+    def _deliver(self, until: float) -> None:
+        while self._queue and self._queue[0][0] <= until:
+            due, _, source, address, message, size = heapq.heappop(self._queue)
+            self.now = max(self.now, due)
+            target = self.processes_by_address.get(address)
+            if target is None or not self.can_pass(source, target):
+                continue
+            received = self.received_bytes_by_address
+            received[address] = received.get(address, 0) + size
+            self.perform(target, target.decisions.receive(message, self.now))
+
+    def _run(self, process: Process) -> None:
+        if isinstance(process.decisions, AgentControl):
+            self._watch_platform(process, process.decisions)
+        if self.now >= process.next_tick_at:
+            process.next_tick_at += TICK_SECONDS
+            self.perform(process, process.decisions.tick(self.now))
+            if isinstance(process.decisions, Attachment):
+                self._read_directly(process, process.decisions)
+
+    def _watch_platform(self, process: Process, control: AgentControl) -> None:
+        if self.now < process.platform_at:
+            return
+        caller = process.failure_domain
+        seen = process.seen_by_name
+        try:
+            self.core.admit_read(self.now, "watch", caller)
+            stored = self.core.read(self.now, TABLE_KEY)
+            listed = self.core.read_instances(self.now)
+        except PlatformError:
+            process.platform_at = self.now + PLATFORM_RETRY_SECONDS
+            for name in (PLATFORM_TABLE, PLATFORM_LIST):
+                actions = control.note_platform_failed(name, self.now)
+                self.perform(process, actions)
+            return
+        if stored.revision != seen[PLATFORM_TABLE] or not control.platform_reached:
+            seen[PLATFORM_TABLE] = stored.revision
+            self.perform(process, control.note_table(stored, self.now))
+        if listed.revision != seen[PLATFORM_LIST]:
+            seen[PLATFORM_LIST] = listed.revision
+            self.perform(process, control.note_instances(listed, self.now))
+
+    def _read_directly(self, process: Process, attachment: Attachment) -> None:
+        if not attachment.is_direct_read_due(self.now):
+            return
+        try:
+            self.core.admit_read(self.now, "get", process.failure_domain)
+        except PlatformError:
+            return
+        stored = self.core.read(self.now, TABLE_KEY)
+        listed = self.core.read_instances(self.now)
+        actions = attachment.note_platform(stored, listed, self.now)
+        self.perform(process, actions)
