Take test ports from below the range of outgoing connections

Cause, likely: one run of the features in parallel with others ended with an error in engine.feature:79; the port it had found free lay in the range from which outgoing connections take theirs. The log of that run was not kept, so the cause is inferred. Ruled out: a fault of the scenario itself, which passed 4 times of 4 afterwards.

--- a/wigeondrift_emulator/processes.py
+++ b/wigeondrift_emulator/processes.py
@@ -1,5 +1,6 @@
 """Starts and ends programs as processes, each by its id, for tests and experiments."""
 
+import itertools
 import json
 import os
 import signal
@@ -8,11 +9,14 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
 from typing import Any, TypeVar
 
 ROOT = Path(__file__).parent.parent
+FIRST_PORT = 10000
+LAST_PORT = 32000
+PORTS_PER_PROCESS = 211
 WAIT_SECONDS = 30.0
 STEP_SECONDS = 0.02
 LOG_TAIL_CHARACTERS = 2000
@@ -20,11 +24,31 @@
 Result = TypeVar("Result")
 
 
+def _iter_ports() -> Iterator[int]:
+    """Yield ports below those that the system gives to outgoing connections.
+
+    A port of that range could be taken by any connection before it is listened at.
+    """
+    span = LAST_PORT - FIRST_PORT
+    start = os.getpid() * PORTS_PER_PROCESS % span
+    for step in itertools.count():
+        yield FIRST_PORT + (start + step) % span
+
+
+_PORTS = _iter_ports()
+
+
 def free_address() -> str:
     """Return a loopback ``host:port`` that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    for port in _PORTS:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
+    raise AssertionError("no port is free")
 
 
 def wait_until(condition: Callable[[], Result], what: str) -> Result:
