--- /dev/null
+++ b/bench/experiment.py
@@ -0,0 +1,264 @@
+"""Experiments on a whole system of processes, each policy in the same run.
+
+Run as ``python -m bench.experiment overload``; see ``--help`` for the scenarios.
+"""
+
+import json
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import cyclopts
+import trio
+
+from bench.load import Callers, print_summary
+from bench.workload import LONG, SHORT, Crest, Workload
+from wigeondrift.table import LimitRow
+from wigeondrift_emulator.control import Action, ControlOrder
+from wigeondrift_emulator.links import LinkSettings
+from wigeondrift_emulator.stack import (
+    DOMAINS,
+    MODEL,
+    KindSettings,
+    Stack,
+    StackSettings,
+    get_key,
+)
+
+KINDS = (KindSettings("fast", 4, 0.008), KindSettings("slow", 4, 0.015))
+LINKS = (
+    LinkSettings(DOMAINS[0], DOMAINS[1], 0.0005),
+    LinkSettings(DOMAINS[0], DOMAINS[2], 0.0005),
+    LinkSettings(DOMAINS[1], DOMAINS[2], 0.05),
+)
+TEAMS = 10
+WIDE = LimitRow(requests=1e6, tokens=1e8, running=10000)
+BASELINE = {
+    "policy": {
+        "queue": "fifo",
+        "upstreams": "round_robin",
+        "limits": "equal_split",
+        "refusals": "immediate",
+    }
+}
+ARMS: dict[str, dict[str, Any]] = {"baseline": BASELINE, "default": {}}
+FULL_GOODPUT_PART = 0.95
+FAILURE_AT_PART = 0.5
+
+Fault = Callable[[Stack, float], Awaitable[None]]
+
+
+def make_stack_settings(
+    entry: dict[str, Any],
+    chains: int,
+    entries_per_domain: int,
+    limit: LimitRow = WIDE,
+) -> StackSettings:
+    """Return a stack of three failure domains with runners of mixed kinds."""
+    return StackSettings(
+        domains=DOMAINS,
+        entries_per_domain=entries_per_domain,
+        chains_per_domain=chains,
+        stages=2,
+        kinds=KINDS,
+        links=LINKS,
+        teams=TEAMS,
+        limit=limit,
+        entry=entry,
+    )
+
+
+def get_bound(settings: StackSettings) -> float:
+    """Return the tokens a second that the runners' slots allow, links left out."""
+    total = 0.0
+    for chain in range(settings.chains_per_domain):
+        kind = settings.kinds[chain % len(settings.kinds)]
+        total += kind.slots / (kind.token_seconds * settings.stages)
+    return total * len(settings.domains)
+
+
+def mean_tokens(workload: Workload) -> float:
+    """Return the mean number of tokens that a request asks for."""
+    share = workload.long_share
+    return share * workload.long_tokens + (1.0 - share) * workload.short_tokens
+
+
+def make_workload(bound: float, load: float, seconds: float) -> Workload:
+    """Return a workload that asks for ``load`` times the bound."""
+    workload = Workload(1.0, seconds, teams=TEAMS)
+    workload.rate = bound * load / mean_tokens(workload)
+    return workload
+
+
+async def load_stack(
+    stack: Stack, workload: Workload, seed: int, fault: Fault | None
+) -> dict[str, Any]:
+    """Run the callers, and the fault beside them; return their summary."""
+    keys = tuple(get_key(team) for team in range(TEAMS))
+    callers = Callers(tuple(stack.entry_addresses), MODEL, keys)
+    summary: dict[str, Any] = {}
+    async with trio.open_nursery() as nursery:
+        if fault is not None:
+            nursery.start_soon(fault, stack, workload.seconds * FAILURE_AT_PART)
+        summary.update(await callers.run(workload, seed))
+    return summary
+
+
+def run_arm(
+    entry: dict[str, Any],
+    workload: Workload,
+    chains: int,
+    entries_per_domain: int,
+    seed: int,
+    fault: Fault | None = None,
+    limit: LimitRow = WIDE,
+) -> dict[str, Any]:
+    """Start a stack with the entry settings of one arm, load it, and end it."""
+    settings = make_stack_settings(entry, chains, entries_per_domain, limit)
+    stack = Stack(settings)
+    try:
+        stack.start()
+        summary = trio.run(load_stack, stack, workload, seed, fault)
+    finally:
+        stack.close()
+    bound = get_bound(settings)
+    inside = [
+        summary["tokens_by_second"].get(second, 0)
+        for second in range(2, int(workload.seconds))
+    ]
+    summary["bound_tokens_per_second"] = bound
+    summary["part_of_bound"] = sum(inside) / max(1, len(inside)) / bound
+    return summary
+
+
+async def kill_runners(stack: Stack, at: float) -> None:
+    """End the first chain of each failure domain at a time of the run."""
+    await trio.sleep(at)
+    for instance_id in list(stack.runners_by_id):
+        if instance_id.endswith("-runner-0-1"):
+            order = ControlOrder(instance_id, Action.DIE)
+            await trio.to_thread.run_sync(stack.control_runner, order)
+
+
+def get_recovery_seconds(summary: dict[str, Any], failed_at: float) -> float:
+    """Return the time from the failure until goodput is back to 95%, in seconds."""
+    by_second = summary["tokens_by_second"]
+    before = [by_second.get(s, 0) for s in range(int(failed_at) - 5, int(failed_at))]
+    mean = sum(before) / len(before)
+    last = int(summary["seconds"])
+    for second in range(int(failed_at), last):
+        if by_second.get(second, 0) >= FULL_GOODPUT_PART * mean:
+            return max(0.0, second - failed_at)
+    return float("inf")
+
+
+app = cyclopts.App(name="bench.experiment", help=__doc__)
+
+
+def run_arms(
+    workload: Workload,
+    arms: list[str],
+    chains: int,
+    entries: int,
+    seed: int,
+    json_path: str,
+    fault: Fault | None = None,
+) -> dict[str, Any]:
+    """Run the workload over each arm and print the summaries."""
+    report = {}
+    for name in arms or list(ARMS):
+        began = time.perf_counter()
+        summary = run_arm(ARMS[name], workload, chains, entries, seed, fault)
+        summary["wall_seconds"] = time.perf_counter() - began
+        report[name] = summary
+        print(f"\n{name}")
+        print_summary(summary)
+        print(f"{'part of the bound':34}{summary['part_of_bound']:8.3f}")
+        print(f"{'answers by status':34}{summary['answers_by_status']}")
+    if json_path:
+        with open(json_path, "w") as file:
+            json.dump(report, file, indent=1)
+    return report
+
+
+@app.command
+def overload(
+    arms: list[str] | None = None,
+    load: float = 2.0,
+    seconds: float = 20.0,
+    chains: int = 5,
+    entries: int = 1,
+    seed: int = 1,
+    json_path: str = "",
+) -> None:
+    """Ask for more than the bound, with callers that retry at once."""
+    settings = make_stack_settings({}, chains, entries)
+    workload = make_workload(get_bound(settings), load, seconds)
+    run_arms(workload, arms or [], chains, entries, seed, json_path)
+
+
+@app.command
+def crest(
+    arms: list[str] | None = None,
+    load: float = 0.4,
+    factor: float = 5.0,
+    seconds: float = 30.0,
+    chains: int = 5,
+    entries: int = 1,
+    seed: int = 1,
+    json_path: str = "",
+) -> None:
+    """Let demand rise to ``factor`` times within 2 s and fall again."""
+    settings = make_stack_settings({}, chains, entries)
+    workload = make_workload(get_bound(settings), load, seconds)
+    workload.crest = Crest(seconds / 3, seconds * 2 / 3, 2.0, factor)
+    run_arms(workload, arms or [], chains, entries, seed, json_path)
+
+
+@app.command
+def behind_long(
+    arms: list[str] | None = None,
+    load: float = 1.0,
+    seconds: float = 30.0,
+    chains: int = 5,
+    entries: int = 1,
+    seed: int = 1,
+    json_path: str = "",
+) -> None:
+    """Mix short requests with long ones that take half of the tokens."""
+    settings = make_stack_settings({}, chains, entries)
+    workload = make_workload(get_bound(settings), load, seconds)
+    workload.long_tokens = 800
+    workload.long_share = 0.02
+    workload.rate = get_bound(settings) * load / mean_tokens(workload)
+    report = run_arms(workload, arms or [], chains, entries, seed, json_path)
+    for name, summary in report.items():
+        waits = summary["first_token_from_arrival"]
+        short, long = waits[SHORT]["p95"], waits[LONG]["p95"]
+        print(f"{name}: p95 of short {short * 1000:.0f} ms, of long {long * 1000:.0f}")
+
+
+@app.command
+def failure(
+    arms: list[str] | None = None,
+    load: float = 0.6,
+    seconds: float = 30.0,
+    chains: int = 5,
+    entries: int = 1,
+    seed: int = 1,
+    json_path: str = "",
+) -> None:
+    """End a runner of each failure domain in the middle of the run."""
+    settings = make_stack_settings({}, chains, entries)
+    workload = make_workload(get_bound(settings), load, seconds)
+    report = run_arms(
+        workload, arms or [], chains, entries, seed, json_path, kill_runners
+    )
+    for name, summary in report.items():
+        seconds_back = get_recovery_seconds(summary, seconds * FAILURE_AT_PART)
+        print(f"{name}: back to 95% of goodput after {seconds_back:.0f} s")
+
+
+if __name__ == "__main__":
+    sys.exit(app())
