--- a/wigeondrift/settings.py
+++ b/wigeondrift/settings.py
@@ -56,6 +56,42 @@
     claim_timeout: Seconds = 3.0
 
 
+class AdmissionSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of the admission.
+
+    Attributes
+    ----------
+    limit_wait : float
+        Longest wait for a rate to let a request through, in seconds.
+    burst_seconds : float
+        Time for which a rate may be saved up, in seconds.
+    long_tokens : int
+        Estimated tokens from which a request counts as long.
+    long_fraction : float
+        Part of the slots that long requests may fill.
+    refusals_per_second : float
+        Pace of refusals answered to one team.
+    refusal_delay : float
+        Longest time that a refusal is held back, in seconds.
+    refusals_held : int
+        Refusals held back at once.
+    joined_readers : int
+        Repeats that follow one run at once.
+    linger : float
+        Time for which a run goes on without a reader, in seconds.
+    """
+
+    limit_wait: Seconds = 2.0
+    burst_seconds: Seconds = 1.0
+    long_tokens: Positive = 2048
+    long_fraction: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.5
+    refusals_per_second: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 50.0
+    refusal_delay: Seconds = 2.0
+    refusals_held: Positive = 1000
+    joined_readers: Positive = 64
+    linger: Seconds = 1.0
+
+
 class StopSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bounds of a planned stop.
 
@@ -120,6 +156,7 @@
     configured_instances: Positive = 8
     http: HttpSettings = HttpSettings()
     requests: RequestSettings = RequestSettings()
+    admission: AdmissionSettings = AdmissionSettings()
     stop: StopSettings = StopSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
 
@@ -137,8 +174,10 @@
         ``host:port`` of the platform's key-value service.
     seeds : tuple of str
         ``host:port`` of some peers, for a start without the platform.
+    configured_instances : int
+        Instances that the limits are shared among when none can be reached.
     gossip_interval : float
-        Time between two digests, in seconds.
+        Time between two rounds of digests, in seconds.
     watch_wait : float
         Longest wait of one watch on the platform, in seconds.
     """
@@ -148,7 +187,8 @@
     post: Address
     platform: Address
     seeds: tuple[Address, ...] = ()
-    gossip_interval: Seconds = 0.25
+    configured_instances: Positive = 8
+    gossip_interval: Seconds = 0.5
     watch_wait: Seconds = 20.0
     telemetry: TelemetrySettings = TelemetrySettings()
 
