Report all faults of a settings file, and impossible pairs

The decoder stops at the first fault, so the document is decoded without a type and then checked part by part; rules over several values look only at those without a fault of their own. Hosts must be numeric addresses, ports 1 to 65535, no two parts share an address, and bounds that contradict each other are refused.

Seen to fail first: before the check by parts, a file with ten faults gave one. Now python -m tests tests/features/settings.feature shows ten.

--- /dev/null
+++ b/tests/features/steps/settings_faults.py
@@ -0,0 +1,89 @@
+import json
+
+from behave import then, when
+
+from wigeondrift.errors import SettingsError
+from wigeondrift.settings import AgentSettings, EntrySettings, parse_settings
+
+ENTRY = {
+    "instance_id": "rajkot-1",
+    "failure_domain": "rajkot",
+    "listen": "127.0.0.1:7001",
+    "post": "127.0.0.1:7002",
+    "agent": "127.0.0.1:7003",
+    "platform": "127.0.0.1:7004",
+}
+AGENT = {
+    "instance_id": "rajkot-1",
+    "failure_domain": "rajkot",
+    "post": "127.0.0.1:7003",
+    "platform": "127.0.0.1:7004",
+}
+TEN_FAULTS = {
+    "surprise": 1,
+    "instance_id": "Rajkot 1",
+    "listen": "localhost:7001",
+    "post": "127.0.0.1:0",
+    "agent": "127.0.0.1:7003",
+    "platform": "127.0.0.1:7003",
+    "configured_instances": 0,
+    "http": {"read_timeout": "10s"},
+    "requests": {"max_tokens": 10000000, "progress_timeout": 1500},
+}
+
+
+def find_refusal(document, kind):
+    try:
+        parse_settings("test.json", json.dumps(document).encode(), kind)
+    except SettingsError as error:
+        return error
+    raise AssertionError("the settings were taken")
+
+
+def check_faults(found, expected):
+    """Each expected pair of place and words is found once, and nothing else."""
+    left = list(found)
+    for location, words in expected:
+        for fault in left:
+            if fault.location == location and words in fault.reason:
+                left.remove(fault)
+                break
+        else:
+            raise AssertionError(f"no {location}: {words} in {left}")
+    assert not left, left
+
+
+@when("entry settings with ten faults are checked")
+def check_ten(context):
+    context.refusal = find_refusal(TEN_FAULTS, EntrySettings)
+
+
+@then("the settings faults are")
+def check_all(context):
+    expected = [(row["location"], row["reason"]) for row in context.table]
+    assert len(expected) == 10
+    check_faults(context.refusal.faults, expected)
+    for location, _ in expected:
+        assert f"test.json: {location}" in str(context.refusal)
+
+
+@when("{kind} settings hold {member}")
+def check_member(context, kind, member):
+    base, struct = (ENTRY, EntrySettings) if kind == "entry" else (AGENT, AgentSettings)
+    parse_settings("test.json", json.dumps(base).encode(), struct)
+    context.refusal = find_refusal({**base, **json.loads(member)}, struct)
+
+
+@then('the only settings fault is at "{location}" for "{reason}"')
+def check_one(context, location, reason):
+    check_faults(context.refusal.faults, [(location, reason)])
+
+
+@then('settings that are not JSON are refused at "{location}"')
+def check_not_json(context, location):
+    try:
+        parse_settings("test.json", b"{", EntrySettings)
+    except SettingsError as error:
+        assert error.location == location
+    else:
+        raise AssertionError("the settings were taken")
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -145,10 +145,16 @@
         Path of the value in the document, such as ``$.limits.body_bytes``.
     reason : str
         What is wrong with the value.
+    faults : sequence of Fault, optional
+        All that is wrong with the file, this value's first.
     """
 
-    def __init__(self, path: str, location: str, reason: str) -> None:
-        super().__init__(f"{path}: {location}: {reason}")
+    def __init__(
+        self, path: str, location: str, reason: str, faults: Sequence[object] = ()
+    ) -> None:
+        lines = [str(fault) for fault in faults] or [f"{location}: {reason}"]
+        super().__init__("; ".join(f"{path}: {line}" for line in lines))
+        self.faults = tuple(faults)
         self.path = path
         self.location = location
         self.reason = reason
--- a/wigeondrift/settings.py
+++ b/wigeondrift/settings.py
@@ -1,16 +1,25 @@
 """Typed settings of the programs, read from JSON and checked before use."""
 
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
 from wigeondrift.errors import SettingsError
+from wigeondrift.settings_rules import (
+    AddressRule,
+    DistinctRule,
+    LessRule,
+    Rule,
+    UrlRule,
+    Values,
+)
+from wigeondrift.validation import find_faults
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Bytes = Annotated[int, msgspec.Meta(ge=256, le=64 * 1048576)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
-Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
+Address = Annotated[str, msgspec.Meta(max_length=64)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
@@ -122,7 +131,7 @@
 
     statsd: str = ""
     otlp: str = ""
-    log_level: str = "INFO"
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -195,6 +204,41 @@
 
 SettingsType = TypeVar("SettingsType", EntrySettings, AgentSettings)
 
+_TELEMETRY_RULES = (AddressRule("telemetry.statsd"), UrlRule("telemetry.otlp"))
+
+RULES_BY_KIND: dict[type, tuple[Rule, ...]] = {
+    EntrySettings: (
+        AddressRule("listen", "post", "agent", "platform"),
+        DistinctRule("listen", "post", "agent", "platform"),
+        LessRule(
+            "requests.progress_timeout",
+            "requests.call_timeout",
+            "silence is noticed before a call as a whole is given up",
+        ),
+        LessRule(
+            "admission.limit_wait",
+            "requests.queue_timeout",
+            "a request waits for its rate within its time in the queue",
+        ),
+        LessRule(
+            "stop.notice",
+            "stop.bound",
+            "work that still arrives needs time to end",
+        ),
+        *_TELEMETRY_RULES,
+    ),
+    AgentSettings: (
+        AddressRule("post", "platform", "seeds"),
+        DistinctRule("post", "platform", "seeds"),
+        LessRule(
+            "gossip_interval",
+            "watch_wait",
+            "peers are heard between two watches of the platform",
+        ),
+        *_TELEMETRY_RULES,
+    ),
+}
+
 
 def load_settings(path: str, kind: type[SettingsType]) -> SettingsType:
     """Read and check a settings file.
@@ -202,7 +246,7 @@
     Raises
     ------
     SettingsError
-        If the file cannot be read or a value in it is refused.
+        If the file cannot be read or values in it are refused; it names them all.
     """
     try:
         data = Path(path).read_bytes()
@@ -214,9 +258,14 @@
 def parse_settings(path: str, data: bytes, kind: type[SettingsType]) -> SettingsType:
     """Check a settings document; ``path`` is named in the error."""
     try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.ValidationError as error:
-        reason, _, place = str(error).partition(" - at `")
-        raise SettingsError(path, place.rstrip("`") or "$", reason) from error
-    except msgspec.DecodeError as error:
+        document = msgspec.json.decode(data)
+    except (msgspec.DecodeError, RecursionError) as error:
         raise SettingsError(path, "$", str(error)) from error
+    faults = list(find_faults(document, kind))
+    values = Values(document, kind, faults)
+    for rule in RULES_BY_KIND[kind]:
+        faults.extend(rule.check(values))
+    if faults:
+        first = faults[0]
+        raise SettingsError(path, first.location, first.reason, faults)
+    return msgspec.convert(document, kind)
--- /dev/null
+++ b/wigeondrift/validation.py
@@ -0,0 +1,89 @@
+"""Finds all faults of a document and not only the first."""
+
+import typing
+from collections.abc import Iterator
+
+import msgspec
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault of a document.
+
+    Attributes
+    ----------
+    location : str
+        Path in the document, such as ``$.limits.body_bytes``.
+    reason : str
+    """
+
+    location: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.location}: {self.reason}"
+
+
+def find_faults(value: object, kind: type, location: str = "$") -> Iterator[Fault]:
+    """Yield what keeps ``value``, decoded JSON, from being of type ``kind``."""
+    reason = _first_reason(value, kind)
+    if reason is None:
+        return
+    base = _strip(kind)
+    if isinstance(base, type) and issubclass(base, msgspec.Struct):
+        if isinstance(value, dict):
+            yield from _find_in_struct(value, base, location)
+            return
+    elif typing.get_origin(base) is dict and isinstance(value, dict):
+        yield from _find_in_dict(value, base, location)
+        return
+    elif typing.get_origin(base) is tuple and isinstance(value, list):
+        yield from _find_in_list(value, base, location)
+        return
+    yield Fault(location, reason)
+
+
+def _first_reason(value: object, kind: type) -> str | None:
+    try:
+        msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        return str(error).partition(" - at `")[0]
+    return None
+
+
+def _strip(kind: type) -> type:
+    """Return the type without its bounds."""
+    if typing.get_origin(kind) is typing.Annotated:
+        return typing.get_args(kind)[0]
+    return kind
+
+
+def _find_in_struct(
+    value: dict[str, object], kind: type, location: str
+) -> Iterator[Fault]:
+    fields_by_name = {field.name: field for field in msgspec.structs.fields(kind)}
+    for name in value:
+        if name not in fields_by_name and kind.__struct_config__.forbid_unknown_fields:
+            yield Fault(location, f"Object contains unknown field `{name}`")
+    for name, field in fields_by_name.items():
+        if name in value:
+            yield from find_faults(value[name], field.type, f"{location}.{name}")
+        elif field.required:
+            yield Fault(location, f"Object missing required field `{name}`")
+
+
+def _find_in_dict(
+    value: dict[str, object], kind: type, location: str
+) -> Iterator[Fault]:
+    key_kind, item_kind = typing.get_args(kind)
+    for key, item in value.items():
+        place = f"{location}[{key}]"
+        reason = _first_reason(key, key_kind)
+        if reason is not None:
+            yield Fault(place, f"the name: {reason}")
+        yield from find_faults(item, item_kind, place)
+
+
+def _find_in_list(value: list[object], kind: type, location: str) -> Iterator[Fault]:
+    item_kind = typing.get_args(kind)[0]
+    for index, item in enumerate(value):
+        yield from find_faults(item, item_kind, f"{location}[{index}]")
