--- a/wigeondrift/agent.py
+++ b/wigeondrift/agent.py
@@ -148,6 +148,7 @@
         loaded = load_settings(str(settings), AgentSettings)
     except SettingsError as error:
         logger = configure_logging("INFO")
+        faults = [str(fault) for fault in error.faults] or [error.reason]
         log_event(
             logger,
             logging.ERROR,
@@ -155,6 +156,7 @@
             path=error.path,
             location=error.location,
             reason=error.reason,
+            faults=faults,
         )
         sys.exit(EXIT_SETTINGS)
     trio.run(compose_agent(loaded).run_until_signalled)
