Add wigeondriftctl with the table as a grid, as files and as edits

A declaration is a JSON file or a CSV file a section; a diff and a dry run show what an import would change.

--- a/tests/features/steps/settings_faults.py
+++ b/tests/features/steps/settings_faults.py
@@ -2,35 +2,10 @@
 
 from behave import then, when
 
+from tests.settings_samples import AGENT, ENTRY, TEN_FAULTS
 from wigeondrift.errors import SettingsError
 from wigeondrift.settings import AgentSettings, EntrySettings, parse_settings
 
-ENTRY = {
-    "instance_id": "rajkot-1",
-    "failure_domain": "rajkot",
-    "listen": "127.0.0.1:7001",
-    "post": "127.0.0.1:7002",
-    "agent": "127.0.0.1:7003",
-    "platform": "127.0.0.1:7004",
-}
-AGENT = {
-    "instance_id": "rajkot-1",
-    "failure_domain": "rajkot",
-    "post": "127.0.0.1:7003",
-    "platform": "127.0.0.1:7004",
-}
-TEN_FAULTS = {
-    "surprise": 1,
-    "instance_id": "Rajkot 1",
-    "listen": "localhost:7001",
-    "post": "127.0.0.1:0",
-    "agent": "127.0.0.1:7003",
-    "platform": "127.0.0.1:7003",
-    "configured_instances": 0,
-    "http": {"read_timeout": "10s"},
-    "requests": {"max_tokens": 10000000, "progress_timeout": 1500},
-}
-
 
 def find_refusal(document, kind):
     try:
--- /dev/null
+++ b/wigeondrift/declaration.py
@@ -0,0 +1,192 @@
+"""Table as files for version control: one JSON file, or a CSV file a section.
+
+The history is no part of a declaration, so that the same rows give the same files.
+"""
+
+import csv
+import io
+import typing
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+
+from wigeondrift.edits import SECTIONS_BY_FIELD
+from wigeondrift.errors import SettingsError
+from wigeondrift.table import LimitRow, ServiceRow, Table, TeamRow
+from wigeondrift.validation import Fault, find_faults
+
+JSON_INDENT = 2
+ROW_TYPES_BY_FIELD = {
+    "services_by_name": ServiceRow,
+    "teams_by_name": TeamRow,
+    "limits_by_row": LimitRow,
+}
+NAME_COLUMN = "name"
+
+CsvFiles = dict[str, str]
+
+
+def serialize_declaration(table: Table) -> str:
+    """Return the rows of a table as a JSON text, sorted by name."""
+    document = msgspec.to_builtins(table)
+    del document["changes"]
+    data = msgspec.json.encode(document, order="sorted")
+    return msgspec.json.format(data, indent=JSON_INDENT).decode() + "\n"
+
+
+def parse_declaration(path: str, data: bytes) -> Table:
+    """Return the table that a JSON text declares.
+
+    Raises
+    ------
+    SettingsError
+        If it is not JSON or cells in it are refused; it names them all.
+    """
+    try:
+        document = msgspec.json.decode(data)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise SettingsError(path, "$", str(error)) from error
+    faults = list(find_faults(document, Table))
+    if isinstance(document, dict) and "changes" in document:
+        faults.append(Fault("$.changes", "the history is no part of a declaration"))
+    if faults:
+        raise _make_error(path, faults)
+    return msgspec.convert(document, Table)
+
+
+def serialize_csv(table: Table) -> CsvFiles:
+    """Return the text of each section's CSV file by file name."""
+    document = msgspec.to_builtins(table)
+    texts_by_name = {}
+    for field, section in SECTIONS_BY_FIELD.items():
+        columns = ROW_TYPES_BY_FIELD[field].__struct_fields__
+        stream = io.StringIO()
+        writer = csv.writer(stream, lineterminator="\n")
+        writer.writerow([NAME_COLUMN, *columns])
+        for name, row in sorted(document[field].items()):
+            writer.writerow([name, *(format_cell(row[name]) for name in columns)])
+        texts_by_name[f"{section}.csv"] = stream.getvalue()
+    return texts_by_name
+
+
+def parse_csv(path: str, texts_by_name: CsvFiles) -> Table:
+    """Return the table that CSV files declare; a column left out has its default.
+
+    Raises
+    ------
+    SettingsError
+        If cells are refused; it names them all, with the line of the file.
+    """
+    faults: list[Fault] = []
+    document: dict[str, dict[str, dict[str, object]]] = {}
+    for field, section in SECTIONS_BY_FIELD.items():
+        name = f"{section}.csv"
+        reader = _SectionReader(name, ROW_TYPES_BY_FIELD[field], faults)
+        document[field] = reader.read(texts_by_name.get(name, ""))
+    if not faults:
+        faults.extend(find_faults(document, Table))
+    if faults:
+        raise _make_error(path, faults)
+    return msgspec.convert(document, Table)
+
+
+class _SectionReader:
+    """Reads the rows of one CSV file and collects its faults."""
+
+    __slots__ = ("_faults", "_kinds_by_column", "_name", "_row_type")
+
+    def __init__(self, name: str, row_type: type, faults: list[Fault]) -> None:
+        self._name = name
+        self._row_type = row_type
+        self._faults = faults
+        self._kinds_by_column = {
+            field.name: field.type for field in msgspec.structs.fields(row_type)
+        }
+
+    def read(self, text: str) -> dict[str, dict[str, object]]:
+        """Return the cells of each row by its name."""
+        reader = csv.DictReader(io.StringIO(text))
+        self._check_columns(reader.fieldnames or [])
+        rows_by_name: dict[str, dict[str, object]] = {}
+        for cells in reader:
+            place = f"{self._name}:{reader.line_num}"
+            name = cells.pop(NAME_COLUMN, None) or ""
+            if name in rows_by_name:
+                self._faults.append(Fault(place, f"there are two rows {name}"))
+            rows_by_name[name] = dict(self._read_cells(place, cells))
+        return rows_by_name
+
+    def _check_columns(self, columns: typing.Sequence[str]) -> None:
+        for column in columns:
+            if column != NAME_COLUMN and column not in self._kinds_by_column:
+                reason = f"there is no column {column}"
+                self._faults.append(Fault(f"{self._name}:1", reason))
+
+    def _read_cells(
+        self, place: str, cells: dict[str, str]
+    ) -> Iterator[tuple[str, object]]:
+        for column, text in cells.items():
+            kind = self._kinds_by_column.get(column)
+            if kind is None:
+                if column is None:
+                    self._faults.append(Fault(place, "has more cells than columns"))
+                continue
+            try:
+                yield column, parse_cell(text or "", kind)
+            except msgspec.ValidationError as error:
+                reason = str(error).partition(" - at `")[0]
+                self._faults.append(Fault(f"{place}: {column}", reason))
+
+
+def format_cell(value: object) -> str:
+    """Return the text of a cell; items of a list are parted by spaces."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, list | tuple):
+        return " ".join(value)
+    return "" if value is None else str(value)
+
+
+def parse_cell(text: str, kind: type) -> object:
+    """Return the JSON value of a cell's text.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        If the text is none of that kind.
+    """
+    if typing.get_origin(kind) is tuple:
+        value = msgspec.convert(text.split(), kind)
+    else:
+        value = msgspec.convert(text.strip(), kind, strict=False)
+    return msgspec.to_builtins(value)
+
+
+def load_declaration(path: Path) -> Table:
+    """Read a declaration: a JSON file, or a directory of CSV files.
+
+    Raises
+    ------
+    SettingsError
+        If it cannot be read or cells in it are refused.
+    """
+    try:
+        if not path.is_dir():
+            return parse_declaration(str(path), path.read_bytes())
+        names = [f"{section}.csv" for section in SECTIONS_BY_FIELD.values()]
+        texts = {name: (path / name).read_text(encoding="utf-8") for name in names}
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(path), "$", str(error)) from error
+    return parse_csv(str(path), texts)
+
+
+def save_csv(table: Table, directory: Path) -> None:
+    """Write the CSV files of a table into a directory, made if it is absent."""
+    directory.mkdir(parents=True, exist_ok=True)
+    for name, text in serialize_csv(table).items():
+        (directory / name).write_text(text, encoding="utf-8")
+
+
+def _make_error(path: str, faults: list[Fault]) -> SettingsError:
+    return SettingsError(path, faults[0].location, faults[0].reason, faults)
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -160,6 +160,10 @@
         self.reason = reason
 
 
+class UsageError(WigeondriftError):
+    """An operator's command that cannot be carried out as given."""
+
+
 class TableError(WigeondriftError):
     """A table that does not pass its checks.
 
--- /dev/null
+++ b/wigeondrift/porcelain.py
@@ -0,0 +1,288 @@
+"""Operators' functions: what each command of ``wigeondriftctl`` does."""
+
+import getpass
+import hashlib
+import time
+import typing
+import uuid
+
+import msgspec
+
+from wigeondrift.declaration import parse_cell
+from wigeondrift.editor import TableEditor, TableVersion
+from wigeondrift.edits import (
+    Cell,
+    CellChange,
+    Edit,
+    diff_tables,
+)
+from wigeondrift.errors import TableError, UsageError
+from wigeondrift.systems.editing import Accepted, EditResult
+from wigeondrift.table import (
+    Change,
+    LimitRow,
+    ServiceKind,
+    ServiceRow,
+    Table,
+    TeamRow,
+)
+from wigeondrift.table_check import check_table
+
+KEY_BYTES_MIN = 16
+
+
+class EditReport(msgspec.Struct, frozen=True):
+    """What came of an edit.
+
+    Attributes
+    ----------
+    change_id : str
+        Empty if nothing was to be changed.
+    cells : tuple of CellChange
+        What was asked for.
+    result : Accepted, Conflicted, Refused, Unavailable, Unknown or None
+        None of a dry run.
+    """
+
+    change_id: str
+    cells: tuple[CellChange, ...]
+    result: EditResult | None
+
+
+class GridCell(msgspec.Struct, frozen=True):
+    """One team's row for one service in the grid."""
+
+    weight: float
+    requests: float
+    tokens: float
+    running: int
+    domains: tuple[str, ...]
+    preferred: tuple[str, ...]
+
+
+class Grid(msgspec.Struct, frozen=True):
+    """Table as a grid of teams by services.
+
+    Attributes
+    ----------
+    version : int
+    services, teams : tuple of str
+        Columns and rows, sorted.
+    cells_by_row : dict of str to GridCell
+        By ``team/service``.
+    """
+
+    version: int
+    services: tuple[str, ...]
+    teams: tuple[str, ...]
+    cells_by_row: dict[str, GridCell]
+
+
+def make_grid(read: TableVersion) -> Grid:
+    """Return the grid of a table."""
+    table = read.table
+    cells_by_row = {
+        name: GridCell(
+            row.weight,
+            row.requests,
+            row.tokens,
+            row.running,
+            row.domains,
+            row.preferred,
+        )
+        for name, row in table.limits_by_row.items()
+    }
+    return Grid(
+        read.version,
+        tuple(sorted(table.services_by_name)),
+        tuple(sorted(table.teams_by_name)),
+        cells_by_row,
+    )
+
+
+def list_history(read: TableVersion) -> list[Change]:
+    """Return the kept changes, the newest first."""
+    return list(reversed(read.table.changes))
+
+
+def digest_key(key: str) -> str:
+    """Return the digest of a bearer key that the table holds.
+
+    Raises
+    ------
+    UsageError
+        If the key is too short to be a secret.
+    """
+    data = key.strip().encode()
+    if len(data) < KEY_BYTES_MIN:
+        raise UsageError(f"a key has at least {KEY_BYTES_MIN} bytes")
+    return hashlib.sha256(data).hexdigest()
+
+
+def parse_columns(columns: list[str], row_type: type) -> dict[str, Cell]:
+    """Return cells by column of ``column=value`` arguments.
+
+    Raises
+    ------
+    UsageError
+        If a column is unknown or its value is refused.
+    """
+    kinds_by_column = {
+        field.name: field.type for field in msgspec.structs.fields(row_type)
+    }
+    cells_by_column = {}
+    for text in columns:
+        column, separator, value = text.partition("=")
+        if not separator or column not in kinds_by_column:
+            known = ", ".join(kinds_by_column)
+            raise UsageError(f"{text!r} is not COLUMN=VALUE with one of {known}")
+        kind = kinds_by_column[column]
+        if typing.get_origin(kind) is tuple:
+            value = value.replace(",", " ")
+        try:
+            cells_by_column[column] = parse_cell(value, kind)
+        except msgspec.ValidationError as error:
+            raise UsageError(f"{column}: {error}") from error
+    return cells_by_column
+
+
+class Operator:
+    """An operator at the table.
+
+    Parameters
+    ----------
+    editor : TableEditor
+    author : str, optional
+        Name for the history; the user's own if absent.
+    dry_run : bool
+        Whether to show edits without making them.
+    """
+
+    __slots__ = ("_author", "_dry_run", "_editor")
+
+    def __init__(
+        self, editor: TableEditor, author: str = "", dry_run: bool = False
+    ) -> None:
+        self._editor = editor
+        self._author = author or _get_user()
+        self._dry_run = dry_run
+
+    async def read(self) -> TableVersion:
+        """Return the newest table; raises as ``TableEditor.read``."""
+        return await self._editor.read()
+
+    async def set_limit(
+        self, team: str, service: str, columns: list[str]
+    ) -> EditReport:
+        """Set columns of a team's row for a service, which is made if absent."""
+        cells = parse_columns(columns, LimitRow)
+        row = f"{team}/{service}"
+        return await self._set_row("limits_by_row", row, LimitRow(), cells)
+
+    async def remove_limit(self, team: str, service: str) -> EditReport:
+        """Remove a team's row for a service."""
+        return await self._remove("limits_by_row", [f"{team}/{service}"])
+
+    async def set_service(self, name: str, columns: list[str]) -> EditReport:
+        """Set columns of a service, which is made if absent."""
+        cells = parse_columns(columns, ServiceRow)
+        kind = ServiceKind(cells.get("kind", ServiceKind.PLAIN))
+        return await self._set_row("services_by_name", name, ServiceRow(kind), cells)
+
+    async def remove_service(self, name: str) -> EditReport:
+        """Remove a service with the rows of its limits."""
+        return await self._remove("services_by_name", [name], name)
+
+    async def add_team(self, name: str, keys: list[str]) -> EditReport:
+        """Add a team, or further keys to one; only their digests are kept."""
+        read = await self._editor.read()
+        former = read.table.teams_by_name.get(name, TeamRow()).key_digests
+        digests = dict.fromkeys((*former, *map(digest_key, keys)))
+        teams = {**read.table.teams_by_name, name: TeamRow(tuple(digests))}
+        return await self._submit(
+            read, msgspec.structs.replace(read.table, teams_by_name=teams)
+        )
+
+    async def remove_key(self, name: str, digest: str) -> EditReport:
+        """Take a key off a team by the start of its digest."""
+        read = await self._editor.read()
+        team = read.table.teams_by_name.get(name)
+        if team is None:
+            raise UsageError(f"there is no team {name}")
+        kept = tuple(one for one in team.key_digests if not one.startswith(digest))
+        if len(kept) != len(team.key_digests) - 1:
+            raise UsageError(f"{digest!r} does not name one key of {name}")
+        teams = {**read.table.teams_by_name, name: TeamRow(kept)}
+        return await self._submit(
+            read, msgspec.structs.replace(read.table, teams_by_name=teams)
+        )
+
+    async def remove_team(self, name: str) -> EditReport:
+        """Remove a team with the rows of its limits."""
+        return await self._remove("teams_by_name", [name], name)
+
+    async def apply(self, declared: Table) -> EditReport:
+        """Make the table hold what a declaration says, and nothing else."""
+        read = await self._editor.read()
+        return await self._submit(read, declared)
+
+    async def diff(self, declared: Table) -> tuple[CellChange, ...]:
+        """Return the cell changes that lead from the table to a declaration."""
+        read = await self._editor.read()
+        return diff_tables(read.table, declared)
+
+    async def _set_row(
+        self, field: str, name: str, fresh: msgspec.Struct, cells: dict[str, Cell]
+    ) -> EditReport:
+        read = await self._editor.read()
+        rows = dict(getattr(read.table, field))
+        row = {**msgspec.to_builtins(rows.get(name, fresh)), **cells}
+        rows[name] = msgspec.convert(row, type(fresh))
+        return await self._submit(
+            read, msgspec.structs.replace(read.table, **{field: rows})
+        )
+
+    async def _remove(
+        self, field: str, names: list[str], owner: str = ""
+    ) -> EditReport:
+        read = await self._editor.read()
+        rows = dict(getattr(read.table, field))
+        for name in names:
+            if rows.pop(name, None) is None:
+                raise UsageError(f"there is no {name} in the table")
+        table = msgspec.structs.replace(read.table, **{field: rows})
+        if owner:
+            limits = {
+                row: limit
+                for row, limit in table.limits_by_row.items()
+                if owner != row.split("/")[0 if field == "teams_by_name" else 1]
+            }
+            table = msgspec.structs.replace(table, limits_by_row=limits)
+        return await self._submit(read, table)
+
+    async def _submit(self, read: TableVersion, wanted: Table) -> EditReport:
+        """Put the difference into the table.
+
+        Raises
+        ------
+        TableError
+            If the wanted table does not pass its checks; nothing is sent.
+        """
+        problems = check_table(wanted)
+        if problems:
+            raise TableError(problems)
+        cells = diff_tables(read.table, wanted)
+        if not cells:
+            return EditReport("", (), Accepted(read.version))
+        if self._dry_run:
+            return EditReport("", cells, None)
+        change_id = uuid.uuid4().hex
+        edit = Edit(change_id, self._author, time.time(), read.version, cells)
+        return EditReport(change_id, cells, await self._editor.submit(edit))
+
+
+def _get_user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
--- /dev/null
+++ b/wigeondrift/rendering.py
@@ -0,0 +1,172 @@
+"""Prints what operators asked for, as tables or as JSON."""
+
+import datetime
+import sys
+from collections.abc import Iterable, Sequence
+
+import msgspec
+import rich.box
+import rich.console
+import rich.table
+
+from wigeondrift.edits import CellChange, CellConflict
+from wigeondrift.porcelain import Grid, GridCell
+from wigeondrift.table import Change
+
+PLAIN_WIDTH = 200
+ID_LETTERS = 12
+
+
+class Printer:
+    """Writes results to standard output and messages to standard error.
+
+    Parameters
+    ----------
+    as_json : bool
+        Whether results are JSON documents, one a command.
+    """
+
+    __slots__ = ("_as_json", "_console")
+
+    def __init__(self, as_json: bool) -> None:
+        self._as_json = as_json
+        width = None if sys.stdout.isatty() else PLAIN_WIDTH
+        self._console = rich.console.Console(
+            width=width, highlight=False, emoji=False, markup=False
+        )
+
+    def print_document(self, document: object) -> bool:
+        """Print ``document`` if results are JSON; say whether it was."""
+        if self._as_json:
+            data = msgspec.json.encode(document)
+            print(msgspec.json.format(data, indent=2).decode())
+        return self._as_json
+
+    def print_text(self, text: str) -> None:
+        """Print a text as it is."""
+        print(text, end="" if text.endswith("\n") else "\n")
+
+    def print_message(self, text: str) -> None:
+        """Print a line to standard error."""
+        print(text, file=sys.stderr)
+
+    def print_rows(
+        self, columns: Sequence[str], rows: Iterable[Sequence[object]], title: str = ""
+    ) -> None:
+        """Print rows below their columns."""
+        table = rich.table.Table(
+            title=title or None, title_justify="left", box=rich.box.ASCII2
+        )
+        for column in columns:
+            table.add_column(column, overflow="fold")
+        for row in rows:
+            table.add_row(*(format_value(value) for value in row))
+        self._console.print(table)
+
+    def print_grid(self, grid: Grid) -> None:
+        """Print teams by services."""
+        rows = []
+        for team in grid.teams:
+            cells = [
+                format_grid_cell(grid.cells_by_row.get(f"{team}/{service}"))
+                for service in grid.services
+            ]
+            rows.append((team, *cells))
+        self.print_rows(("team", *grid.services), rows, f"version {grid.version}")
+
+    def print_changes(self, cells: Iterable[CellChange]) -> None:
+        """Print cells with their old and new values."""
+        rows = [(change.path, change.old, change.new) for change in cells]
+        self.print_rows(("cell", "old", "new"), rows)
+
+    def print_conflicts(self, conflicts: Iterable[CellConflict]) -> None:
+        """Print cells that another operator has changed."""
+        rows = [
+            (one.path, one.old, one.found, one.wanted, one.changed_by)
+            for one in conflicts
+        ]
+        columns = ("cell", "was", "is now", "wanted", "changed by")
+        self.print_rows(columns, rows)
+
+    def print_history(self, changes: Iterable[Change]) -> None:
+        """Print accepted changes."""
+        rows = [
+            (
+                one.change_id[:ID_LETTERS],
+                format_time(one.at),
+                one.author,
+                "\n".join(one.cells),
+            )
+            for one in changes
+        ]
+        self.print_rows(("change", "at (UTC)", "author", "cells"), rows)
+
+    def print_tree(self, document: dict[str, object], title: str = "") -> None:
+        """Print a JSON document: single values first, then a table a list."""
+        single = {
+            name: value
+            for name, value in document.items()
+            if not isinstance(value, dict | list) or not value
+        }
+        if single:
+            self.print_rows(("name", "value"), single.items(), title)
+        for name, value in document.items():
+            place = f"{title}.{name}" if title else name
+            if name in single:
+                continue
+            if isinstance(value, dict):
+                self._print_dict(place, value)
+            else:
+                self._print_list(place, value)
+
+    def _print_dict(self, title: str, value: dict[str, object]) -> None:
+        items = list(value.values())
+        if items and all(isinstance(item, dict) for item in items):
+            rows = [{"name": name, **item} for name, item in value.items()]
+            self._print_list(title, rows)
+        else:
+            self.print_tree(value, title)
+
+    def _print_list(self, title: str, value: list[object]) -> None:
+        if all(isinstance(item, dict) for item in value):
+            columns = list(dict.fromkeys(name for item in value for name in item))
+            rows = [[item.get(name, "") for name in columns] for item in value]
+            self.print_rows(columns, rows, title)
+        else:
+            self.print_rows((title,), [(item,) for item in value])
+
+
+def format_value(value: object) -> str:
+    """Return the text of one value; a dash if there is none."""
+    if value is None:
+        return "-"
+    if isinstance(value, float):
+        return f"{value:g}"
+    if isinstance(value, list | tuple):
+        return " ".join(format_value(item) for item in value) or "(none)"
+    if isinstance(value, dict):
+        return msgspec.json.encode(value).decode()
+    return str(value)
+
+
+def format_grid_cell(cell: GridCell | None) -> str:
+    """Return weight, limits and failure domains of one team and service."""
+    if cell is None:
+        return "-"
+    parts = [
+        f"w {cell.weight:g}",
+        f"{cell.requests:g} req/s",
+        f"{cell.tokens:g} tok/s",
+        f"{cell.running} running",
+    ]
+    if cell.domains:
+        parts.append("in " + ",".join(cell.domains))
+    if cell.preferred:
+        parts.append("first " + ",".join(cell.preferred))
+    return "  ".join(parts[:2]) + "\n" + "  ".join(parts[2:])
+
+
+def format_time(seconds: float) -> str:
+    """Return a time since the epoch as a date and time of day."""
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%S")
