Wire the entry, add the demo and the kills of real processes

kills.feature kills an entry, an agent and a domain's stages while traffic runs, and stops an entry under load. Second SIGTERM first failed in the test itself: three streams of 20,000 tokens are over the row's token limit (429), so the stack's limit is raised there.

--- /dev/null
+++ b/bench/token_cost.py
@@ -0,0 +1,218 @@
+"""Cost of a token and of a request in the entry, against a plain relay.
+
+Both pass streams of the same emulated runner, in the same run and in turns. Processor
+time is the process's own, user and system. The cost of a token is the slope between
+short and long streams, that of a request the rest. Run as
+``python -m bench.token_cost``.
+"""
+
+import argparse
+import os
+import statistics
+import sys
+from pathlib import Path
+
+import msgspec
+import trio
+
+from wigeondrift.completions import CompletionRequest
+from wigeondrift.engine import GenerateRequest
+from wigeondrift.entities import Stage
+from wigeondrift.http import HttpClient
+from wigeondrift.table import LimitRow
+from wigeondrift_emulator.processes import Process, free_address
+from wigeondrift_emulator.stack import (
+    MODEL,
+    VERSION,
+    KindSettings,
+    Stack,
+    StackSettings,
+    get_key,
+)
+
+SHORT_TOKENS = 20
+LONG_TOKENS = 220
+STREAMS = 64
+AT_ONCE = 16
+ROUNDS = 3
+SLOTS = 64
+TOKEN_SECONDS = 0.004
+MICROSECONDS = 1e6
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+class Cost(msgspec.Struct):
+    """Processor time in microseconds."""
+
+    token: float
+    request: float
+
+
+def get_processor_seconds(process: Process) -> float:
+    """Return the processor time that a process has taken, in seconds."""
+    stat = Path(f"/proc/{process.popen.pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+class Target:
+    """One process that streams are read through.
+
+    Attributes
+    ----------
+    process : Process
+    path : str
+    """
+
+    def __init__(self, process: Process, path: str) -> None:
+        self.process = process
+        self.path = path
+        self._count = 0
+
+    def make_body(self, tokens: int) -> bytes:
+        """Return the body of a new request."""
+        raise NotImplementedError
+
+    def _number(self) -> int:
+        self._count += 1
+        return self._count
+
+    async def read_streams(self, tokens: int) -> None:
+        """Read ``STREAMS`` streams of ``tokens`` tokens each."""
+        limiter = trio.CapacityLimiter(AT_ONCE)
+        client = HttpClient(idle_per_address=AT_ONCE)
+        async with trio.open_nursery() as nursery:
+            for _ in range(STREAMS):
+                body = self.make_body(tokens)
+                nursery.start_soon(self._read, client, limiter, body)
+        await client.close()
+
+    async def _read(
+        self, client: HttpClient, limiter: trio.CapacityLimiter, body: bytes
+    ) -> None:
+        headers = [("Authorization", f"Bearer {get_key(0)}")]
+        async with (
+            limiter,
+            client.request(
+                self.process.address, "POST", self.path, headers, body
+            ) as answer,
+        ):
+            data = await answer.read()
+        if answer.status != 200 or self.end_mark not in data[-400:]:
+            raise SystemExit(f"{self.path}: {answer.status} {data[-400:]!r}")
+
+    def measure(self) -> Cost:
+        """Return the cost of a token and of a request."""
+        short = self._measure_streams(SHORT_TOKENS)
+        long = self._measure_streams(LONG_TOKENS)
+        token = (long - short) / (STREAMS * (LONG_TOKENS - SHORT_TOKENS))
+        request = short / STREAMS - token * SHORT_TOKENS
+        return Cost(token * MICROSECONDS, request * MICROSECONDS)
+
+    def _measure_streams(self, tokens: int) -> float:
+        before = get_processor_seconds(self.process)
+        trio.run(self.read_streams, tokens)
+        return get_processor_seconds(self.process) - before
+
+
+class EntryTarget(Target):
+    """Streams of completions through the entry."""
+
+    end_mark = b"data: [DONE]"
+
+    def make_body(self, tokens: int) -> bytes:
+        """Return a completion request."""
+        request = CompletionRequest(
+            MODEL, f"cost {self._number()}", max_tokens=tokens, stream=True
+        )
+        return msgspec.json.encode(request)
+
+
+class RelayTarget(Target):
+    """The runner's own stream through the relay."""
+
+    end_mark = b'"end"'
+
+    def __init__(self, process: Process, path: str, stages: tuple[Stage, ...]) -> None:
+        super().__init__(process, path)
+        self._stages = stages
+
+    def make_body(self, tokens: int) -> bytes:
+        """Return an order to the runner."""
+        number = self._number()
+        order = GenerateRequest(
+            f"cost-{number}",
+            1,
+            MODEL,
+            VERSION,
+            self._stages,
+            f"cost {number}",
+            max_tokens=tokens,
+        )
+        return msgspec.json.encode(order)
+
+
+def start_stack() -> Stack:
+    """Start an entry with one runner that holds the whole model."""
+    settings = StackSettings(
+        domains=("rajkot",),
+        stages=1,
+        kinds=(KindSettings("a", SLOTS, TOKEN_SECONDS),),
+        limit=LimitRow(requests=1e6, tokens=1e8, running=1000),
+        entry={"configured_instances": 1, "telemetry": {"log_level": "WARNING"}},
+    )
+    stack = Stack(settings)
+    stack.start()
+    return stack
+
+
+def main() -> int:
+    """Measure in turns and print a JSON document."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=ROUNDS)
+    rounds = parser.parse_args().rounds
+    stack = start_stack()
+    (runner,) = stack.runners_by_id.values()
+    listen = free_address()
+    relay = Process("bench.relay", [listen, runner.address], listen)
+    try:
+        relay.wait_for_event("started")
+        stage = Stage(
+            runner.instance_id, runner.address, runner.first_layer, runner.end_layer
+        )
+        targets = {
+            "entry": EntryTarget(stack.entries[0], "/v1/completions"),
+            "relay": RelayTarget(relay, "/generate", (stage,)),
+        }
+        costs: dict[str, list[Cost]] = {name: [] for name in targets}
+        for _ in range(rounds):
+            for name, target in targets.items():
+                costs[name].append(target.measure())
+    finally:
+        relay.kill()
+        stack.close()
+    print(msgspec.json.format(msgspec.json.encode(summarize(costs))).decode())
+    return 0
+
+
+def summarize(costs: dict[str, list[Cost]]) -> dict[str, object]:
+    """Return medians in microseconds and the ratios of entry to relay."""
+    medians = {
+        name: Cost(
+            round(statistics.median(cost.token for cost in measured), 1),
+            round(statistics.median(cost.request for cost in measured), 1),
+        )
+        for name, measured in costs.items()
+    }
+    entry, relay = medians["entry"], medians["relay"]
+    return {
+        "microseconds": medians,
+        "ratio": Cost(
+            round(entry.token / relay.token, 2), round(entry.request / relay.request, 2)
+        ),
+        "rounds": costs,
+    }
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/features/steps/stack_steps.py
@@ -0,0 +1,338 @@
+import os
+import signal
+import subprocess
+import sys
+
+import openai
+import trio
+from behave import given, then, when
+
+from tests.callers import Seen, get_text, order, order_until_answered, stream
+from wigeondrift.table import LimitRow
+from wigeondrift_emulator.processes import (
+    ROOT,
+    Process,
+    free_address,
+    wait_until,
+    write_settings,
+)
+from wigeondrift_emulator.stack import (
+    MODEL,
+    Stack,
+    StackSettings,
+    call,
+    get_key,
+)
+
+TOKENS = 60
+LIMIT_SECONDS = 60
+
+
+def keep(context, close):
+    context.closers = [*getattr(context, "closers", []), close]
+
+
+def run(task, *arguments):
+    async def main():
+        with trio.fail_after(LIMIT_SECONDS):
+            return await task(*arguments)
+
+    return trio.run(main)
+
+
+@given("a stack of processes")
+def start_stack(context):
+    settings = StackSettings(
+        limit=LimitRow(tokens=1e6),
+        entry={"stop": {"notice": 1.0, "bound": 30.0}},
+    )
+    context.stack = Stack(settings)
+    keep(context, context.stack.close)
+    context.stack.start()
+
+
+@when("the demo runs")
+def run_demo(context):
+    context.demo = subprocess.run(
+        [sys.executable, "-m", "wigeondrift_emulator.demo"],
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_SECONDS,
+        check=False,
+    )
+
+
+@then('it ends with "{line}"')
+def check_demo(context, line):
+    demo = context.demo
+    assert demo.returncode == 0, demo.stdout + demo.stderr
+    assert demo.stdout.splitlines()[-1] == line
+
+
+@when("the openai client chats over each entry, whole and as a stream")
+def chat(context):
+    context.texts = []
+    for address in context.stack.entry_addresses:
+        with openai.OpenAI(
+            base_url=f"http://{address}/v1", api_key=get_key(0), max_retries=0
+        ) as client:
+            messages = [{"role": "user", "content": "bellows"}]
+            answer = client.chat.completions.create(
+                model=MODEL, messages=messages, max_tokens=9
+            )
+            context.texts.append(answer.choices[0].message.content)
+            chunks = client.chat.completions.create(
+                model=MODEL, messages=messages, max_tokens=9, stream=True
+            )
+            parts = [chunk.choices[0].delta.content or "" for chunk in chunks]
+            context.texts.append("".join(parts))
+
+
+@then("the four texts are what a sound pipeline gives")
+def check_chat(context):
+    sound = get_text("user: bellows\nassistant:", 9)
+    assert context.texts == [sound] * 4, context.texts
+
+
+def make_document(**fields):
+    return {
+        "instance_id": "rajkot",
+        "failure_domain": "rajkot",
+        "listen": free_address(),
+        "post": free_address(),
+        "agent": free_address(),
+        "platform": free_address(),
+        **fields,
+    }
+
+
+def start_entry(context, **fields):
+    document = make_document(**fields)
+    arguments = ["--settings", write_settings(document)]
+    context.process = Process("wigeondrift.entry", arguments, document["listen"])
+    keep(context, context.process.kill)
+
+
+@when('an entry is started with settings that name "listen" wrongly')
+def start_wrongly(context):
+    start_entry(context, listen="nowhere")
+
+
+@then('it ends with exit code {code:d} and names "{place}"')
+def check_refused_settings(context, code, place):
+    assert context.process.popen.wait(LIMIT_SECONDS) == code
+    (event,) = context.process.list_events("settings_refused")
+    assert event["location"] == place
+
+
+@when("an entry is started whose agent and platform are away")
+def start_alone(context):
+    start_entry(context)
+    context.process.wait_for_event("started")
+
+
+@then('it is alive, not ready, and refuses work with "{kind}"')
+def check_not_ready(context, kind):
+    address = context.process.address
+    assert call(address, "GET", "/healthz")[0] == 200
+    assert call(address, "GET", "/readyz")[0] == 503
+    seen = run(stream, address, "bellows", 3)
+    assert (seen.status, seen.error["code"]) == (503, kind)
+    assert seen.outcome == "not-run"
+
+
+async def run_streams(stack, count, disturb, tokens=TOKENS):
+    """Run streams over each entry; call ``disturb`` once all have a token.
+
+    Returns what was seen by prompt, for each entry.
+    """
+    seen_by_entry = []
+    async with trio.open_nursery() as nursery:
+        for number, address in enumerate(stack.entry_addresses):
+            seen_by_prompt = {f"prompt {number} {i}": Seen() for i in range(count)}
+            seen_by_entry.append(seen_by_prompt)
+            for prompt, seen in seen_by_prompt.items():
+                nursery.start_soon(stream, address, prompt, tokens, seen)
+        for seen_by_prompt in seen_by_entry:
+            for seen in seen_by_prompt.values():
+                await seen.first.wait()
+        await disturb(nursery)
+    return seen_by_entry
+
+
+def check_sound(seen_by_prompt, tokens=TOKENS):
+    for prompt, seen in seen_by_prompt.items():
+        assert seen.is_whole, (prompt, seen.__dict__)
+        assert (seen.text, seen.outcome) == (get_text(prompt, tokens), "ran")
+
+
+def check_cut(seen_by_prompt, tokens):
+    for prompt, seen in seen_by_prompt.items():
+        assert not seen.is_whole
+        assert get_text(prompt, tokens).startswith(seen.text)
+
+
+@when("{count:d} streams run over each entry and the first entry is killed")
+def kill_entry(context, count):
+    stack = context.stack
+
+    async def kill(nursery):
+        stack.entries[0].kill()
+
+    context.first, context.second = run(run_streams, stack, count, kill)
+
+
+@then("callers of the first entry saw a cut stream or no answer, never a whole one")
+def check_killed(context):
+    check_cut(context.first, TOKENS)
+    assert {seen.outcome for seen in context.first.values()} == {"lost"}
+
+
+@then("callers of the other entry have whole and sound answers")
+def check_others(context):
+    check_sound(context.second)
+
+
+@then("the cut requests are whole and sound when repeated over the other entry")
+def check_repeated(context):
+    address = context.stack.entry_addresses[1]
+
+    async def repeat():
+        return {p: await stream(address, p, TOKENS) for p in context.first}
+
+    check_sound(run(repeat))
+
+
+@when("{count:d} orders are sent over both entries and the first entry is killed")
+def kill_under_orders(context, count):
+    stack = context.stack
+    context.answers = {}
+
+    async def send(key, address):
+        context.answers[key] = await order(address, key)
+        if len(context.answers) == count // 4:
+            stack.entries[0].kill()
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                address = stack.entry_addresses[number % 2]
+                nursery.start_soon(send, f"key-{number}", address)
+
+    run(main)
+
+
+@then("no order ran twice and each answered one ran")
+def check_runs(context):
+    runs = context.stack.get_order_runs()
+    assert set(runs.values()) <= {1}, runs
+    for key, (status, outcome) in context.answers.items():
+        if status == 201:
+            assert outcome == "ran" and runs[key] == 1
+        elif outcome == "not-run":
+            assert key not in runs
+        else:
+            assert outcome in ("lost", "refused", "unknown")
+
+
+@then("callers who repeat over the other entry get an answer or a named unknown")
+def check_order_repeats(context):
+    address = context.stack.entry_addresses[1]
+    for key in context.answers:
+        status, outcome = run(order, address, key)
+        runs = context.stack.get_order_runs()
+        assert runs.get(key, 0) <= 1
+        assert (status, outcome) in ((201, "ran"), (409, "unknown")), (status, outcome)
+        assert status == 409 or runs[key] == 1
+
+
+@when("{streams:d} streams and {orders:d} orders run and an agent is killed")
+def kill_agent(context, streams, orders):
+    stack = context.stack
+    context.keys = [f"key-{number}" for number in range(orders)]
+
+    async def kill(nursery):
+        stack.agents_by_domain[stack.settings.domains[0]].kill()
+        for key in context.keys:
+            nursery.start_soon(order_until_answered, stack.entry_addresses, key)
+
+    context.seen = run(run_streams, stack, streams, kill)
+
+
+@then("all answers are whole and sound and each order ran once")
+def check_all_and_orders(context):
+    check_all_sound(context)
+    assert context.stack.get_order_runs() == dict.fromkeys(context.keys, 1)
+
+
+@when("{count:d} streams run over each entry and the engines of one domain are killed")
+def kill_engines(context, count):
+    stack = context.stack
+
+    async def kill(nursery):
+        stack.engines_by_domain[stack.settings.domains[0]].kill()
+
+    context.seen = run(run_streams, stack, count, kill)
+
+
+@then("all answers are whole and sound")
+def check_all_sound(context):
+    for seen_by_prompt in context.seen:
+        check_sound(seen_by_prompt)
+
+
+@when("an entry gets SIGTERM while streams run and more arrive during the notice")
+def stop_entry(context):
+    stack = context.stack
+    entry = stack.entries[0]
+    late = {f"late {number}": Seen() for number in range(4)}
+
+    async def stop(nursery):
+        entry.signal(signal.SIGTERM)
+        await trio.to_thread.run_sync(entry.wait_for_event, "stop_requested")
+        for prompt, seen in late.items():
+            nursery.start_soon(stream, entry.address, prompt, TOKENS, seen)
+        context.ready = await trio.to_thread.run_sync(
+            call, entry.address, "GET", "/readyz"
+        )
+
+    context.seen = [*run(run_streams, stack, 6, stop, 300), late]
+    context.entry = entry
+
+
+@then("all answers are whole and sound and the entry ended with exit code {code:d}")
+def check_stopped(context, code):
+    *early, late = context.seen
+    for seen_by_prompt in early:
+        check_sound(seen_by_prompt, 300)
+    check_sound(late)
+    assert context.ready[0] == 503
+    assert context.entry.popen.wait(LIMIT_SECONDS) == code
+    assert context.entry.list_events("stopped")
+
+
+@when("an entry gets SIGTERM twice while long streams run")
+def stop_twice(context):
+    stack = context.stack
+    context.entry = entry = stack.entries[0]
+
+    async def stop(nursery):
+        entry.signal(signal.SIGTERM)
+        await trio.to_thread.run_sync(entry.wait_for_event, "stop_requested")
+        entry.signal(signal.SIGTERM)
+        await trio.to_thread.run_sync(
+            wait_until, lambda: entry.popen.poll() is not None, "end of the entry"
+        )
+        nursery.cancel_scope.cancel()
+
+    context.seen = run(run_streams, stack, 3, stop, 20000)
+
+
+@then("their callers got an error event, no end mark, and the exit code is {code:d}")
+def check_stopped_twice(context, code):
+    check_cut(context.seen[0], 20000)
+    for seen in context.seen[0].values():
+        assert seen.error["code"] == "stream_cut" and seen.outcome == "unknown"
+    assert context.entry.popen.wait(LIMIT_SECONDS) == code
+    assert context.entry.list_events("stop_bound_reached")
--- /dev/null
+++ b/tests/features/whole.feature
@@ -0,0 +1,18 @@
+Feature: The whole path as separate processes
+
+  Scenario: The demo passes
+    When the demo runs
+    Then it ends with "All steps passed; all processes are ended."
+
+  Scenario: The openai client streams through a real entry
+    Given a stack of processes
+    When the openai client chats over each entry, whole and as a stream
+    Then the four texts are what a sound pipeline gives
+
+  Scenario: An entry refuses settings with a fault before it listens
+    When an entry is started with settings that name "listen" wrongly
+    Then it ends with exit code 2 and names "$.listen"
+
+  Scenario: An entry without a table is not ready
+    When an entry is started whose agent and platform are away
+    Then it is alive, not ready, and refuses work with "not_ready"
--- a/wigeondrift/composition.py
+++ b/wigeondrift/composition.py
@@ -1,19 +1,43 @@
 """The one composition root: wires the parts of each program."""
 
+import functools
+import logging
 import random
 import time
 
 from wigeondrift.agent import Agent
 from wigeondrift.application import Application
+from wigeondrift.claims import KeyClaimStore
+from wigeondrift.engine_http import HttpEngine
 from wigeondrift.events import configure_logging
+from wigeondrift.gate import make_gate
+from wigeondrift.gateway import Gateway
+from wigeondrift.generation import Generator
 from wigeondrift.http import HttpClient
+from wigeondrift.link import Link
 from wigeondrift.loads import LoadPoller
+from wigeondrift.metrics import FLUSH_INTERVAL_SECONDS, Metrics, make_metrics
+from wigeondrift.model_api import ModelApi
+from wigeondrift.orders import OrderDesk
+from wigeondrift.platform import PlatformStore
 from wigeondrift.platform_http import HttpPlatformStore
-from wigeondrift.settings import AgentSettings
+from wigeondrift.request_ids import RequestIds
+from wigeondrift.runs import make_runs
+from wigeondrift.service_api import ServiceApi
+from wigeondrift.service_http import HttpPlainService
+from wigeondrift.settings import AgentSettings, EntrySettings
+from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.control import AgentControl
-from wigeondrift.timer import TimerService, TrioClock
+from wigeondrift.systems.quarantine import Quarantine
+from wigeondrift.systems.routing import Routing
+from wigeondrift.systems.shares import get_limit
+from wigeondrift.tables import Tables
+from wigeondrift.timer import Clock, TimerService, TrioClock, WallClock
+from wigeondrift.tracing import Tracer, make_tracer
 
 AGENT_STOP_SECONDS = 5.0
+DEMAND_SECONDS = 0.25
+SUSPECTS_SECONDS = 0.2
 
 
 def make_incarnation() -> int:
@@ -21,6 +45,117 @@
     return time.time_ns() // 1_000_000
 
 
+def compose_entry(settings: EntrySettings) -> Application:
+    """Wire one entry."""
+    incarnation = make_incarnation()
+    logger = configure_logging(
+        settings.telemetry.log_level,
+        instance_id=settings.instance_id,
+        process=settings.process,
+    )
+    tables = Tables()
+    clock = TrioClock()
+    timer = TimerService(clock)
+    metrics = make_metrics(settings.telemetry.statsd)
+    tracer = make_tracer(settings.telemetry.otlp, settings.instance_id)
+    client = HttpClient()
+    store = HttpPlatformStore(client, settings.platform)
+    link = _make_link(settings, tables, store, incarnation, clock, logger)
+    routing = Routing(
+        tables, settings.failure_domain, random.Random(), settings.instance_id
+    )
+    generator = _make_generator(
+        settings, tables, routing, link, client, clock, tracer, metrics
+    )
+    desk = OrderDesk(
+        KeyClaimStore(store, clock),
+        HttpPlainService(client),
+        routing,
+        tables,
+        clock,
+        WallClock(),
+        settings.requests,
+        random.Random(),
+    )
+    gate = make_gate(
+        settings, tables, functools.partial(get_limit, tables), clock, timer
+    )
+    runs = make_runs(settings, clock, timer)
+    gateway = Gateway(
+        settings,
+        tables,
+        RequestIds(settings.instance_id, settings.process, incarnation),
+        gate,
+        runs,
+        ModelApi(tables, settings.requests, gate, runs, generator, metrics, tracer),
+        ServiceApi(tables, gate, desk, metrics, tracer),
+        metrics,
+        tracer,
+        link.announce_stop,
+    )
+
+    async def report_demand(now: float) -> None:
+        for demand in gate.take_demand():
+            link.report_demand(*demand)
+
+    timer.subscribe("demand", DEMAND_SECONDS, report_demand)
+    timer.subscribe("suspects", SUSPECTS_SECONDS, generator.tick)
+    timer.subscribe("gauges", FLUSH_INTERVAL_SECONDS, gateway.record_gauges)
+    timer.subscribe("metrics", FLUSH_INTERVAL_SECONDS, metrics.flush)
+    stop_bound = settings.stop.notice + settings.stop.bound
+    return Application([timer, link, generator, desk, gateway], stop_bound)
+
+
+def _make_link(
+    settings: EntrySettings,
+    tables: Tables,
+    store: PlatformStore,
+    incarnation: int,
+    clock: Clock,
+    logger: logging.Logger,
+) -> Link:
+    attachment = Attachment(
+        tables,
+        f"{settings.instance_id}/{settings.process}",
+        settings.post,
+        incarnation,
+        settings.agent,
+        settings.configured_instances,
+        random.Random(),
+    )
+    return Link(attachment, settings.post, store, clock, logger)
+
+
+def _make_generator(
+    settings: EntrySettings,
+    tables: Tables,
+    routing: Routing,
+    link: Link,
+    client: HttpClient,
+    clock: Clock,
+    tracer: Tracer,
+    metrics: Metrics,
+) -> Generator:
+    def report_leaving(instance_id: str) -> None:
+        instance = tables.instances_by_id.get(instance_id)
+        if instance is not None:
+            link.report_leaving(instance_id, instance.incarnation)
+
+    generator = Generator(
+        HttpEngine(client),
+        routing,
+        Quarantine(tables),
+        settings.requests,
+        clock,
+        link.report_suspects,
+        report_leaving,
+        tracer,
+        metrics,
+    )
+    link.subscribe_suspects(generator.take_suspects)
+    return generator
+
+
 def compose_agent(settings: AgentSettings) -> Application:
     """Wire the agent of one instance."""
     logger = configure_logging(
--- /dev/null
+++ b/wigeondrift/entry.py
@@ -0,0 +1,65 @@
+"""Main function of ``wigeondrift-entry``."""
+
+import logging
+import sys
+from pathlib import Path
+
+import cyclopts
+import trio
+
+from wigeondrift.errors import SettingsError
+from wigeondrift.events import LOGGER_NAME, Event, configure_logging, log_event
+from wigeondrift.settings import EntrySettings, load_settings
+
+EXIT_SETTINGS = 2
+EXIT_BOUND = 3
+
+app = cyclopts.App(name="wigeondrift-entry", help="Takes callers' requests.")
+
+
+@app.default
+def run(*, settings: Path) -> None:
+    """Run the entry until it is told to stop.
+
+    The exit code is 2 if the settings are refused, and 3 if a planned stop hit its
+    bound.
+
+    Parameters
+    ----------
+    settings : Path
+        JSON file with the settings.
+    """
+    try:
+        loaded = load_settings(str(settings), EntrySettings)
+    except SettingsError as error:
+        _refuse(error)
+        sys.exit(EXIT_SETTINGS)
+    from wigeondrift.composition import compose_entry
+
+    application = compose_entry(loaded)
+    trio.run(application.run_until_signalled)
+    logger = logging.getLogger(LOGGER_NAME)
+    bound_reached = application.bound_reached
+    log_event(logger, logging.INFO, Event.STOPPED, bound_reached=bound_reached)
+    if bound_reached:
+        sys.exit(EXIT_BOUND)
+
+
+def _refuse(error: SettingsError) -> None:
+    log_event(
+        configure_logging("INFO"),
+        logging.ERROR,
+        Event.SETTINGS_REFUSED,
+        path=error.path,
+        location=error.location,
+        reason=error.reason,
+    )
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/wigeondrift/gate.py
+++ b/wigeondrift/gate.py
@@ -11,6 +11,7 @@
     Admission,
     AdmissionRules,
     GetLimit,
+    RowDemand,
     Ticket,
     TicketState,
 )
@@ -62,6 +63,10 @@
         timer.subscribe("admission", TICK_SECONDS, self._on_tick)
         timer.subscribe("pacing", FORGET_SECONDS, self._on_forget)
 
+    def take_demand(self) -> list[RowDemand]:
+        """Return what each row asked for since the last call."""
+        return self._admission.take_demand()
+
     @property
     def waiting(self) -> int:
         """Requests that wait."""
--- a/wigeondrift/gateway.py
+++ b/wigeondrift/gateway.py
@@ -20,6 +20,12 @@
 from wigeondrift.service_api import PATH_PREFIX, ServiceApi
 from wigeondrift.settings import EntrySettings
 from wigeondrift.tables import Tables
+from wigeondrift.tracing import (
+    TRACEPARENT_HEADER,
+    Span,
+    Tracer,
+    check_traceparent,
+)
 
 BACKLOG = 1024
 LAST_WORDS_SECONDS = 1.0
@@ -64,6 +70,7 @@
     model_api : ModelApi
     service_api : ServiceApi
     metrics : Metrics
+    tracer : Tracer
     on_stopping : callable
         Called without arguments when a planned stop begins.
     """
@@ -84,6 +91,7 @@
         "_service_api",
         "_settings",
         "_tables",
+        "_tracer",
         "requests",
         "stopping",
     )
@@ -98,6 +106,7 @@
         model_api: ModelApi,
         service_api: ServiceApi,
         metrics: Metrics,
+        tracer: Tracer,
         on_stopping: Callable[[], None],
     ) -> None:
         self._settings = settings
@@ -108,6 +117,7 @@
         self._model_api = model_api
         self._service_api = service_api
         self._metrics = metrics
+        self._tracer = tracer
         self._on_stopping = on_stopping
         self._accounts = Accounts(tables)
         limits = HttpLimits(**msgspec.structs.asdict(settings.http))
@@ -156,17 +166,18 @@
         )
 
     async def stop(self) -> None:
-        """Serve what still arrives, then let the requests in progress end."""
+        """Serve what still arrives, then let the requests in progress end.
+
+        When it is cancelled, callers in progress are told that their answers are
+        cut.
+        """
         self.stopping = True
         self._on_stopping()
         log_event(_LOGGER, logging.INFO, Event.STOP_REQUESTED, requests=self.requests)
         try:
             await trio.sleep(self._settings.stop.notice)
             await self._close_listeners()
-            with trio.fail_after(self._settings.stop.bound):
-                await self._wait_until_idle()
-        except trio.TooSlowError:
-            await self._cut_all()
+            await self._wait_until_idle()
         except trio.Cancelled:
             with trio.CancelScope(shield=True):
                 await self._cut_all()
@@ -234,6 +245,18 @@
             )
 
     async def _serve(self, exchange: Exchange, request_id: str) -> None:
+        headers = exchange.request.headers_by_name
+        parent = check_traceparent(headers.get(TRACEPARENT_HEADER, ""))
+        span = self._tracer.start("entry.request", parent)
+        span.set("request_id", request_id)
+        try:
+            await self._serve_traced(exchange, request_id, span)
+        finally:
+            span.end()
+
+    async def _serve_traced(
+        self, exchange: Exchange, request_id: str, span: Span
+    ) -> None:
         team = ""
         try:
             if not self._tables.table_version:
@@ -241,8 +264,11 @@
             serve = self._find(exchange)
             headers = exchange.request.headers_by_name
             team = self._accounts.get_team(headers.get("authorization", ""))
-            await serve(Call(exchange, request_id, team, self.stopping))
+            span.set("team", team)
+            call = Call(exchange, request_id, team, self.stopping, span.traceparent)
+            await serve(call)
         except RequestError as error:
+            span.set("error", error.kind.value)
             await self._gate.pace(team, error)
             await self._refuse(exchange, error, request_id, team)
 
@@ -286,6 +312,11 @@
             status = 503
         await respond_json(exchange, status, headers, self.get_status())
 
+    async def record_gauges(self, now: float) -> None:
+        """Record what is in progress; a subscriber of the timer service."""
+        self._metrics.gauge(Metric.RUNNING, self.requests)
+        self._metrics.gauge(Metric.TABLE_VERSION, self._tables.table_version)
+
     def get_status(self) -> EntryStatus:
         """Return the status of the process."""
         return EntryStatus(
--- a/wigeondrift/service_api.py
+++ b/wigeondrift/service_api.py
@@ -1,7 +1,6 @@
 """Callers' API of plain services below ``/services/{name}/``."""
 
 import logging
-from collections.abc import Callable
 
 from wigeondrift.answers import make_headers
 from wigeondrift.errors import ErrorKind, RequestError
@@ -10,6 +9,7 @@
 from wigeondrift.http import Request
 from wigeondrift.metrics import Metric, Metrics
 from wigeondrift.model_api import Call
+from wigeondrift.orders import OrderDesk, OrderJob, OrderResult
 from wigeondrift.service import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -18,6 +18,7 @@
 )
 from wigeondrift.table import ServiceKind, ServiceRow
 from wigeondrift.tables import Tables
+from wigeondrift.tracing import Tracer
 
 PATH_PREFIX = "/services/"
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -54,26 +55,25 @@
     tables : Tables
     gate : Gate
     desk : OrderDesk
-    make_job : callable
-        Makes the desk's job of its named fields.
     metrics : Metrics
+    tracer : Tracer
     """
 
-    __slots__ = ("_desk", "_gate", "_make_job", "_metrics", "_tables")
+    __slots__ = ("_desk", "_gate", "_metrics", "_tables", "_tracer")
 
     def __init__(
         self,
         tables: Tables,
         gate: Gate,
-        desk: object,
-        make_job: Callable,
+        desk: OrderDesk,
         metrics: Metrics,
+        tracer: Tracer,
     ) -> None:
         self._tables = tables
         self._gate = gate
         self._desk = desk
-        self._make_job = make_job
         self._metrics = metrics
+        self._tracer = tracer
 
     async def serve(self, call: Call) -> None:
         """Pass one call on and its answer back."""
@@ -84,15 +84,21 @@
         service_call = ServiceCall(
             request.method, target, list_passed_headers(request), request.body
         )
-        job = self._make_job(
+        job = OrderJob(
             request_id=call.request_id,
             team=call.team,
             service=name,
             key=key,
             call=service_call,
         )
+        queue_span = self._tracer.start("entry.queue", call.traceparent)
         async with self._gate.admit(call.team, name, 0):
-            result = await self._desk.run(job)
+            queue_span.end()
+            span = self._tracer.start("entry.order", call.traceparent)
+            try:
+                result = await self._desk.run(job)
+            finally:
+                span.end()
         await self._respond(call, result)
         log_event(
             _LOGGER,
@@ -111,7 +117,7 @@
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, "there is no such service")
         return row
 
-    async def _respond(self, call: Call, result: object) -> None:
+    async def _respond(self, call: Call, result: OrderResult) -> None:
         answer: ServiceAnswer = result.answer
         headers = make_headers(call.request_id, result.outcome, call.closing)
         passed = [
--- a/wigeondrift/systems/admission.py
+++ b/wigeondrift/systems/admission.py
@@ -13,6 +13,7 @@
 from wigeondrift.systems.buckets import TokenBucket
 from wigeondrift.systems.capacity import get_entry_slots
 from wigeondrift.systems.fairness import FairQueue
+from wigeondrift.systems.shares import Limit
 from wigeondrift.tables import Tables
 
 CAPACITY_INTERVAL_SECONDS = 0.25
@@ -24,22 +25,6 @@
 }
 
 
-class Limit(NamedTuple):
-    """What one row may send from this entry.
-
-    Attributes
-    ----------
-    requests, tokens : float
-        Rates per second.
-    running : int
-        Requests at once.
-    """
-
-    requests: float
-    tokens: float
-    running: int
-
-
 GetLimit = Callable[[str, float], Limit]
 
 
--- a/wigeondrift/timer.py
+++ b/wigeondrift/timer.py
@@ -1,10 +1,13 @@
 """Timer service that parts subscribe to."""
 
 import abc
+import time
 from collections.abc import Awaitable, Callable
 
 import trio
 
+from wigeondrift.application import Component
+
 Callback = Callable[[float], Awaitable[None]]
 
 
@@ -26,6 +29,16 @@
         return trio.current_time()
 
 
+class WallClock(Clock):
+    """Clock of the machine: seconds since the epoch."""
+
+    __slots__ = ()
+
+    def now(self) -> float:
+        """Return the seconds since the epoch."""
+        return time.time()
+
+
 class ManualClock(Clock):
     """Clock that its owner moves.
 
@@ -68,7 +81,7 @@
         self.callback = callback
 
 
-class TimerService:
+class TimerService(Component):
     """Calls its subscribers periodically.
 
     Parameters
@@ -87,6 +100,10 @@
         """Register ``callback`` to run every ``interval`` seconds."""
         self.subscriptions_by_name[name] = Subscription(name, interval, callback)
 
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Run all subscriptions in ``nursery``."""
+        nursery.start_soon(self.run)
+
     async def run(self) -> None:
         """Run all subscriptions until cancelled."""
         async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/wigeondrift_emulator/demo.py
@@ -0,0 +1,208 @@
+"""Demo: the whole system on loopback does its main job once.
+
+Prints each step with what was seen, and exits with 1 when one of them fails. All
+processes that it starts are ended.
+"""
+
+import contextlib
+import sys
+import time
+from collections.abc import Iterator
+
+import msgspec
+import trio
+
+from wigeondrift.completions import CompletionRequest
+from wigeondrift.http import HttpClient
+from wigeondrift.platform_http import HttpPlatformStore
+from wigeondrift.table import TABLE_KEY, LimitRow, parse_table, serialize_table
+from wigeondrift_emulator.stack import (
+    MODEL,
+    PLAIN,
+    Stack,
+    StackSettings,
+    call,
+    get_key,
+)
+
+TOKENS = 12
+IN_FORCE_SECONDS = 4.0
+POLL_SECONDS = 0.05
+ORDER_KEY = "demo-slot-7"
+
+
+class DemoFailed(Exception):
+    """A step of the demo did not show what it should."""
+
+
+def check(condition: object, what: str) -> None:
+    """Raise ``DemoFailed`` unless the condition holds."""
+    if not condition:
+        raise DemoFailed(what)
+
+
+def say(line: str) -> None:
+    """Print one line at once."""
+    print(line, flush=True)
+
+
+class Demo:
+    """Steps of the demo over a running stack.
+
+    Parameters
+    ----------
+    stack : Stack
+    """
+
+    __slots__ = ("_stack",)
+
+    def __init__(self, stack: Stack) -> None:
+        self._stack = stack
+
+    def run(self) -> None:
+        """Run all steps.
+
+        Raises
+        ------
+        DemoFailed
+            If one does not show what it should.
+        """
+        self.show_processes()
+        self.stream_answer()
+        self.book_order()
+        self.change_limit()
+
+    def show_processes(self) -> None:
+        """Say what runs."""
+        stack = self._stack
+        say("1. Processes on loopback:")
+        say(f"   platform stand-in   pid {stack.platform.popen.pid}")
+        say(f"   orders stand-in     pid {stack.orders.popen.pid}")
+        for domain, process in stack.engines_by_domain.items():
+            say(f"   engines in {domain:<9} pid {process.popen.pid}")
+        for domain, process in stack.agents_by_domain.items():
+            say(f"   agent in {domain:<11} pid {process.popen.pid}")
+        for document, process in zip(stack.entry_documents, stack.entries, strict=True):
+            place = f"{document['failure_domain']}, {process.address}"
+            say(f"   entry in {place}  pid {process.popen.pid}")
+
+    def stream_answer(self) -> None:
+        """Stream one answer through each entry."""
+        say("2. An answer streamed over a route of stages:")
+        texts = set()
+        for address in self._stack.entry_addresses:
+            texts.add(self._stream_through(address))
+        check(len(texts) == 1, "the entries' answers differ")
+
+    def _stream_through(self, address: str) -> str:
+        started_at = time.monotonic()
+        status, headers, body = self._post_prompt(address, "bellows squeak", True)
+        seconds = time.monotonic() - started_at
+        check(status == 200, f"status {status}: {body!r}")
+        check(body.endswith(b"data: [DONE]\n\n"), "the stream has no end mark")
+        check(b": outcome=ran\n" in body, "the stream names no outcome")
+        tokens = list(iter_texts(body))
+        text = "".join(tokens)
+        say(f"   {address} request {headers['x-request-id']}")
+        say(f"   {len(tokens)} chunks in {seconds:.3f} s, outcome ran: {text}")
+        return text
+
+    def _post_prompt(
+        self, address: str, prompt: str, stream: bool
+    ) -> tuple[int, dict[str, str], bytes]:
+        request = CompletionRequest(MODEL, prompt, max_tokens=TOKENS, stream=stream)
+        headers = [
+            ("Authorization", f"Bearer {get_key(0)}"),
+            ("Content-Type", "application/json"),
+        ]
+        body = msgspec.json.encode(request)
+        return call(address, "POST", "/v1/completions", headers, body)
+
+    def book_order(self) -> None:
+        """Send one order through every entry, twice each."""
+        say("3. One order, sent twice through each entry with the same key:")
+        bodies = set()
+        for address in self._stack.entry_addresses * 2:
+            headers = [
+                ("Authorization", f"Bearer {get_key(0)}"),
+                ("Idempotency-Key", ORDER_KEY),
+            ]
+            status, answer_headers, body = call(
+                address, "POST", f"/services/{PLAIN}/orders", headers, b'{"slot": 7}'
+            )
+            check(status == 201, f"status {status}: {body!r}")
+            outcome = answer_headers["x-outcome"]
+            say(f"   {address} status {status}, outcome {outcome}: {body.decode()}")
+            bodies.add(body)
+        check(len(bodies) == 1, "the answers differ")
+        runs = self._stack.get_order_runs()
+        say(f"   runs in the order service's own ledger: {runs}")
+        check(runs == {ORDER_KEY: 1}, "the order did not run exactly once")
+
+    def change_limit(self) -> None:
+        """Close the row of a team, show it in force everywhere, open it again."""
+        say("4. A changed limit in force on all entries:")
+        self._set_requests(0.0)
+        self._wait_for_status(429, "requests per second of team-0 set to 0")
+        self._set_requests(100.0)
+        self._wait_for_status(200, "and back to 100")
+
+    def _set_requests(self, requests: float) -> None:
+        trio.run(set_requests, self._stack, f"team-0/{MODEL}", requests)
+
+    def _wait_for_status(self, wanted: int, what: str) -> None:
+        started_at = time.monotonic()
+        for number, address in enumerate(self._stack.entry_addresses):
+            prompt = f"probe {number}"
+            status = self._post_prompt(address, prompt, False)[0]
+            while status != wanted:
+                check(
+                    time.monotonic() < started_at + IN_FORCE_SECONDS,
+                    f"{address} still answers {status}",
+                )
+                time.sleep(POLL_SECONDS)
+                status = self._post_prompt(address, prompt, False)[0]
+            seconds = time.monotonic() - started_at
+            say(f"   {what}: {address} answers {status} after {seconds:.2f} s")
+
+
+def iter_texts(body: bytes) -> Iterator[str]:
+    """Yield the texts of a stream of completions."""
+    for event in body.split(b"\n\n"):
+        if event.startswith(b"data: {"):
+            chunk = msgspec.json.decode(event.removeprefix(b"data: "))
+            text = chunk["choices"][0]["text"]
+            if text:
+                yield text
+
+
+async def set_requests(stack: Stack, row: str, requests: float) -> None:
+    """Put a new request rate into the operators' table."""
+    store = HttpPlatformStore(HttpClient(), stack.operator_address)
+    stored = await store.get(TABLE_KEY)
+    table = parse_table(stored.value)
+    old = table.limits_by_row[row]
+    changed: dict[str, LimitRow] = {
+        **table.limits_by_row,
+        row: msgspec.structs.replace(old, requests=requests),
+    }
+    table = msgspec.structs.replace(table, limits_by_row=changed)
+    await store.put(TABLE_KEY, serialize_table(table), stored.revision)
+
+
+def main() -> int:
+    """Run the demo; return the exit code."""
+    stack = Stack(StackSettings())
+    with contextlib.closing(stack):
+        try:
+            stack.start()
+            Demo(stack).run()
+        except (DemoFailed, AssertionError) as failure:
+            say(f"FAILED: {failure}")
+            return 1
+    say("All steps passed; all processes are ended.")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
