--- /dev/null
+++ b/bench/table.py
@@ -0,0 +1,347 @@
+"""What a table costs by its size, and what other ways of keeping it would.
+
+Run as ``python -m bench.table [--json]``. Times are of this machine; the ways are
+compared by calls and bytes, and by their times in the same run.
+"""
+
+import functools
+import statistics
+import time
+import tracemalloc
+from collections.abc import Awaitable, Callable
+
+import cyclopts
+import msgspec
+import trio
+
+from wigeondrift.declaration import serialize_csv
+from wigeondrift.editor import TableEditor
+from wigeondrift.edits import CellChange, Edit, apply_edit, diff_tables, get_cells
+from wigeondrift.http import HttpClient
+from wigeondrift.platform_core import Faults
+from wigeondrift.platform_http import HttpPlatformStore
+from wigeondrift.rendering import Printer
+from wigeondrift.systems.editing import Accepted
+from wigeondrift.table import (
+    TABLE_BYTES,
+    TABLE_KEY,
+    LimitRow,
+    ServiceKind,
+    ServiceRow,
+    Table,
+    TeamRow,
+    parse_table,
+    serialize_table,
+)
+from wigeondrift.table_check import check_table, load_table
+from wigeondrift_emulator.platform import PlatformEmulator
+
+TEAM_COUNTS = (10, 100, 340)
+MODELS = 4
+PLAIN_SERVICES = 2
+KEYS = 2
+REPEATS = 5
+OPERATOR_COUNTS = (1, 2, 4, 8)
+EDITS = 10
+LOG_CHANGES = 1000
+PLATFORM_DELAY_SECONDS = 0.003
+MILLISECONDS = 1e3
+
+
+class SizeResult(msgspec.Struct, frozen=True):
+    """Cost of a table with a number of teams; times in ms, sizes in bytes."""
+
+    teams: int
+    rows: int
+    cells: int
+    size: int
+    csv_size: int
+    memory: int
+    parse: float
+    check: float
+    serialize: float
+    diff: float
+    edit: float
+
+
+class RaceResult(msgspec.Struct, frozen=True):
+    """Operators that edit different cells of one table at once.
+
+    Attributes
+    ----------
+    operators : int
+    accepted : int
+        Edits accepted.
+    writes_per_edit, reads_per_edit : float
+        Calls of the platform.
+    p50, longest : float
+        Time of an edit, in ms.
+    """
+
+    operators: int
+    accepted: int
+    writes_per_edit: float
+    reads_per_edit: float
+    p50: float
+    longest: float
+
+
+class WayResult(msgspec.Struct, frozen=True):
+    """What a way of keeping the table costs at its largest size here.
+
+    Attributes
+    ----------
+    way : str
+    start_reads : int
+        Calls by which a process that starts gets the table.
+    start_bytes : int
+        Bytes of values that it reads.
+    start_time : float
+        Their time, in ms.
+    edit_writes : int
+        Writes of an edit of one cell in each of ten rows.
+    watches : int
+        Watches that wait in each agent.
+    """
+
+    way: str
+    start_reads: int
+    start_bytes: int
+    start_time: float
+    edit_writes: int
+    watches: int
+
+
+class Report(msgspec.Struct, frozen=True):
+    """All results of a run."""
+
+    sizes: tuple[SizeResult, ...]
+    teams_that_fit: int
+    races: tuple[RaceResult, ...]
+    ways: tuple[WayResult, ...]
+
+
+def make_table(teams: int) -> Table:
+    """Return a table in which each team has a row for each service."""
+    services = {
+        f"model-{number}": ServiceRow(ServiceKind.MODEL, 80, f"2026-{number:02}")
+        for number in range(MODELS)
+    }
+    for number in range(PLAIN_SERVICES):
+        services[f"service-{number}"] = ServiceRow(ServiceKind.PLAIN)
+    names = [f"team-{number:04}" for number in range(teams)]
+    rows_by_team = {
+        name: TeamRow(tuple(f"{index * KEYS + key:064x}" for key in range(KEYS)))
+        for index, name in enumerate(names)
+    }
+    limits = {
+        f"{name}/{service}": LimitRow(
+            weight=2.0, domains=("rajkot", "morbi"), preferred=("rajkot",)
+        )
+        for name in names
+        for service in services
+    }
+    return Table(services, rows_by_team, limits)
+
+
+def measure(work: Callable[[], object]) -> float:
+    """Return the median time of ``work`` in ms."""
+    times = []
+    for _ in range(REPEATS):
+        start = time.perf_counter()
+        work()
+        times.append((time.perf_counter() - start) * MILLISECONDS)
+    return statistics.median(times)
+
+
+def measure_memory(data: bytes) -> int:
+    """Return the bytes that a parsed table takes."""
+    tracemalloc.start()
+    table = parse_table(data)
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del table
+    return taken
+
+
+def make_edit(base: int, number: int, row: str) -> Edit:
+    """Return an edit of one cell of a row."""
+    change = CellChange(f"limits/{row}/running", 100, number + 1)
+    return Edit(f"{row}-{number}", "bench", 0.0, base, (change,))
+
+
+def measure_size(teams: int) -> SizeResult:
+    """Measure a table with a number of teams."""
+    table = make_table(teams)
+    data = serialize_table(table)
+    edit = make_edit(1, 1, "team-0000/model-0")
+    changed = apply_edit(table, edit)
+    return SizeResult(
+        teams=teams,
+        rows=len(table.limits_by_row),
+        cells=len(get_cells(table)),
+        size=len(data),
+        csv_size=sum(len(text) for text in serialize_csv(table).values()),
+        memory=measure_memory(data),
+        parse=measure(lambda: parse_table(data)),
+        check=measure(lambda: check_table(table)),
+        serialize=measure(lambda: serialize_table(table)),
+        diff=measure(lambda: diff_tables(table, changed)),
+        edit=measure(lambda: apply_edit(table, edit)),
+    )
+
+
+def count_teams_that_fit() -> int:
+    """Return how many such teams a value holds."""
+    low, high = 1, 20000
+    while high - low > 1:
+        teams = (low + high) // 2
+        if len(serialize_table(make_table(teams))) <= TABLE_BYTES:
+            low = teams
+        else:
+            high = teams
+    return low
+
+
+async def with_platform(
+    work: Callable[[PlatformEmulator, HttpPlatformStore], Awaitable[object]],
+    delay: float = 0.0,
+) -> object:
+    """Return what ``work`` does with an emulator over loopback."""
+    emulator = PlatformEmulator(Faults(delay=delay))
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        server = emulator.make_server("bench")
+        nursery.start_soon(trio.serve_listeners, server.serve_stream, listeners)
+        client = HttpClient()
+        result = await work(emulator, HttpPlatformStore(client, f"127.0.0.1:{port}"))
+        await client.close()
+        nursery.cancel_scope.cancel()
+    return result
+
+
+async def race(
+    operators: int, emulator: PlatformEmulator, store: HttpPlatformStore
+) -> RaceResult:
+    """Let operators edit rows of their own, one edit after another."""
+    table = make_table(TEAM_COUNTS[0])
+    await store.put(TABLE_KEY, serialize_table(table), 0)
+    calls_before = dict(emulator.store.core.calls_by_name)
+    times: list[float] = []
+    accepted = 0
+
+    async def operate(index: int) -> None:
+        nonlocal accepted
+        editor = TableEditor(store, patience=60.0)
+        row = f"team-{index:04}/model-0"
+        for number in range(EDITS):
+            start = trio.current_time()
+            read = await editor.read()
+            old = read.table.limits_by_row[row].running
+            change = CellChange(f"limits/{row}/running", old, number + 1)
+            edit = Edit(f"{row}-{number}", "bench", 0.0, read.version, (change,))
+            result = await editor.submit(edit)
+            accepted += isinstance(result, Accepted)
+            times.append((trio.current_time() - start) * MILLISECONDS)
+
+    async with trio.open_nursery() as nursery:
+        for index in range(operators):
+            nursery.start_soon(operate, index)
+    calls = emulator.store.core.calls_by_name
+    edits = operators * EDITS
+    return RaceResult(
+        operators=operators,
+        accepted=accepted,
+        writes_per_edit=(calls["put"] - calls_before["put"]) / edits,
+        reads_per_edit=calls["get"] / edits,
+        p50=statistics.median(times),
+        longest=max(times),
+    )
+
+
+async def measure_whole(
+    emulator: PlatformEmulator, store: HttpPlatformStore
+) -> WayResult:
+    """Keep the table as one value."""
+    data = serialize_table(make_table(TEAM_COUNTS[-1]))
+    await store.put(TABLE_KEY, data, 0)
+    start = time.perf_counter()
+    load_table((await store.get(TABLE_KEY)).value)
+    spent = (time.perf_counter() - start) * MILLISECONDS
+    return WayResult("one value", 1, len(data), spent, 1, 1)
+
+
+async def measure_rows(
+    emulator: PlatformEmulator, store: HttpPlatformStore
+) -> WayResult:
+    """Keep each row under a key of its own."""
+    table = make_table(TEAM_COUNTS[-1])
+    rows = {**table.services_by_name, **table.teams_by_name, **table.limits_by_row}
+    for name, row in rows.items():
+        await store.put(f"row/{name}", msgspec.json.encode(row), 0)
+    start = time.perf_counter()
+    taken = 0
+    for key in await store.list_keys("row/", len(rows)):
+        taken += len((await store.get(key)).value)
+    spent = (time.perf_counter() - start) * MILLISECONDS
+    return WayResult("a key a row", 1 + len(rows), taken, spent, 10, len(rows))
+
+
+async def measure_log(
+    emulator: PlatformEmulator, store: HttpPlatformStore
+) -> WayResult:
+    """Keep a snapshot and a key for each change since."""
+    data = serialize_table(make_table(TEAM_COUNTS[-1]))
+    await store.put("snapshot", data, 0)
+    for number in range(LOG_CHANGES):
+        edit = make_edit(1, number, f"team-{number % 100:04}/model-0")
+        await store.put(f"log/{number:06}", msgspec.json.encode(edit), 0)
+    start = time.perf_counter()
+    table = load_table((await store.get("snapshot")).value)
+    taken = len(data)
+    cells = get_cells(table)
+    for number in range(LOG_CHANGES):
+        value = (await store.get(f"log/{number:06}")).value
+        for change in msgspec.json.decode(value, type=Edit).cells:
+            cells[change.path] = change.new
+        taken += len(value)
+    spent = (time.perf_counter() - start) * MILLISECONDS
+    way = f"a log of {LOG_CHANGES} changes"
+    return WayResult(way, 1 + LOG_CHANGES, taken, spent, 1, 1)
+
+
+def run_report() -> Report:
+    """Run all measurements."""
+    races = [
+        trio.run(with_platform, functools.partial(race, count), PLATFORM_DELAY_SECONDS)
+        for count in OPERATOR_COUNTS
+    ]
+    ways = [
+        trio.run(with_platform, way)
+        for way in (measure_whole, measure_rows, measure_log)
+    ]
+    return Report(
+        sizes=tuple(measure_size(teams) for teams in TEAM_COUNTS),
+        teams_that_fit=count_teams_that_fit(),
+        races=tuple(races),
+        ways=tuple(ways),
+    )
+
+
+def main(*, json: bool = False) -> None:
+    """Measure and print.
+
+    Parameters
+    ----------
+    json
+        Print a JSON document.
+    """
+    report = run_report()
+    printer = Printer(json)
+    if not printer.print_document(report):
+        printer.print_tree(msgspec.to_builtins(report))
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
--- a/wigeondrift/rendering.py
+++ b/wigeondrift/rendering.py
@@ -106,7 +106,7 @@
         single = {
             name: value
             for name, value in document.items()
-            if not isinstance(value, dict | list) or not value
+            if not isinstance(value, dict | list | tuple) or not value
         }
         if single:
             self.print_rows(("name", "value"), single.items(), title)
