Show and settle claims by wigeondriftctl

orders list, show and settle go by the idempotency key or by its digest, since the store holds the digest only and an operator may not have the key.

Mended in settlement: an author who had settled a claim as not-run and then settled it as ran was told that it was done, as only the author was compared; the claim stayed released. Now the whole settled claim is compared. A settlement whose write got no answer was reported as refused; it is now reported as unknown, exit code 5. Repeats pause 0.1 s instead of spending all tries at once.

Seen to fail: comparing the author only, 'An operator settles a claim of unknown outcome' fails; without the least age, 'A claim whose holder may still send is not settled' fails.

--- a/tests/features/ctl.feature
+++ b/tests/features/ctl.feature
@@ -90,3 +90,35 @@
     When wigeondriftctl checks a settings file with ten faults
     Then wigeondriftctl exits with 1
     And the JSON that wigeondriftctl prints has 10 faults
+
+  Scenario: An operator settles a claim of unknown outcome
+    Given a claim of key "k-1" that was lost 100 seconds ago
+    When wigeondriftctl runs "orders list --json"
+    Then the JSON that wigeondriftctl prints has 1 claim of request "r-1"
+    When wigeondriftctl runs "orders settle desk large k-1 not-run"
+    Then wigeondriftctl exits with 0
+    And wigeondriftctl prints "released"
+    When wigeondriftctl runs "orders settle desk large k-1 not-run"
+    Then wigeondriftctl exits with 0
+    When wigeondriftctl runs "orders settle desk large k-1 ran"
+    Then wigeondriftctl exits with 1
+    And wigeondriftctl complains of "the claim is released"
+    When wigeondriftctl runs "orders show desk large k-1"
+    Then wigeondriftctl prints "tester"
+
+  Scenario: A claim is settled by the digest of its key
+    Given a claim of key "k-1" that was lost 100 seconds ago
+    When wigeondriftctl settles the claim by its digest as ran
+    Then wigeondriftctl exits with 0
+    And wigeondriftctl prints "settled"
+
+  Scenario: A claim whose holder may still send is not settled
+    Given a claim of key "k-1" that was lost 5 seconds ago
+    When wigeondriftctl runs "orders settle desk large k-1 ran"
+    Then wigeondriftctl exits with 1
+    And wigeondriftctl complains of "younger than 60 s"
+
+  Scenario: A settlement without an answer has its own exit code
+    Given a claim of key "k-1" that was lost 100 seconds ago
+    When wigeondriftctl settles the claim while the platform answers reads only
+    Then wigeondriftctl exits with 5
--- a/tests/features/steps/ctl_steps.py
+++ b/tests/features/steps/ctl_steps.py
@@ -1,19 +1,26 @@
 import contextlib
+import hashlib
 import io
 import json
 import os
 import tempfile
+import time
 from pathlib import Path
 from unittest import mock
 
+import trio
 from behave import given, then, when
 
 from tests.processes import Process, free_address, write_settings
 from tests.settings_samples import TEN_FAULTS
+from wigeondrift.claim import Claim, ClaimState, make_claim_name
+from wigeondrift.claims import KeyClaimStore
 from wigeondrift.ctl import run_command
 from wigeondrift.declaration import parse_csv
 from wigeondrift.errors import PlatformUnavailable, SettingsError
+from wigeondrift.http import HttpClient
 from wigeondrift.platform_http import HttpPlatformStore
+from wigeondrift.timer import TrioClock
 
 
 def run_tool(context, *arguments):
@@ -196,3 +203,37 @@
 @then("the JSON that wigeondriftctl prints has {count:d} faults")
 def check_fault_count(context, count):
     assert len(json.loads(context.printed)) == count
+
+
+@given('a claim of key "{key}" that was lost {seconds:d} seconds ago')
+def put_claim(context, key, seconds):
+    claim = Claim("c-1", "r-1", "0" * 64, time.time() - seconds, ClaimState.LOST)
+
+    async def put():
+        client = HttpClient()
+        store = KeyClaimStore(HttpPlatformStore(client, context.address), TrioClock())
+        await store.swap(make_claim_name("desk", "large", key), claim, 0)
+        await client.close()
+
+    trio.run(put)
+
+
+@then('the JSON that wigeondriftctl prints has {count:d} claim of request "{holder}"')
+def check_claims(context, count, holder):
+    holders = [claim["request_id"] for claim in json.loads(context.printed)]
+    assert holders == [holder] * count, holders
+
+
+@when("wigeondriftctl settles the claim by its digest as ran")
+def settle_by_digest(context):
+    digest = hashlib.sha256(b"k-1").hexdigest()
+    run_tool(context, "orders", "settle", "desk", "large", digest, "ran")
+
+
+@when("wigeondriftctl settles the claim while the platform answers reads only")
+def settle_without_answer(context):
+    async def fail(store, *arguments):
+        raise PlatformUnavailable("the platform is down")
+
+    with mock.patch.object(HttpPlatformStore, "put", fail):
+        run_tool(context, *["orders", "settle", "desk", "large", "k-1", "ran"])
--- a/wigeondrift/ctl.py
+++ b/wigeondrift/ctl.py
@@ -1,4 +1,4 @@
-"""Operator's tool: the table, the status of processes and checks of settings."""
+"""Operator's tool: the table, orders, status of processes and checks of settings."""
 
 import dataclasses
 import enum
@@ -17,17 +17,27 @@
 from wigeondrift.editor import PATIENCE_SECONDS, TableEditor
 from wigeondrift.errors import (
     PlatformError,
+    PlatformUnavailable,
     SettingsError,
     TableError,
     TransportError,
     UsageError,
 )
 from wigeondrift.http import HttpClient, parse_address
+from wigeondrift.platform import PlatformStore
 from wigeondrift.platform_http import HttpPlatformStore
-from wigeondrift.porcelain import EditReport, Operator, list_history, make_grid
-from wigeondrift.rendering import Printer
+from wigeondrift.porcelain import (
+    ClaimReport,
+    EditReport,
+    Operator,
+    OrderOperator,
+    list_history,
+    make_grid,
+)
+from wigeondrift.rendering import Printer, format_time
 from wigeondrift.settings import AgentSettings, EntrySettings, load_settings
 from wigeondrift.settings_rules import check_address
+from wigeondrift.settlement import Settlement, SettlementRefused
 from wigeondrift.status import ask_status
 from wigeondrift.systems.editing import (
     Accepted,
@@ -94,17 +104,36 @@
         work: Callable[[Operator], Awaitable[ResultType]],
         dry_run: bool = False,
     ) -> ResultType:
-        """Return what ``work`` does with an operator at the platform."""
+        """Return what ``work`` does with an operator at the table."""
+
+        async def work_at_table(store: PlatformStore) -> ResultType:
+            editor = TableEditor(store, self.patience)
+            return await work(Operator(editor, self.author, dry_run))
+
+        return self.run_at_platform(work_at_table)
+
+    def run_at_orders(
+        self, work: Callable[[OrderOperator], Awaitable[ResultType]]
+    ) -> ResultType:
+        """Return what ``work`` does with an operator at the claims."""
+
+        async def work_at_orders(store: PlatformStore) -> ResultType:
+            return await work(OrderOperator(store, self.author))
+
+        return self.run_at_platform(work_at_orders)
+
+    def run_at_platform(
+        self, work: Callable[[PlatformStore], Awaitable[ResultType]]
+    ) -> ResultType:
+        """Return what ``work`` does with the platform's store."""
         reason = check_address(self.platform)
         if reason:
             raise UsageError(f"--platform or WIGEONDRIFT_PLATFORM: {reason}")
 
         async def work_at_platform() -> ResultType:
             client = HttpClient()
-            store = HttpPlatformStore(client, self.platform)
-            editor = TableEditor(store, self.patience)
             try:
-                return await work(Operator(editor, self.author, dry_run))
+                return await work(HttpPlatformStore(client, self.platform))
             finally:
                 await client.close()
 
@@ -126,8 +155,11 @@
 table_app = cyclopts.App(name="table", help="Show and edit the table.")
 team_app = cyclopts.App(name="team", help="Add and remove teams and their keys.")
 service_app = cyclopts.App(name="service", help="Add, change and remove services.")
+orders_app = cyclopts.App(
+    name="orders", help="Show and settle the claims of non-idempotent calls."
+)
 settings_app = cyclopts.App(name="settings", help="Check settings files.")
-for part in (table_app, team_app, service_app, settings_app):
+for part in (table_app, team_app, service_app, orders_app, settings_app):
     app.command(part)
 app.register_install_completion_command()
 
@@ -361,6 +393,90 @@
     return ExitCode.DONE
 
 
+@orders_app.command(name="show")
+def show_order(
+    service: str, team: str, key: str, /, *, access: Access = NO_ACCESS
+) -> int:
+    """Show the claim of an idempotency key.
+
+    Parameters
+    ----------
+    key
+        The key, or its SHA-256 digest as ``orders list`` shows it.
+    """
+    report = access.run_at_orders(lambda orders: orders.show(service, team, key))
+    show_claims(Printer(access.json), [report])
+    return ExitCode.DONE
+
+
+@orders_app.command(name="list")
+def list_orders(*, limit: int = 1000, access: Access = NO_ACCESS) -> int:
+    """List claims of unknown outcome.
+
+    Parameters
+    ----------
+    limit
+        Most claims that are looked at; each costs the platform a read.
+    """
+    reports = access.run_at_orders(lambda orders: orders.list_unsettled(limit))
+    show_claims(Printer(access.json), reports)
+    return ExitCode.DONE
+
+
+@orders_app.command(name="settle")
+def settle_order(
+    service: str,
+    team: str,
+    key: str,
+    found: Literal["ran", "not-run"],
+    /,
+    *,
+    access: Access = NO_ACCESS,
+) -> int:
+    """Settle a claim of unknown outcome by what the upstream's own books say.
+
+    Parameters
+    ----------
+    key
+        The key, or its SHA-256 digest as ``orders list`` shows it.
+    found
+        Whether the call ran. A call that did not run may be sent again.
+    """
+    printer = Printer(access.json)
+    settlement = Settlement(found)
+    try:
+        report = access.run_at_orders(
+            lambda orders: orders.settle(service, team, key, settlement)
+        )
+    except SettlementRefused as error:
+        printer.print_message(f"not settled: {error}")
+        return ExitCode.DIFFERENT
+    except PlatformUnavailable as error:
+        printer.print_message(f"unknown whether settled, see `orders show`: {error}")
+        return ExitCode.UNKNOWN
+    show_claims(printer, [report])
+    return ExitCode.DONE
+
+
+def show_claims(printer: Printer, reports: list[ClaimReport]) -> None:
+    """Print claims."""
+    if printer.print_document(reports):
+        return
+    columns = ("claim", "state", "outcome", "request", "at (UTC)", "settled by")
+    rows = [
+        (
+            one.name,
+            one.state,
+            one.outcome,
+            one.request_id,
+            format_time(one.at),
+            one.settled_by,
+        )
+        for one in reports
+    ]
+    printer.print_rows(columns, rows)
+
+
 @settings_app.command
 def check(
     path: Path,
--- a/wigeondrift/settlement.py
+++ b/wigeondrift/settlement.py
@@ -3,8 +3,15 @@
 import enum
 
 import msgspec
-
-from wigeondrift.claim import Claim, ClaimState, make_claim_name
+import trio
+
+from wigeondrift.claim import (
+    CLAIM_PREFIX,
+    Claim,
+    ClaimState,
+    make_claim_name,
+    parse_claim,
+)
 from wigeondrift.claims import ClaimStore, StoredClaim
 from wigeondrift.errors import (
     Outcome,
@@ -13,9 +20,11 @@
     RevisionConflict,
     WigeondriftError,
 )
+from wigeondrift.platform import PlatformStore
 from wigeondrift.systems.ordering import SETTLE_AFTER_SECONDS
 
 TRIES = 5
+PAUSE_SECONDS = 0.1
 
 
 class Settlement(enum.StrEnum):
@@ -25,6 +34,20 @@
     NOT_RUN = "not-run"
 
 
+class NamedClaim(msgspec.Struct, frozen=True):
+    """A claim with the name under which it is kept.
+
+    Attributes
+    ----------
+    name : str
+        Ends with service, team and the SHA-256 digest of the idempotency key.
+    claim : Claim
+    """
+
+    name: str
+    claim: Claim
+
+
 class SettlementRefused(WigeondriftError):
     """The claim cannot be settled; the message says why."""
 
@@ -67,10 +90,29 @@
         holder may still send.
     """
     name = make_claim_name(service, team, key)
+    return await settle_named_claim(store, name, settlement, author, wall_now)
+
+
+async def settle_named_claim(
+    store: ClaimStore,
+    name: str,
+    settlement: Settlement,
+    author: str,
+    wall_now: float,
+) -> Claim:
+    """Settle the claim of a name, see ``settle_claim``.
+
+    Raises
+    ------
+    SettlementRefused
+        As of ``settle_claim``.
+    PlatformUnavailable
+        If the platform gave no answer; the claim may have been settled.
+    """
     for _ in range(TRIES):
         found = await store.read(name)
         claim = found.claim
-        if claim is not None and claim.settled_by == author:
+        if _is_settled(claim, settlement, author):
             return claim
         _check(claim, wall_now)
         settled = _settle(claim, settlement, author)
@@ -78,19 +120,56 @@
             await store.swap(name, settled, found.revision)
             return settled
         except (RevisionConflict, PlatformUnavailable, PlatformThrottled):
-            continue
-    raise SettlementRefused("the platform took no write; look at the claim again")
+            await trio.sleep(PAUSE_SECONDS)
+    raise PlatformUnavailable("the platform gave no answer to the settlement")
+
+
+async def list_unsettled(
+    platform: PlatformStore, wall_now: float, limit: int
+) -> list[NamedClaim]:
+    """Return claims whose outcome is not known and which may be settled.
+
+    Costs one call for each claim that is kept, up to ``limit``.
+
+    Parameters
+    ----------
+    platform : PlatformStore
+    wall_now : float
+        Time in seconds since the epoch.
+    limit : int
+        Most claims that are looked at.
+    """
+    unsettled = []
+    for name in await platform.list_keys(CLAIM_PREFIX, limit):
+        found = await platform.get(name)
+        claim = parse_claim(found.value) if found.revision else None
+        if claim is not None and _find_obstacle(claim, wall_now) is None:
+            unsettled.append(NamedClaim(name, claim))
+    return unsettled
+
+
+def _is_settled(claim: Claim | None, settlement: Settlement, author: str) -> bool:
+    """Return whether an earlier write of the same settlement has taken effect."""
+    if claim is None or claim.settled_by != author:
+        return False
+    return claim == _settle(claim, settlement, author)
 
 
 def _check(claim: Claim | None, wall_now: float) -> None:
     if claim is None:
         raise SettlementRefused("there is no claim with this key")
+    obstacle = _find_obstacle(claim, wall_now)
+    if obstacle is not None:
+        raise SettlementRefused(obstacle)
+
+
+def _find_obstacle(claim: Claim, wall_now: float) -> str | None:
+    """Return what keeps a claim from being settled, if anything."""
     if claim.state not in (ClaimState.HELD, ClaimState.LOST):
-        raise SettlementRefused(f"the claim is {claim.state}")
+        return f"the claim is {claim.state}"
     if wall_now - claim.at < SETTLE_AFTER_SECONDS:
-        raise SettlementRefused(
-            f"the claim is younger than {SETTLE_AFTER_SECONDS:.0f} s"
-        )
+        return f"the claim is younger than {SETTLE_AFTER_SECONDS:.0f} s"
+    return None
 
 
 def _settle(claim: Claim, settlement: Settlement, author: str) -> Claim:
