--- a/wigeondrift/tables.py
+++ b/wigeondrift/tables.py
@@ -14,13 +14,16 @@
         As its owner sent it.
     ends_at : float
         Time from which it is no longer valid, in seconds of the process's clock.
+    sequence : int
+        Sequence of the report that it answers.
     """
 
-    __slots__ = ("ends_at", "granted")
+    __slots__ = ("ends_at", "granted", "sequence")
 
-    def __init__(self, granted: Slice, ends_at: float) -> None:
+    def __init__(self, granted: Slice, ends_at: float, sequence: int = 0) -> None:
         self.granted = granted
         self.ends_at = ends_at
+        self.sequence = sequence
 
 
 class Tables:
@@ -44,10 +47,13 @@
         Fingerprints that are refused.
     entries : int
         Entries of this system that are reachable and not stopping; at least one.
+    floor_parts : int
+        Parts into which a limit is divided when no slice of it is held.
     """
 
     __slots__ = (
         "entries",
+        "floor_parts",
         "instances_by_id",
         "instances_revision",
         "loads_by_id",
@@ -66,6 +72,7 @@
         self.slices_by_row: dict[str, HeldSlice] = {}
         self.quarantined: set[str] = set()
         self.entries = 1
+        self.floor_parts = 1
 
     def list_upstreams(self, service: str, role: Role) -> list[Instance]:
         """Return the live upstreams of a service."""
