Fuzz streams, whole model requests and quarantine

Schedules of two faults at once run the real Generator over emulated runners in virtual time, with trio's choice among tasks seeded.

Faults found by the quarantine's fuzzer, each seen with 'assert deaths' first: a suspect whose guilt was settled ran once more before the next tick; a run that had not been taken by its first stage was blamed for a death there; two instances tried two suspects on one runner again and again. Suspects now keep to runners dealt out by instance, and those that share two deaths are tried in turn.

--- a/tests/engines.py
+++ b/tests/engines.py
@@ -31,10 +31,10 @@
     )
 
 
-def make_instance(settings):
+def make_instance(settings, incarnation=1):
     return Instance(
         settings.instance_id,
-        1,
+        incarnation,
         Role.RUNNER,
         settings.address,
         settings.failure_domain,
--- /dev/null
+++ b/tests/features/quarantine.feature
@@ -0,0 +1,25 @@
+Feature: Requests that upstreams die of
+
+  Scenario: News of deaths merge in any order and twice
+    Then 300 random orders of the same suspect news give the same state
+
+  Scenario: Two suspects sent to one runner at once share its death
+    Given suspects "a" and "b" that share deaths on "u1" and "u2"
+    Then neither suspect is refused
+    When "b" dies on "u3" alone
+    Then only "b" is refused
+
+  Scenario: A success clears a suspect
+    Given suspects "a" and "b" with deaths on "u1"
+    When "a" runs whole
+    Then "b" is a suspect and "a" is none
+
+  Scenario: A quarantine ends after its time and does not come back by gossip
+    Given suspects "a" and "b" with deaths on "u1"
+    When "b" dies on "u3" alone
+    Then only "b" is refused
+    When 601 seconds pass and the old news arrive again
+    Then neither suspect is refused
+
+  Scenario: A request that kills runners is refused after two, innocents finish
+    Then 40 fuzzed schedules with fatal requests lose two runners a request at most
--- /dev/null
+++ b/tests/features/steps/fuzz_generation.py
@@ -0,0 +1,13 @@
+from behave import then
+
+from tests.machines import generation, streams
+
+
+@then("{examples:d} fuzzed token streams hand on a sound text")
+def fuzz_streams(context, examples):
+    streams.run(examples)
+
+
+@then("{examples:d} fuzzed schedules of model requests keep their promises")
+def fuzz_generations(context, examples):
+    generation.run(examples)
--- /dev/null
+++ b/tests/features/steps/quarantine.py
@@ -0,0 +1,104 @@
+import random
+
+from behave import given, then, when
+
+from tests.machines import quarantine
+from wigeondrift.messages import SuspectNews
+from wigeondrift.systems.quarantine import Quarantine
+from wigeondrift.tables import Tables
+
+NAMES = ("a", "b")
+
+
+@given('suspects "{first}" and "{second}" with deaths on "{upstream}"')
+def make_suspects(context, first, second, upstream):
+    context.quarantine = Quarantine(Tables())
+    context.now = 0.0
+    deaths = ((first, (f"{upstream}/1",)), (second, (f"{upstream}/1",)))
+    context.news = [SuspectNews(deaths, (), ())]
+    context.quarantine.merge(context.news[0], context.now)
+
+
+@given('suspects "{first}" and "{second}" that share deaths on "{one}" and "{two}"')
+def make_shared_suspects(context, first, second, one, two):
+    make_suspects(context, first, second, one)
+    deaths = ((first, (f"{two}/1",)), (second, (f"{two}/1",)))
+    context.quarantine.merge(SuspectNews(deaths, (), ()), context.now)
+
+
+def list_refused(context):
+    context.now += 1.0
+    context.quarantine.tick(context.now)
+    return [name for name in NAMES if context.quarantine.is_refused(name)]
+
+
+@when('"{name}" dies on "{upstream}" alone')
+def die_alone(context, name, upstream):
+    news = SuspectNews(((name, (f"{upstream}/1",)),), (), ())
+    context.news.append(news)
+    context.quarantine.merge(news, context.now)
+
+
+@when('"{name}" runs whole')
+def run_whole(context, name):
+    context.quarantine.note_success(name, context.now)
+
+
+@when("{seconds:d} seconds pass and the old news arrive again")
+def pass_time(context, seconds):
+    context.now += seconds
+    context.quarantine.tick(context.now)
+    for news in context.news:
+        context.quarantine.merge(news, context.now)
+
+
+@then("neither suspect is refused")
+def check_none(context):
+    assert list_refused(context) == []
+
+
+@then('only "{name}" is refused')
+def check_only(context, name):
+    assert list_refused(context) == [name]
+
+
+@then('"{suspect}" is a suspect and "{cleared}" is none')
+def check_cleared(context, suspect, cleared):
+    assert context.quarantine.is_suspect(suspect)
+    assert not context.quarantine.is_suspect(cleared)
+
+
+def make_news(rng):
+    name, upstream = rng.choice(NAMES), f"u{rng.randint(1, 3)}/1"
+    return rng.choice(
+        [
+            SuspectNews(((name, (upstream,)),), (), ()),
+            SuspectNews((), (f"{name}@{upstream}",), ()),
+            SuspectNews((), (), (name,)),
+        ]
+    )
+
+
+@then("{count:d} random orders of the same suspect news give the same state")
+def check_orders(context, count):
+    rng = random.Random(3)
+    for _ in range(count):
+        news = [make_news(rng) for _ in range(6)]
+        states = []
+        for _ in range(2):
+            rng.shuffle(news)
+            one = Quarantine(Tables())
+            for item in news + rng.sample(news, 3):
+                one.merge(item, 1.0)
+            states.append(
+                [(one.is_refused(name), one.is_suspect(name)) for name in NAMES]
+            )
+        assert states[0] == states[1], news
+
+
+@then(
+    "{examples:d} fuzzed schedules with fatal requests lose two runners a request"
+    " at most"
+)
+def fuzz_quarantine(context, examples):
+    quarantine.run(examples)
--- a/tests/generations.py
+++ b/tests/generations.py
@@ -24,6 +24,13 @@
 NEWS_SECONDS = 0.3
 
 
+def schedule_in_order(rng):
+    """Make trio's choice among runnable tasks repeatable, as hypothesis does."""
+    scheduler = trio._core._run
+    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
+    scheduler._r.seed(rng.random())
+
+
 class Caller:
     """One request and what its caller saw."""
 
@@ -52,6 +59,7 @@
         self.tables = []
         self.generators = []
         self.callers = []
+        self.all_runners = []
         self.nursery = None
         self._numbers = iter(range(1, 1_000_000))
         for number in range(entries):
@@ -80,8 +88,10 @@
 
     def add_runner(self, name, first, end, **fields):
         settings = make_runner_settings(name, first, end, f"{name}:1", **fields)
-        self.engine.runners_by_address[settings.address] = self.cluster.add(settings)
-        return self.cluster.runners_by_id[name]
+        runner = self.cluster.add(settings)
+        self.engine.runners_by_address[settings.address] = runner
+        self.all_runners.append(runner)
+        return runner
 
     def add_grid(self, columns, cuts=(0, 4, 8, LAYERS), **fields):
         """Add ``columns`` runners for each range between two cuts."""
@@ -93,7 +103,9 @@
         """Give all processes the list and the table."""
         row = ServiceRow(ServiceKind.MODEL, layers=LAYERS, version=self.version)
         runners = self.cluster.runners_by_id.values()
-        instances = [make_instance(runner.settings) for runner in runners]
+        instances = [
+            make_instance(runner.settings, runner.incarnation) for runner in runners
+        ]
         for name, _ in self.tables:
             instances.append(Instance(name, 1, Role.AGENT, f"{name}:1", "rajkot"))
         for _, tables in self.tables:
@@ -152,6 +164,7 @@
                 await main()
                 nursery.cancel_scope.cancel()
 
+        schedule_in_order(self.rng)
         trio.run(run_all, clock=MockClock(autojump_threshold=0))
 
     async def wait(self, seconds=120.0):
--- /dev/null
+++ b/tests/machines/quarantine.py
@@ -0,0 +1,133 @@
+"""Fuzzes requests that crash whatever runs them, among innocent ones."""
+
+import trio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from tests.generations import Bed
+from wigeondrift.errors import ErrorKind
+
+COLUMNS = 6
+ENTRIES = 3
+MARKER = "fatal"
+RESENDS = 6
+MOST_RUNNERS_LOST = 2
+MOST_LOST_OF_TWO = 6
+MOST_FATAL = 2
+LIST_LAG_SECONDS = 1.0
+REVIVE_SECONDS = 3.0
+PATIENCE_SECONDS = 200.0
+
+entries = st.integers(0, ENTRIES - 1)
+
+
+class QuarantineMachine(RuleBasedStateMachine):
+    """Collects a schedule, then runs it in virtual time and counts the deaths."""
+
+    def __init__(self):
+        super().__init__()
+        self.bed = Bed(seed=5, entries=ENTRIES)
+        self.bed.add_grid(COLUMNS)
+        self.schedule = []
+        self.innocent = []
+        self.fatal = []
+        self.deaths = 0
+        self.calls = 0
+        self.fatal_calls = 0
+
+    @initialize(crash_after=st.sampled_from([0, 1, 5, 30]), restarts=st.booleans())
+    def arm(self, crash_after, restarts):
+        self.restarts = restarts
+        for runner in self.bed.cluster.runners_by_id.values():
+            if runner.settings.first_layer == 4:
+                runner.crash_marker = MARKER
+                runner.crash_after_tokens = crash_after
+
+    @rule(entry=entries, count=st.sampled_from([5, 60, 150]))
+    def call_innocent(self, entry, count):
+        self.calls += 1
+        prompt = f"cuckoo {self.calls}"
+        self.schedule.append(
+            lambda: self.innocent.append(self.bed.call(prompt, count, entry))
+        )
+
+    @precondition(lambda self: self.fatal_calls < MOST_FATAL)
+    @rule(first=entries)
+    def call_fatal(self, first):
+        self.fatal_calls += 1
+        self.calls += 1
+        prompt = f"{MARKER} {self.calls}"
+        self.schedule.append(
+            lambda: self.bed.nursery.start_soon(self.resend, prompt, first)
+        )
+
+    @rule(seconds=st.sampled_from([0.01, 0.1, 1.0]))
+    def wait(self, seconds):
+        self.schedule.append(seconds)
+
+    async def resend(self, prompt, entry):
+        """Send the request again at once, to the next entry, as callers do."""
+        for number in range(RESENDS):
+            caller = self.bed.call(prompt, 60, (entry + number) % ENTRIES)
+            self.fatal.append(caller)
+            await caller.done.wait()
+
+    async def watch_deaths(self, runner):
+        while True:
+            await runner.died.wait()
+            self.deaths += 1
+            if not self.restarts:
+                return
+            await trio.sleep(REVIVE_SECONDS)
+            runner.revive()
+            await trio.sleep(LIST_LAG_SECONDS)
+            self.bed.publish_tables()
+
+    async def run_schedule(self):
+        for runner in self.bed.cluster.runners_by_id.values():
+            self.bed.nursery.start_soon(self.watch_deaths, runner)
+        for step in self.schedule:
+            if isinstance(step, float):
+                await trio.sleep(step)
+            else:
+                step()
+                await trio.sleep(0)
+        await self.bed.wait(PATIENCE_SECONDS)
+        await trio.sleep(1.0)
+        await self.bed.wait(PATIENCE_SECONDS)
+
+    def teardown(self):
+        if not self.schedule:
+            return
+        self.bed.run(self.run_schedule)
+        prompts = {caller.prompt for caller in self.fatal}
+        most = MOST_RUNNERS_LOST if len(prompts) < 2 else MOST_LOST_OF_TWO
+        assert self.deaths <= most, self.deaths
+        for caller in self.fatal:
+            assert not caller.finish_reason
+        for prompt in prompts:
+            kinds = [one.error.kind for one in self.fatal if one.prompt == prompt]
+            assert kinds[-1] is ErrorKind.QUARANTINED, kinds
+        for caller in self.innocent:
+            assert caller.error is None, (caller.prompt, caller.error.kind)
+            assert caller.tokens == caller.list_expected("v1")
+
+
+def run(examples):
+    run_state_machine_as_test(
+        QuarantineMachine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=7,
+            derandomize=True,
+            database=None,
+            deadline=None,
+        ),
+    )
--- a/wigeondrift/systems/quarantine.py
+++ b/wigeondrift/systems/quarantine.py
@@ -8,6 +8,7 @@
 SUSPECT_SECONDS = 300.0
 QUARANTINE_SECONDS = 600.0
 SETTLE_SECONDS = 0.5
+TURN_SECONDS = 1.0
 PROBATION_TOKENS = 8
 LONGEST_PROBATION_TOKENS = 64
 DEATHS_TO_QUARANTINE = 2
@@ -31,16 +32,25 @@
         Upstreams and how often each had died, as seen here, when the run began.
     tokens : int
         Tokens that the run has given.
+    has_started : bool
+        Whether the first upstream has taken the request.
     is_exclusive : bool
         Whether no other suspect may share its upstreams.
     """
 
-    __slots__ = ("epochs_by_id", "fingerprint", "is_exclusive", "tokens")
+    __slots__ = (
+        "epochs_by_id",
+        "fingerprint",
+        "has_started",
+        "is_exclusive",
+        "tokens",
+    )
 
     def __init__(self, fingerprint: str, epochs_by_id: dict[str, int]) -> None:
         self.fingerprint = fingerprint
         self.epochs_by_id = epochs_by_id
         self.tokens = 0
+        self.has_started = False
         self.is_exclusive = False
 
 
@@ -126,7 +136,7 @@
         self._cleared = Facts(SUSPECT_SECONDS)
         self._refused = Facts(QUARANTINE_SECONDS)
         self._upstreams_by_fingerprint: dict[str, set[str]] = {}
-        self._runs_by_upstream: dict[str, set[Run]] = {}
+        self._runs_by_upstream: dict[str, dict[Run, None]] = {}
         self._epochs_by_id: dict[str, int] = {}
         self._probation_by_fingerprint: dict[str, int] = {}
 
@@ -142,15 +152,17 @@
         """Whether a suspect has to wait.
 
         It waits while another run of the same fingerprint is on trial, and after a
-        second death until the news of other instances about that death are in.
+        second death until the news of other instances about that death are in. Of
+        several that share deaths, one at a time is tried.
         """
         upstreams = self._upstreams_by_fingerprint.get(fingerprint)
         if upstreams is None:
             return False
-        if len(upstreams) >= DEATHS_TO_QUARANTINE and not all(
-            self._has_settled(fingerprint, upstream, now) for upstream in upstreams
-        ):
-            return True
+        if len(upstreams) >= DEATHS_TO_QUARANTINE:
+            wait = SETTLE_SECONDS + TURN_SECONDS * self._count_before(fingerprint)
+            ages = [self._deaths.get_age(fingerprint, u, now) for u in upstreams]
+            if min(ages) < wait or self._is_guilty(fingerprint, now):
+                return True
         return any(
             run.is_exclusive and run.fingerprint == fingerprint
             for runs in self._runs_by_upstream.values()
@@ -172,13 +184,25 @@
             shunned.add(upstream.rpartition("/")[0])
         return shunned
 
+    def list_dead(self) -> set[str]:
+        """Return the upstreams whose newest known incarnation died of a suspect."""
+        instances_by_id = self._tables.instances_by_id
+        dead = set()
+        for upstreams in self._upstreams_by_fingerprint.values():
+            for upstream in upstreams:
+                name, _, incarnation = upstream.rpartition("/")
+                known = instances_by_id.get(name)
+                if known is not None and str(known.incarnation) == incarnation:
+                    dead.add(name)
+        return dead
+
     def begin(self, fingerprint: str, instance_ids: tuple[str, ...]) -> Run:
         """Note that a request runs on upstreams from now on."""
         epochs = {name: self._epochs_by_id.get(name, 0) for name in instance_ids}
         run = Run(fingerprint, epochs)
         run.is_exclusive = self.is_suspect(fingerprint)
         for name in instance_ids:
-            self._runs_by_upstream.setdefault(name, set()).add(run)
+            self._runs_by_upstream.setdefault(name, {})[run] = None
         return run
 
     def end(self, run: Run) -> None:
@@ -186,7 +210,7 @@
         for name in run.epochs_by_id:
             runs = self._runs_by_upstream.get(name)
             if runs is not None:
-                runs.discard(run)
+                runs.pop(run, None)
                 if not runs:
                     del self._runs_by_upstream[name]
 
@@ -220,6 +244,7 @@
             other
             for other in self._runs_by_upstream.get(instance_id, ())
             if other.epochs_by_id[instance_id] == epoch
+            and (other.has_started or other is run)
         ]
         fresh = set()
         for other in blamed:
@@ -303,6 +328,18 @@
                 shared |= others
         return bool(upstreams - shared)
 
+    def _count_before(self, fingerprint: str) -> int:
+        """Return how many of those that share its deaths are tried before it."""
+        upstreams = self._upstreams_by_fingerprint[fingerprint]
+        place = (len(upstreams), fingerprint)
+        return sum(
+            (len(others), other) < place
+            for other, others in self._upstreams_by_fingerprint.items()
+            if len(others) >= DEATHS_TO_QUARANTINE
+            and upstreams & others
+            and not self.is_refused(other)
+        )
+
     def _extend_probation(self, run: Run) -> None:
         wanted = min(run.tokens + PROBATION_TOKENS, LONGEST_PROBATION_TOKENS)
         known = self._probation_by_fingerprint.get(run.fingerprint, 0)
--- a/wigeondrift/systems/recovery.py
+++ b/wigeondrift/systems/recovery.py
@@ -13,6 +13,7 @@
 
 ROUTE_WAIT_SECONDS = 5.0
 TRIAL_WAIT_SECONDS = 20.0
+RESERVED_WAIT_SECONDS = 1.0
 EXCLUSION_SECONDS = 0.5
 REFUSALS = 20
 
@@ -151,8 +152,9 @@
         self._refusals = 0
         self._waits_since: float | None = None
 
-    def note_running(self) -> None:
+    def note_running(self, run: Run) -> None:
         """Note that the engine has taken the current attempt."""
+        run.has_started = True
         self._may_have_run = True
         self._waits_since = None
 
@@ -211,25 +213,44 @@
 
     def _find_route(self, is_suspect: bool, now: float) -> Route | None:
         """Try the strictest conditions first."""
-        shunned = self._quarantine.list_shunned(self._job.fingerprint)
-        choices = [self._excluded | self._doubted | shunned]
         if is_suspect:
-            reserved = self._routing.list_reserved(self._job.service)
-            choices.insert(0, choices[0] | reserved)
-            choices.append(self._excluded | shunned)
-        else:
-            choices.append(self._excluded | self._doubted)
-            choices.append(self._excluded)
+            return self._find_trial_route(now)
+        shunned = self._quarantine.list_shunned(self._job.fingerprint)
+        doubted = self._excluded | self._doubted
+        return (
+            self._plan(doubted | shunned, now)
+            or self._plan(doubted, now)
+            or self._plan(self._excluded, now)
+        )
+
+    def _find_trial_route(self, now: float) -> Route | None:
+        """Return a route whose runners no other suspect shares.
+
+        Runners that are left to other instances are taken only after a while, or
+        when there are none for this one.
+        """
+        quarantine = self._quarantine
+        shunned = quarantine.list_shunned(self._job.fingerprint)
+        strict = self._excluded | self._doubted | shunned | quarantine.list_dead()
+        reserved = self._routing.list_reserved(self._job.service)
+        route = self._plan(strict | reserved, now)
+        if route is not None:
+            return route
+        waits_since = now if self._waits_since is None else self._waits_since
+        waited = now - waits_since
+        if waited < RESERVED_WAIT_SECONDS and self._plan(reserved, now):
+            return None
+        return self._plan(strict, now) or self._plan(self._excluded | shunned, now)
+
+    def _plan(self, excluded: set[str], now: float) -> Route | None:
         version = self._stream.version if self._stream.tokens else ""
         job = self._job
-        for excluded in choices:
-            try:
-                return self._routing.plan(
-                    job.service, job.team, excluded, self._prompt_hash, now, version
-                )
-            except RequestError:
-                continue
-        return None
+        try:
+            return self._routing.plan(
+                job.service, job.team, excluded, self._prompt_hash, now, version
+            )
+        except RequestError:
+            return None
 
     def _wait(self, is_suspect: bool, now: float) -> None:
         """Allow a wait for a route, within a bound."""
--- a/wigeondrift_emulator/runner.py
+++ b/wigeondrift_emulator/runner.py
@@ -101,7 +101,7 @@
         self.skip_tokens = 0
         self.fencing = 0
         self.version_seed = make_version_seed(settings.version)
-        self.sessions: set[Session] = set()
+        self.sessions: dict[Session, None] = {}
         self.tokens_by_request: OrderedDict[str, int] = OrderedDict()
         self._blocks: OrderedDict[int, None] = OrderedDict()
         self._samples: deque[tuple[float, int, int]] = deque(maxlen=LOAD_SAMPLES)
--- a/wigeondrift_emulator/session.py
+++ b/wigeondrift_emulator/session.py
@@ -69,7 +69,7 @@
         self._lost: Runner | None = None
         self._scope: trio.CancelScope | None = None
         for runner in self._local:
-            runner.sessions.add(self)
+            runner.sessions[self] = None
             runner.note_run(order.request_id, 0)
 
     def is_attempt(self, request_id: str, attempt: int) -> bool:
@@ -97,7 +97,7 @@
             runner.note_load()
         self._tickets.clear()
         for runner in self._local:
-            runner.sessions.discard(self)
+            runner.sessions.pop(self, None)
 
     async def next_batch(self) -> list[EngineEvent] | None:
         """Return the next events; empty for a sign of life, None after the end."""
@@ -240,10 +240,9 @@
     def _note_token(self, runner: "Runner") -> None:
         runner.note_run(self.order.request_id, 1)
         marker = runner.crash_marker
-        if marker and marker in self.order.prompt:
-            done = self._index + 1 - len(self.order.tokens)
-            if done >= runner.crash_after_tokens:
-                runner.die()
+        is_late = self._index + 1 >= runner.crash_after_tokens
+        if marker and is_late and marker in self.order.prompt:
+            runner.die()
 
     def _pick_stages(self) -> list[tuple[Stage, "Runner | None"]]:
         stages = list(zip(self.order.stages, self._stages, strict=True))
