--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -1,6 +1,7 @@
 """Exception tree, closed list of error kinds and the answer to each kind."""
 
 import enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 
@@ -144,15 +145,35 @@
         Path of the value in the document, such as ``$.limits.body_bytes``.
     reason : str
         What is wrong with the value.
+    faults : sequence of Fault, optional
+        All that is wrong with the file, this value's first.
     """
 
-    def __init__(self, path: str, location: str, reason: str) -> None:
-        super().__init__(f"{path}: {location}: {reason}")
+    def __init__(
+        self, path: str, location: str, reason: str, faults: Sequence[object] = ()
+    ) -> None:
+        lines = [str(fault) for fault in faults] or [f"{location}: {reason}"]
+        super().__init__("; ".join(f"{path}: {line}" for line in lines))
+        self.faults = tuple(faults)
         self.path = path
         self.location = location
         self.reason = reason
 
 
+class TableError(WigeondriftError):
+    """A table that does not pass its checks.
+
+    Parameters
+    ----------
+    problems : sequence of Problem
+        All that was found, see ``wigeondrift.table_check``.
+    """
+
+    def __init__(self, problems: Sequence[object]) -> None:
+        super().__init__("; ".join(str(problem) for problem in problems))
+        self.problems = tuple(problems)
+
+
 class PlatformError(WigeondriftError):
     """Base of the errors of the platform's key-value service."""
 
