--- a/wigeondrift/agent.py
+++ b/wigeondrift/agent.py
@@ -6,12 +6,14 @@
 from pathlib import Path
 
 import cyclopts
+import msgspec
 import trio
 
 from wigeondrift.application import Component
 from wigeondrift.errors import SettingsError
 from wigeondrift.events import Event, configure_logging, log_event
 from wigeondrift.loads import POLL_SECONDS, LoadPoller, choose_polled
+from wigeondrift.messages import Status, StatusRequest
 from wigeondrift.platform import PlatformStore
 from wigeondrift.post import PostOffice
 from wigeondrift.settings import AgentSettings, load_settings
@@ -114,8 +116,22 @@
     async def _receive(self) -> None:
         while True:
             message = await self._post.receive()
+            if isinstance(message, StatusRequest):
+                self._answer_status(message)
+                continue
             self._do(self._control.receive(message, self._clock.now()))
 
+    def _answer_status(self, request: StatusRequest) -> None:
+        document = {
+            **self._control.build_status(),
+            "platform_calls": self._watcher.calls,
+            "sent_bytes": self._post.sent_bytes,
+            "received_messages": self._post.received,
+            "dropped_messages": self._post.dropped,
+        }
+        status = Status(self._control.instance_id, msgspec.json.encode(document))
+        self._post.send(request.address, status)
+
     async def _tick(self, now: float) -> None:
         self._do(self._control.tick(now))
 
--- a/wigeondrift/messages.py
+++ b/wigeondrift/messages.py
@@ -9,7 +9,7 @@
 from wigeondrift.entities import Instance, LoadReport
 
 
-class Hello(msgspec.Struct, frozen=True, tag="hello"):
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
     """An entry names itself to its agent, at start and periodically.
 
     Attributes
@@ -39,7 +39,7 @@
     marks: int = 0
 
 
-class TableNews(msgspec.Struct, frozen=True, tag="table"):
+class TableNews(msgspec.Struct, frozen=True, array_like=True, tag="table"):
     """The whole table at one version.
 
     Attributes
@@ -54,20 +54,20 @@
     table: bytes
 
 
-class InstancesNews(msgspec.Struct, frozen=True, tag="instances"):
+class InstancesNews(msgspec.Struct, frozen=True, array_like=True, tag="instances"):
     """The platform's list, already merged with leave marks from elsewhere."""
 
     revision: int
     instances: tuple[Instance, ...]
 
 
-class LoadNews(msgspec.Struct, frozen=True, tag="loads"):
+class LoadNews(msgspec.Struct, frozen=True, array_like=True, tag="loads"):
     """Newest load reports of upstreams."""
 
     reports: tuple[LoadReport, ...]
 
 
-class LeaveNews(msgspec.Struct, frozen=True, tag="leave"):
+class LeaveNews(msgspec.Struct, frozen=True, array_like=True, tag="leave"):
     """Instances known to be leaving, by name and incarnation."""
 
     leaving: tuple[tuple[str, int], ...]
@@ -95,7 +95,7 @@
     held: int = 0
 
 
-class DemandNews(msgspec.Struct, frozen=True, tag="demand"):
+class DemandNews(msgspec.Struct, frozen=True, array_like=True, tag="demand"):
     """Demand that an entry (or an agent for its entries) has seen.
 
     Attributes
@@ -151,7 +151,7 @@
     seconds: float
 
 
-class SliceNews(msgspec.Struct, frozen=True, tag="slices"):
+class SliceNews(msgspec.Struct, frozen=True, array_like=True, tag="slices"):
     """Slices granted to the receiver by the soft owner of the rows.
 
     Attributes
@@ -177,13 +177,13 @@
     holder: str = ""
 
 
-class RowsNews(msgspec.Struct, frozen=True, tag="rows"):
+class RowsNews(msgspec.Struct, frozen=True, array_like=True, tag="rows"):
     """Rows that are in use elsewhere and that the receiver is to report on."""
 
     rows: tuple[str, ...]
 
 
-class SuspectNews(msgspec.Struct, frozen=True, tag="suspects"):
+class SuspectNews(msgspec.Struct, frozen=True, array_like=True, tag="suspects"):
     """Deaths of upstreams by fingerprint of the requests they were running.
 
     Attributes
@@ -218,7 +218,7 @@
     entries: int
 
 
-class Digest(msgspec.Struct, frozen=True, tag="digest"):
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
     """Periodic greeting of an agent to a peer, with what it has.
 
     Attributes
@@ -258,7 +258,7 @@
     reply: bool = False
 
 
-class Want(msgspec.Struct, frozen=True, tag="want"):
+class Want(msgspec.Struct, frozen=True, array_like=True, tag="want"):
     """A process asks another for news it is behind on.
 
     Attributes
@@ -274,13 +274,13 @@
     instances_revision: int
 
 
-class StatusRequest(msgspec.Struct, frozen=True, tag="status_request"):
+class StatusRequest(msgspec.Struct, frozen=True, array_like=True, tag="status_request"):
     """An operator's tool asks an agent or entry for its status."""
 
     address: str
 
 
-class Status(msgspec.Struct, frozen=True, tag="status"):
+class Status(msgspec.Struct, frozen=True, array_like=True, tag="status"):
     """Status of one process, as a JSON document for operators."""
 
     source: str
--- a/wigeondrift/systems/control.py
+++ b/wigeondrift/systems/control.py
@@ -19,8 +19,6 @@
     Message,
     RowsNews,
     SliceNews,
-    Status,
-    StatusRequest,
     SuspectNews,
     TableNews,
     Want,
@@ -87,8 +85,10 @@
 
     __slots__ = (
         "_entry_seen_at",
+        "_expected_ids",
         "_failure_domain",
         "_handlers_by_type",
+        "_listed_ids",
         "_owners",
         "_owners_by_row",
         "_sequence",
@@ -120,6 +120,8 @@
         self.entries_by_id: dict[str, EntryRecord] = {}
         self.platform_reached: bool | None = None
         self.leaving = False
+        self._expected_ids: frozenset[str] = frozenset()
+        self._listed_ids: frozenset[str] = frozenset()
         self._sequence = 0
         self._entry_seen_at = 0.0
         self._owners: tuple[str, ...] = ()
@@ -136,7 +138,6 @@
             DemandNews: self._take_demand,
             SliceNews: self._take_slices,
             RowsNews: self._take_rows,
-            StatusRequest: self._take_status_request,
         }
 
     @property
@@ -170,9 +171,8 @@
         self.marks.expire(now)
         self.deaths.expire(now)
         self._drop_entries(now)
-        listed_ids = frozenset(i.instance_id for i in self.replica.instances)
         self.membership.heartbeat += 1
-        for peer in self.membership.check(listed_ids, now, actions):
+        for peer in self.membership.check(self._listed_ids, now, actions):
             actions.send(peer.address, self._build_digest(self.membership.heartbeat))
         self._send_digests(now, actions)
         self._greet_entries(actions)
@@ -189,7 +189,7 @@
                 actions.send(peer.address, self._build_question())
 
     def receive(self, message: Message, now: float) -> Actions:
-        """Take one message of a peer, an entry or an operator's tool."""
+        """Take one message of a peer or an entry."""
         actions = Actions()
         handler = self._handlers_by_type.get(type(message))
         if handler is not None:
@@ -254,6 +254,7 @@
                 for record in self.entries_by_id.values()
             ],
             "quarantined": self._list_quarantined(),
+            "shares": self.shares.list_holders_by_row(),
         }
 
     def _list_quarantined(self) -> list[str]:
@@ -301,6 +302,10 @@
     ) -> None:
         if not self.replica.offer_instances(revision, instances):
             return
+        self._listed_ids = frozenset(i.instance_id for i in instances)
+        self._expected_ids = frozenset(
+            i.instance_id for i in instances if i.role is Role.AGENT
+        )
         self._add_marks(self.marks.note_list(instances, now), actions)
         for peer in self.membership.note_list(instances, now):
             if not self.replica.is_ready:
@@ -549,16 +554,9 @@
             self._take_slices(answer, now, actions)
 
     def _grant(self, report: DemandNews, now: float) -> SliceNews:
-        expected_ids = self._list_expected()
+        expected_ids = self._expected_ids
         return self.shares.take(report, self.replica.table, expected_ids, now)
 
-    def _list_expected(self) -> frozenset[str]:
-        return frozenset(
-            instance.instance_id
-            for instance in self.replica.instances
-            if instance.role is Role.AGENT
-        )
-
     def _take_slices(self, news: SliceNews, now: float, actions: Actions) -> None:
         record = self.entries_by_id.get(news.holder)
         if record is not None:
@@ -571,7 +569,7 @@
 
     def _tend_shares(self, now: float, actions: Actions) -> None:
         self.shares.forget(now)
-        unheard = self.shares.list_unheard(self._list_expected(), now)
+        unheard = self.shares.list_unheard(self._expected_ids, now)
         for instance_id, rows in unheard.items():
             peer = self.membership.peers_by_id.get(instance_id)
             news = RowsNews(tuple(rows))
@@ -605,14 +603,6 @@
             )
             self._send_report(self._get_owner(row, owners), report, now, actions)
 
-    # Operators
-
-    def _take_status_request(
-        self, request: StatusRequest, now: float, actions: Actions
-    ) -> None:
-        document = msgspec.json.encode(self.build_status())
-        actions.send(request.address, Status(self.instance_id, document))
-
 
 def _describe_peer(peer: Peer) -> dict[str, object]:
     return {
--- a/wigeondrift/systems/shares.py
+++ b/wigeondrift/systems/shares.py
@@ -297,6 +297,13 @@
                 rows_by_id.setdefault(instance_id, []).append(row)
         return rows_by_id
 
+    def list_holders_by_row(self) -> dict[str, list[str]]:
+        """Return the entries that are granted slices here, by row."""
+        return {
+            row: list(holders)
+            for row, holders in self._holders_by_source_by_row.items()
+        }
+
     def forget(self, now: float) -> None:
         """Drop holders that are silent, rows that nobody asks for."""
         for row, holders in list(self._holders_by_source_by_row.items()):
--- a/wigeondrift_emulator/network.py
+++ b/wigeondrift_emulator/network.py
@@ -93,6 +93,8 @@
         reset by the sender heals one.
     sent_bytes_by_address : dict of str to int
     received_bytes_by_address : dict of str to int
+    sent_bytes_by_type : dict of str to int
+        By the message's type.
     notices : list of Notice
     """
 
@@ -107,6 +109,7 @@
         self.processes_by_address: dict[str, Process] = {}
         self.sent_bytes_by_address: dict[str, int] = {}
         self.received_bytes_by_address: dict[str, int] = {}
+        self.sent_bytes_by_type: dict[str, int] = {}
         self.notices: list[tuple[str, Notice]] = []
         self.on_step: Callable[[], None] | None = None
         self._rng = rng
@@ -158,6 +161,8 @@
         size = len(data) + FRAME_BYTES
         sent = self.sent_bytes_by_address
         sent[source.address] = sent.get(source.address, 0) + size
+        kind = type(message).__name__
+        self.sent_bytes_by_type[kind] = self.sent_bytes_by_type.get(kind, 0) + size
         if self.loss and self._rng.random() < self.loss:
             return
         if (source.address, address) in self.silent:
