--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import cyclopts
+import msgspec
 import trio
 
 from bench.load import Callers, print_summary
@@ -34,15 +35,24 @@
 )
 TEAMS = 10
 WIDE = LimitRow(requests=1e6, tokens=1e8, running=10000)
-BASELINE = {
-    "policy": {
-        "queue": "fifo",
-        "upstreams": "round_robin",
-        "limits": "equal_split",
-        "refusals": "immediate",
-    }
-}
-ARMS: dict[str, dict[str, Any]] = {"baseline": BASELINE, "default": {}}
+
+
+class Arm(msgspec.Struct, frozen=True):
+    """One policy that an experiment runs.
+
+    Attributes
+    ----------
+    entry_module : str
+        Module that is run as entry.
+    entry : dict
+        Settings of the entries besides names and addresses.
+    """
+
+    entry_module: str = "wigeondrift.entry"
+    entry: dict[str, Any] = {}
+
+
+ARMS = {"baseline": Arm("bench.baseline"), "default": Arm()}
 FULL_GOODPUT_PART = 0.95
 FAILURE_AT_PART = 0.5
 
@@ -50,7 +60,7 @@
 
 
 def make_stack_settings(
-    entry: dict[str, Any],
+    arm: Arm,
     chains: int,
     entries_per_domain: int,
     limit: LimitRow = WIDE,
@@ -65,7 +75,8 @@
         links=LINKS,
         teams=TEAMS,
         limit=limit,
-        entry=entry,
+        entry=arm.entry,
+        entry_module=arm.entry_module,
     )
 
 
@@ -106,7 +117,7 @@
 
 
 def run_arm(
-    entry: dict[str, Any],
+    arm: Arm,
     workload: Workload,
     chains: int,
     entries_per_domain: int,
@@ -115,7 +126,7 @@
     limit: LimitRow = WIDE,
 ) -> dict[str, Any]:
     """Start a stack with the entry settings of one arm, load it, and end it."""
-    settings = make_stack_settings(entry, chains, entries_per_domain, limit)
+    settings = make_stack_settings(arm, chains, entries_per_domain, limit)
     stack = Stack(settings)
     try:
         stack.start()
@@ -193,7 +204,7 @@
     json_path: str = "",
 ) -> None:
     """Ask for more than the bound, with callers that retry at once."""
-    settings = make_stack_settings({}, chains, entries)
+    settings = make_stack_settings(Arm(), chains, entries)
     workload = make_workload(get_bound(settings), load, seconds)
     run_arms(workload, arms or [], chains, entries, seed, json_path)
 
@@ -210,7 +221,7 @@
     json_path: str = "",
 ) -> None:
     """Let demand rise to ``factor`` times within 2 s and fall again."""
-    settings = make_stack_settings({}, chains, entries)
+    settings = make_stack_settings(Arm(), chains, entries)
     workload = make_workload(get_bound(settings), load, seconds)
     workload.crest = Crest(seconds / 3, seconds * 2 / 3, 2.0, factor)
     run_arms(workload, arms or [], chains, entries, seed, json_path)
@@ -227,7 +238,7 @@
     json_path: str = "",
 ) -> None:
     """Mix short requests with long ones that take half of the tokens."""
-    settings = make_stack_settings({}, chains, entries)
+    settings = make_stack_settings(Arm(), chains, entries)
     workload = make_workload(get_bound(settings), load, seconds)
     workload.long_tokens = 800
     workload.long_share = 0.02
@@ -250,7 +261,7 @@
     json_path: str = "",
 ) -> None:
     """End a runner of each failure domain in the middle of the run."""
-    settings = make_stack_settings({}, chains, entries)
+    settings = make_stack_settings(Arm(), chains, entries)
     workload = make_workload(get_bound(settings), load, seconds)
     report = run_arms(
         workload, arms or [], chains, entries, seed, json_path, kill_runners
--- a/bench/load.py
+++ b/bench/load.py
@@ -14,7 +14,7 @@
 
 from bench.workload import LONG, SHORT, Arrival, Crest, Workload
 from wigeondrift.errors import TransportError
-from wigeondrift.http import HttpClient
+from wigeondrift.http import ClientResponse, HttpClient
 
 HIGHEST_MICROSECONDS = 600_000_000
 SIGNIFICANT_DIGITS = 3
@@ -182,6 +182,7 @@
                 "stream": True,
             }
         )
+        began = trio.current_time()
         try:
             async with self._client.request(
                 address,
@@ -195,7 +196,7 @@
                 if response.status != 200:
                     await response.read()
                     return False
-                return await self._read_stream(response, arrival, arrived)
+                return await self._read_stream(response, arrival, arrived, began)
         except TransportError:
             self._note_status(0)
             return False
@@ -205,10 +206,13 @@
         counts[str(status)] = counts.get(str(status), 0) + 1
 
     async def _read_stream(
-        self, response: object, arrival: Arrival, arrived: float
+        self,
+        response: ClientResponse,
+        arrival: Arrival,
+        arrived: float,
+        began: float,
     ) -> bool:
         results = self.results
-        began = trio.current_time()
         last = None
         tokens = 0
         whole = False
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -15,6 +15,7 @@
 from wigeondrift.metrics import NullMetrics
 from wigeondrift.model_api import ModelApi
 from wigeondrift.orders import OrderResult
+from wigeondrift.policy import Policy
 from wigeondrift.request_ids import RequestIds
 from wigeondrift.runs import make_runs
 from wigeondrift.service import ServiceAnswer
@@ -92,6 +93,12 @@
         return OrderResult(ServiceAnswer(201, headers, body), self.outcome, False)
 
 
+class WholeLimits(Policy):
+    def get_limit(self, row, now):
+        limit = self.tables.table.limits_by_row[row]
+        return Limit(limit.requests, limit.tokens, limit.running)
+
+
 def make_tables(limit=None):
     tables = Tables()
     digest = hashlib.sha256(KEY.encode()).hexdigest()
@@ -201,11 +208,7 @@
     clock = TrioClock()
     timer = TimerService(clock)
 
-    def get_limit(row, now):
-        limit = tables.table.limits_by_row[row]
-        return Limit(limit.requests, limit.tokens, limit.running)
-
-    gate = make_gate(settings, tables, get_limit, clock, timer)
+    gate = make_gate(WholeLimits(settings, tables), clock, timer)
     runs = make_runs(settings, clock, timer)
     generator = Generator()
     desk = Desk()
--- a/wigeondrift/composition.py
+++ b/wigeondrift/composition.py
@@ -1,9 +1,9 @@
 """The one composition root: wires the parts of each program."""
 
-import functools
 import logging
 import random
 import time
+from collections.abc import Callable
 
 from wigeondrift.agent import Agent
 from wigeondrift.application import Application
@@ -21,6 +21,7 @@
 from wigeondrift.orders import OrderDesk
 from wigeondrift.platform import PlatformStore
 from wigeondrift.platform_http import HttpPlatformStore
+from wigeondrift.policy import Policy
 from wigeondrift.request_ids import RequestIds
 from wigeondrift.runs import make_runs
 from wigeondrift.service_api import ServiceApi
@@ -30,7 +31,6 @@
 from wigeondrift.systems.control import AgentControl
 from wigeondrift.systems.quarantine import Quarantine
 from wigeondrift.systems.routing import Routing
-from wigeondrift.systems.shares import get_limit
 from wigeondrift.tables import Tables
 from wigeondrift.timer import Clock, TimerService, TrioClock, WallClock
 from wigeondrift.tracing import Tracer, make_tracer
@@ -45,8 +45,18 @@
     return time.time_ns() // 1_000_000
 
 
-def compose_entry(settings: EntrySettings) -> Application:
-    """Wire one entry."""
+def compose_entry(
+    settings: EntrySettings,
+    make_policy: Callable[[EntrySettings, Tables], Policy] = Policy,
+) -> Application:
+    """Wire one entry.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    make_policy : callable, optional
+        Makes the parts whose behaviour under load varies.
+    """
     incarnation = make_incarnation()
     logger = configure_logging(
         settings.telemetry.log_level,
@@ -61,9 +71,8 @@
     client = HttpClient()
     store = HttpPlatformStore(client, settings.platform)
     link = _make_link(settings, tables, store, incarnation, clock, logger)
-    routing = Routing(
-        tables, settings.failure_domain, random.Random(), settings.instance_id
-    )
+    policy = make_policy(settings, tables)
+    routing = policy.make_routing(random.Random())
     generator = _make_generator(
         settings, tables, routing, link, client, clock, tracer, metrics
     )
@@ -77,9 +86,7 @@
         settings.requests,
         random.Random(),
     )
-    gate = make_gate(
-        settings, tables, functools.partial(get_limit, tables), clock, timer
-    )
+    gate = make_gate(policy, clock, timer)
     runs = make_runs(settings, clock, timer)
     gateway = Gateway(
         settings,
--- a/wigeondrift/entry.py
+++ b/wigeondrift/entry.py
@@ -7,6 +7,7 @@
 import cyclopts
 import trio
 
+from wigeondrift.application import Application
 from wigeondrift.errors import SettingsError
 from wigeondrift.events import LOGGER_NAME, Event, configure_logging, log_event
 from wigeondrift.settings import EntrySettings, load_settings
@@ -29,14 +30,23 @@
     settings : Path
         JSON file with the settings.
     """
+    loaded = load_or_exit(settings)
+    from wigeondrift.composition import compose_entry
+
+    run_application(compose_entry(loaded))
+
+
+def load_or_exit(path: Path) -> EntrySettings:
+    """Return the checked settings; end the process if they are refused."""
     try:
-        loaded = load_settings(str(settings), EntrySettings)
+        return load_settings(str(path), EntrySettings)
     except SettingsError as error:
         _refuse(error)
         sys.exit(EXIT_SETTINGS)
-    from wigeondrift.composition import compose_entry
 
-    application = compose_entry(loaded)
+
+def run_application(application: Application) -> None:
+    """Run until a planned stop has ended; end the process if it hit its bound."""
     trio.run(application.run_until_signalled)
     logger = logging.getLogger(LOGGER_NAME)
     bound_reached = application.bound_reached
--- a/wigeondrift/gate.py
+++ b/wigeondrift/gate.py
@@ -6,22 +6,18 @@
 import trio
 
 from wigeondrift.errors import ErrorKind, RequestError
-from wigeondrift.settings import EntrySettings
+from wigeondrift.policy import Policy
 from wigeondrift.systems.admission import (
     Admission,
-    AdmissionRules,
-    GetLimit,
     RowDemand,
     Ticket,
     TicketState,
 )
-from wigeondrift.systems.pacing import PacingRules, RefusalPacer
-from wigeondrift.tables import Tables
+from wigeondrift.systems.pacing import RefusalPacer
 from wigeondrift.timer import Clock, TimerService
 
 TICK_SECONDS = 0.02
 FORGET_SECONDS = 5.0
-LEAST_DELAY_SECONDS = 0.25
 PACED_KINDS = frozenset(
     {
         ErrorKind.LIMIT_EXCEEDED,
@@ -164,28 +160,12 @@
         self.used: int | None = None
 
 
-def make_gate(
-    settings: EntrySettings,
-    tables: Tables,
-    get_limit: GetLimit,
-    clock: Clock,
-    timer: TimerService,
-) -> Gate:
-    """Return the gate that an entry's settings describe."""
-    chosen = settings.admission
-    rules = AdmissionRules(
-        queue_length=settings.requests.queue_length,
-        queue_timeout=settings.requests.queue_timeout,
-        limit_wait=chosen.limit_wait,
-        burst_seconds=chosen.burst_seconds,
-        long_tokens=chosen.long_tokens,
-        long_fraction=chosen.long_fraction,
+def make_gate(policy: Policy, clock: Clock, timer: TimerService) -> Gate:
+    """Return the gate of an entry."""
+    admission = Admission(
+        policy.tables,
+        policy.get_limit,
+        policy.make_admission_rules(),
+        policy.make_queue,
     )
-    pacing = PacingRules(
-        rate=chosen.refusals_per_second,
-        least_delay=min(LEAST_DELAY_SECONDS, chosen.refusal_delay),
-        most_delay=chosen.refusal_delay,
-        held=chosen.refusals_held,
-    )
-    admission = Admission(tables, get_limit, rules)
-    return Gate(admission, RefusalPacer(pacing), clock, timer)
+    return Gate(admission, RefusalPacer(policy.make_pacing_rules()), clock, timer)
--- /dev/null
+++ b/wigeondrift/policy.py
@@ -0,0 +1,64 @@
+"""Parts of an entry whose behaviour under load varies, made in one place."""
+
+import random
+
+from wigeondrift.settings import EntrySettings
+from wigeondrift.systems.admission import AdmissionRules, Ticket
+from wigeondrift.systems.fairness import FairQueue
+from wigeondrift.systems.pacing import PacingRules
+from wigeondrift.systems.routing import Routing
+from wigeondrift.systems.shares import Limit, get_limit
+from wigeondrift.tables import Tables
+
+LEAST_DELAY_SECONDS = 0.25
+
+
+class Policy:
+    """Default policy; subclasses replace single parts for comparison.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    tables : Tables
+    """
+
+    __slots__ = ("settings", "tables")
+
+    def __init__(self, settings: EntrySettings, tables: Tables) -> None:
+        self.settings = settings
+        self.tables = tables
+
+    def make_routing(self, rng: random.Random) -> Routing:
+        """Return the choice of upstreams."""
+        settings = self.settings
+        return Routing(self.tables, settings.failure_domain, rng, settings.instance_id)
+
+    def make_queue(self) -> FairQueue[Ticket]:
+        """Return an empty queue of one service and class."""
+        return FairQueue()
+
+    def get_limit(self, row: str, now: float) -> Limit:
+        """Return what this entry may use of a row."""
+        return get_limit(self.tables, row, now)
+
+    def make_admission_rules(self) -> AdmissionRules:
+        """Return the bounds of the admission."""
+        chosen = self.settings.admission
+        return AdmissionRules(
+            queue_length=self.settings.requests.queue_length,
+            queue_timeout=self.settings.requests.queue_timeout,
+            limit_wait=chosen.limit_wait,
+            burst_seconds=chosen.burst_seconds,
+            long_tokens=chosen.long_tokens,
+            long_fraction=chosen.long_fraction,
+        )
+
+    def make_pacing_rules(self) -> PacingRules:
+        """Return the bounds on held refusals."""
+        chosen = self.settings.admission
+        return PacingRules(
+            rate=chosen.refusals_per_second,
+            least_delay=min(LEAST_DELAY_SECONDS, chosen.refusal_delay),
+            most_delay=chosen.refusal_delay,
+            held=chosen.refusals_held,
+        )
--- a/wigeondrift/systems/admission.py
+++ b/wigeondrift/systems/admission.py
@@ -183,6 +183,9 @@
         self.tokens.set_rate(limit.tokens, limit.tokens * rules.burst_seconds, now)
 
 
+MakeQueue = Callable[[], FairQueue[Ticket]]
+
+
 class ServiceUse:
     """Queues and slots of one service.
 
@@ -199,9 +202,9 @@
 
     __slots__ = ("long", "running_long", "running_short", "short", "slots", "slots_at")
 
-    def __init__(self) -> None:
-        self.short: FairQueue[Ticket] = FairQueue()
-        self.long: FairQueue[Ticket] = FairQueue()
+    def __init__(self, make_queue: MakeQueue) -> None:
+        self.short = make_queue()
+        self.long = make_queue()
         self.running_short = 0
         self.running_long = 0
         self.slots = 1
@@ -242,10 +245,13 @@
     get_limit : callable
         Takes a row and the time, returns the ``Limit`` of this entry.
     rules : AdmissionRules
+    make_queue : callable, optional
+        Returns an empty queue of one service and class.
     """
 
     __slots__ = (
         "_get_limit",
+        "_make_queue",
         "_rules",
         "_settled",
         "_tables",
@@ -255,8 +261,13 @@
     )
 
     def __init__(
-        self, tables: Tables, get_limit: GetLimit, rules: AdmissionRules
+        self,
+        tables: Tables,
+        get_limit: GetLimit,
+        rules: AdmissionRules,
+        make_queue: MakeQueue = FairQueue,
     ) -> None:
+        self._make_queue = make_queue
         self._tables = tables
         self._get_limit = get_limit
         self._rules = rules
@@ -354,7 +365,9 @@
     def _enqueue(self, ticket: Ticket, use: RowUse) -> None:
         service = self.services_by_name.get(ticket.service)
         if service is None:
-            service = self.services_by_name[ticket.service] = ServiceUse()
+            service = self.services_by_name[ticket.service] = ServiceUse(
+                self._make_queue
+            )
         service.get_queue(ticket.is_long).push(ticket.team, ticket)
         use.waiting += 1
         use.waiting_tokens += ticket.tokens
--- a/wigeondrift_emulator/stack.py
+++ b/wigeondrift_emulator/stack.py
@@ -79,6 +79,8 @@
         Row of each team on each service.
     entry : dict
         Settings of the entries besides names and addresses.
+    entry_module : str
+        Module that is run as entry.
     """
 
     domains: tuple[str, ...] = DOMAINS[:2]
@@ -91,6 +93,7 @@
     teams: int = 2
     limit: LimitRow = LimitRow()
     entry: dict[str, Any] = {}
+    entry_module: str = "wigeondrift.entry"
 
 
 def get_key(team: int) -> str:
@@ -300,7 +303,9 @@
 
     def _run_entry(self, document: dict[str, Any]) -> Process:
         arguments = ["--settings", write_settings(document)]
-        return self._keep(Process("wigeondrift.entry", arguments, document["listen"]))
+        return self._keep(
+            Process(self.settings.entry_module, arguments, document["listen"])
+        )
 
     def start_entry(self, number: int) -> None:
         """Start an entry anew after its end."""
