Check a table by all rules where it comes into force

A replica parsed a table and so checked its cells, not what they say together: a limit for a service that does not exist came into force at agents and entries. It now loads a table by the same checks as the operator's side. Tables of tests that had limits without their team and service now have them. The demo edits the table as an operator does, with read-back, in place of a bare write.

Seen to fail: with parse_table in place of load_table, 'A table that does not pass its checks does not come into force' fails.

--- a/tests/control_plane.py
+++ b/tests/control_plane.py
@@ -16,7 +16,15 @@
 from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.status import ask_status
 from wigeondrift.systems.attachment import Attachment
-from wigeondrift.table import TABLE_KEY, LimitRow, Table, serialize_table
+from wigeondrift.table import (
+    TABLE_KEY,
+    LimitRow,
+    ServiceKind,
+    ServiceRow,
+    Table,
+    TeamRow,
+    serialize_table,
+)
 from wigeondrift.tables import Tables
 from wigeondrift.timer import TrioClock
 
@@ -25,7 +33,11 @@
 
 
 def make_table(running):
-    return Table(limits_by_row={ROW: LimitRow(running=running)})
+    return Table(
+        services_by_name={"service": ServiceRow(ServiceKind.PLAIN)},
+        teams_by_name={"team": TeamRow()},
+        limits_by_row={ROW: LimitRow(running=running)},
+    )
 
 
 class ControlPlane:
--- a/tests/features/ctl.feature
+++ b/tests/features/ctl.feature
@@ -122,3 +122,12 @@
     Given a claim of key "k-1" that was lost 100 seconds ago
     When wigeondriftctl settles the claim while the platform answers reads only
     Then wigeondriftctl exits with 5
+
+  Scenario: An agent tells its status to the operator's tool
+    Given a platform with 1 agents and an entry's link to each
+    When the operators write the table with a limit of 5
+    Then every agent and every link has the limit of 5 in force
+    When wigeondriftctl asks the agent for its status
+    Then wigeondriftctl exits with 0
+    And wigeondriftctl prints "table_version"
+    And wigeondriftctl prints "entries"
--- a/tests/features/edits.feature
+++ b/tests/features/edits.feature
@@ -47,3 +47,7 @@
       | a repeated key          | teams/large/key_digests | twice            |
       | a stray preference      | limits/large/lm/preferred | morbi          |
       | too many rows           |                      | more than the 1048576 |
+
+  Scenario: A table that does not pass its checks does not come into force
+    When a replica is offered a sound table, then one with a stray limit
+    Then the replica refuses the second table and keeps the first
--- a/tests/features/steps/ctl_steps.py
+++ b/tests/features/steps/ctl_steps.py
@@ -237,3 +237,8 @@
 
     with mock.patch.object(HttpPlatformStore, "put", fail):
         run_tool(context, *["orders", "settle", "desk", "large", "k-1", "ran"])
+
+
+@when("wigeondriftctl asks the agent for its status")
+def ask_agent(context):
+    run_tool(context, "status", "--agent", context.plane.posts[0])
--- a/tests/features/steps/edits.py
+++ b/tests/features/steps/edits.py
@@ -15,6 +15,7 @@
 from wigeondrift.platform_core import DownMode
 from wigeondrift.platform_memory import MemoryStore
 from wigeondrift.systems.editing import Accepted, Conflicted, Unavailable, Unknown
+from wigeondrift.systems.replica import Replica, Verdict
 from wigeondrift.table import (
     TABLE_KEY,
     LimitRow,
@@ -218,3 +219,21 @@
         assert list(error.problems) == problems
     else:
         raise AssertionError("the table was loaded")
+
+
+@when("a replica is offered a sound table, then one with a stray limit")
+def offer_tables(context):
+    context.replica = Replica()
+    sound = serialize_table(START)
+    stray = serialize_table(make_faulty("a stray limit"))
+    context.verdicts = [
+        context.replica.offer_table(1, sound, 0.0),
+        context.replica.offer_table(2, stray, 1.0),
+    ]
+
+
+@then("the replica refuses the second table and keeps the first")
+def check_replica(context):
+    assert context.verdicts == [Verdict.APPLIED, Verdict.REFUSED], context.verdicts
+    assert context.replica.table_version == 1
+    assert "no service none" in context.replica.refusal
--- a/tests/machines/control.py
+++ b/tests/machines/control.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -16,13 +17,25 @@
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.control import AgentControl
 from wigeondrift.systems.shares import choose_owner, compute_floor, get_limit
-from wigeondrift.table import TABLE_KEY, LimitRow, Table, serialize_table
+from wigeondrift.table import (
+    TABLE_KEY,
+    LimitRow,
+    ServiceKind,
+    ServiceRow,
+    Table,
+    TeamRow,
+    serialize_table,
+)
 from wigeondrift.tables import Tables
 from wigeondrift_emulator.network import Process, VirtualNetwork
 
 DOMAINS = ("rajkot", "morbi", "jamnagar")
 NODES = 5
 ROW = "team/service"
+START = Table(
+    services_by_name={"service": ServiceRow(ServiceKind.PLAIN)},
+    teams_by_name={"team": TeamRow()},
+)
 LIMIT = 80.0
 IN_FORCE_SECONDS = 4.0
 LEAVE_SECONDS = 3.0
@@ -87,7 +100,8 @@
 
     def put_table(self, limit):
         row = LimitRow(requests=limit, tokens=limit * 100, running=int(limit))
-        data = serialize_table(Table(limits_by_row={ROW: row}))
+        table = msgspec.structs.replace(START, limits_by_row={ROW: row})
+        data = serialize_table(table)
         found = self.core._newest(TABLE_KEY).revision
         self.version = self.core.put(self.network.now, TABLE_KEY, data, found)
         self.accepted_at = self.network.now
--- a/wigeondrift/systems/replica.py
+++ b/wigeondrift/systems/replica.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterable
 
 from wigeondrift.entities import Instance
-from wigeondrift.table import Table, parse_table
+from wigeondrift.errors import TableError
+from wigeondrift.table import Table
+from wigeondrift.table_check import load_table
 
 SETTLE_SECONDS = 1.0
 SETTLE_LIMIT_SECONDS = 3.0
@@ -143,8 +145,8 @@
         if version <= max(self.newest_version, self.refused_version):
             return Verdict.STALE
         try:
-            table = parse_table(data)
-        except ValueError as error:
+            table = load_table(data)
+        except TableError as error:
             self.refused_version = version
             self.refusal = str(error)
             return Verdict.REFUSED
--- a/wigeondrift_emulator/demo.py
+++ b/wigeondrift_emulator/demo.py
@@ -13,9 +13,11 @@
 import trio
 
 from wigeondrift.completions import CompletionRequest
+from wigeondrift.editor import TableEditor
 from wigeondrift.http import HttpClient
 from wigeondrift.platform_http import HttpPlatformStore
-from wigeondrift.table import TABLE_KEY, LimitRow, parse_table, serialize_table
+from wigeondrift.porcelain import Operator
+from wigeondrift.systems.editing import Accepted
 from wigeondrift_emulator.stack import (
     MODEL,
     PLAIN,
@@ -148,7 +150,7 @@
         self._wait_for_status(200, "and back to 100")
 
     def _set_requests(self, requests: float) -> None:
-        trio.run(set_requests, self._stack, f"team-0/{MODEL}", requests)
+        trio.run(set_requests, self._stack, "team-0", requests)
 
     def _wait_for_status(self, wanted: int, what: str) -> None:
         started_at = time.monotonic()
@@ -176,18 +178,14 @@
                 yield text
 
 
-async def set_requests(stack: Stack, row: str, requests: float) -> None:
-    """Put a new request rate into the operators' table."""
-    store = HttpPlatformStore(HttpClient(), stack.operator_address)
-    stored = await store.get(TABLE_KEY)
-    table = parse_table(stored.value)
-    old = table.limits_by_row[row]
-    changed: dict[str, LimitRow] = {
-        **table.limits_by_row,
-        row: msgspec.structs.replace(old, requests=requests),
-    }
-    table = msgspec.structs.replace(table, limits_by_row=changed)
-    await store.put(TABLE_KEY, serialize_table(table), stored.revision)
+async def set_requests(stack: Stack, team: str, requests: float) -> None:
+    """Edit a request rate in the operators' table."""
+    client = HttpClient()
+    editor = TableEditor(HttpPlatformStore(client, stack.operator_address))
+    operator = Operator(editor, "demo")
+    report = await operator.set_limit(team, MODEL, [f"requests={requests}"])
+    await client.close()
+    check(isinstance(report.result, Accepted), f"the edit was {report.result}")
 
 
 def main() -> int:
