Try group commit of claims and measure it against a key for each claim

Several entries that know nothing of each other conflict on the shards, and each conflict costs a write; longer batches would cost latency instead. Safety also asks more of the platform: that a finished claim is not in its own key is a read, which must be fresh, while a key for each claim rests on compare-and-swap alone.

--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,252 @@
+"""Compares ways to keep claims: platform calls, latency and rate of orders.
+
+Runs the real order desks of several entries against the store in memory in virtual
+time, so the figures hold the platform's delay and rate and no processor time.
+"""
+
+import functools
+import random
+from collections.abc import Callable, Collection
+
+import cyclopts
+import msgspec
+import trio
+from hdrh.histogram import HdrHistogram
+from trio.testing import MockClock
+
+from wigeondrift.claims import ClaimStore, KeyClaimStore
+from wigeondrift.claims_group import GroupClaimStore
+from wigeondrift.entities import Instance, Role
+from wigeondrift.errors import RequestError
+from wigeondrift.orders import OrderDesk, OrderJob, UpstreamChooser
+from wigeondrift.platform_memory import MemoryStore
+from wigeondrift.service import ServiceCall
+from wigeondrift.service_memory import MemoryPlainService
+from wigeondrift.settings import RequestSettings
+from wigeondrift.table import ServiceKind, ServiceRow
+from wigeondrift.tables import Tables
+from wigeondrift.timer import TrioClock
+
+ADDRESS = "127.0.0.1:1"
+SERVICE = "parts-desk"
+SERVICE_SECONDS = 0.02
+PLATFORM_SECONDS = 0.003
+WRITES_PER_SECOND = 300.0
+READS_PER_SECOND = 2000.0
+MICROSECONDS = 1_000_000
+LONGEST_MICROSECONDS = 60 * MICROSECONDS
+
+MAKERS_BY_NAME: dict[str, Callable[..., ClaimStore]] = {
+    "key": KeyClaimStore,
+    "group-4": functools.partial(GroupClaimStore, shards=4),
+    "group-16": functools.partial(GroupClaimStore, shards=16),
+    "group-64": functools.partial(GroupClaimStore, shards=64),
+}
+
+
+class Row(msgspec.Struct, frozen=True):
+    """Figures of one run.
+
+    Attributes
+    ----------
+    way : str
+    offered, done : float
+        Orders a second, sent and answered with their run.
+    refused : int
+        Orders refused as not run.
+    writes, reads : float
+        Platform calls for each order that ran.
+    p50, p99 : float
+        Latency in milliseconds.
+    """
+
+    way: str
+    offered: float
+    done: float
+    refused: int
+    writes: float
+    reads: float
+    p50: float
+    p99: float
+
+
+class OneUpstream(UpstreamChooser):
+    """Chooses the only upstream."""
+
+    def choose(
+        self, service: str, team: str, excluded: Collection[str], now: float
+    ) -> Instance:
+        """Return the upstream."""
+        return Instance(ADDRESS, 1, Role.SERVICE, ADDRESS, "rajkot")
+
+
+class Run:
+    """One way at one rate.
+
+    Parameters
+    ----------
+    way : str
+    rate : float
+        Orders a second over all entries.
+    entries : int
+    seconds : float
+        Time for which orders arrive.
+    seed : int
+    """
+
+    __slots__ = (
+        "_desks",
+        "_entries",
+        "_histogram",
+        "_random",
+        "_rate",
+        "_seconds",
+        "_way",
+        "done",
+        "refused",
+    )
+
+    def __init__(
+        self, way: str, rate: float, entries: int, seconds: float, seed: int
+    ) -> None:
+        self._way = way
+        self._rate = rate
+        self._entries = entries
+        self._seconds = seconds
+        self._random = random.Random(seed)
+        self._histogram = HdrHistogram(1, LONGEST_MICROSECONDS, 3)
+        self._desks: list[OrderDesk] = []
+        self.done = 0
+        self.refused = 0
+
+    async def measure(self) -> Row:
+        """Return the figures."""
+        store = MemoryStore()
+        store.change_faults(
+            delay=PLATFORM_SECONDS,
+            writes_per_second=WRITES_PER_SECOND,
+            reads_per_second=READS_PER_SECOND,
+        )
+        async with trio.open_nursery() as nursery:
+            for number in range(self._entries):
+                desk = self._make_desk(store.connect(f"entry-{number}"), number)
+                await desk.start(nursery)
+                self._desks.append(desk)
+            async with trio.open_nursery() as callers:
+                await self._send_orders(callers)
+            for desk in self._desks:
+                await desk.stop()
+            nursery.cancel_scope.cancel()
+        return self._make_row(store)
+
+    def _make_desk(self, store: MemoryStore, number: int) -> OrderDesk:
+        service = MemoryPlainService((ADDRESS,))
+        service.switches_by_address[ADDRESS].delay = SERVICE_SECONDS
+        tables = Tables()
+        tables.table.services_by_name[SERVICE] = ServiceRow(ServiceKind.PLAIN)
+        clock = TrioClock()
+        return OrderDesk(
+            MAKERS_BY_NAME[self._way](store, clock),
+            service,
+            OneUpstream(),
+            tables,
+            clock,
+            clock,
+            RequestSettings(),
+            random.Random(number),
+        )
+
+    async def _send_orders(self, nursery: trio.Nursery) -> None:
+        due = trio.current_time()
+        end = due + self._seconds
+        number = 0
+        while due < end:
+            await trio.sleep_until(due)
+            desk = self._random.choice(self._desks)
+            nursery.start_soon(self._send, desk, f"order-{number}")
+            number += 1
+            due += self._random.expovariate(self._rate)
+
+    async def _send(self, desk: OrderDesk, key: str) -> None:
+        call = ServiceCall("POST", "/orders", (), b"{}")
+        began = trio.current_time()
+        try:
+            await desk.run(OrderJob(key, "mandali", SERVICE, key, call))
+        except RequestError:
+            self.refused += 1
+            return
+        self.done += 1
+        took = trio.current_time() - began
+        self._histogram.record_value(int(took * MICROSECONDS))
+
+    def _make_row(self, store: MemoryStore) -> Row:
+        calls = store.core.calls_by_name
+        writes = sum(calls.get(name, 0) for name in ("put", "delete", "grant_lease"))
+        reads = sum(calls.get(name, 0) for name in ("get", "watch"))
+        done = max(self.done, 1)
+        return Row(
+            self._way,
+            self._rate,
+            self.done / self._seconds,
+            self.refused,
+            writes / done,
+            reads / done,
+            self._histogram.get_value_at_percentile(50) / 1000,
+            self._histogram.get_value_at_percentile(99) / 1000,
+        )
+
+
+app = cyclopts.App(name="claims", help=__doc__.partition("\n")[0])
+
+
+@app.default
+def main(
+    *,
+    ways: tuple[str, ...] = tuple(MAKERS_BY_NAME),
+    rates: tuple[float, ...] = (25.0, 75.0, 125.0, 145.0, 200.0),
+    entries: int = 8,
+    seconds: float = 10.0,
+    seed: int = 1,
+    json: bool = False,
+) -> None:
+    """Compare the ways.
+
+    Parameters
+    ----------
+    ways
+        Ways to keep claims.
+    rates
+        Orders a second.
+    entries
+        Entries that take them.
+    seconds
+        Time for which orders arrive.
+    seed
+        Seeds the arrivals.
+    json
+        Print JSON instead of a table.
+    """
+    rows = []
+    for way in ways:
+        for rate in rates:
+            run = Run(way, rate, entries, seconds, seed)
+            rows.append(
+                trio.run(
+                    run.measure,
+                    clock=MockClock(autojump_threshold=0),
+                )
+            )
+    if json:
+        print(msgspec.json.encode(rows).decode())
+        return
+    print("| way | offered/s | ran/s | refused | writes | reads | p50 ms | p99 ms |")
+    print("|---|---|---|---|---|---|---|---|")
+    for row in rows:
+        print(
+            f"| {row.way} | {row.offered:.0f} | {row.done:.1f} | {row.refused} "
+            f"| {row.writes:.2f} | {row.reads:.2f} | {row.p50:.1f} | {row.p99:.1f} |"
+        )
+
+
+if __name__ == "__main__":
+    app()
--- a/wigeondrift/claims.py
+++ b/wigeondrift/claims.py
@@ -165,9 +165,19 @@
         As last written, with its fencing number.
     in_doubt : bool
         Whether a write may have taken effect, or still may, without our knowing.
+    is_answered : bool
+        Whether the platform answered any of the writes.
     """
 
-    __slots__ = ("_may_take", "_name", "_random", "_store", "claim", "in_doubt")
+    __slots__ = (
+        "_may_take",
+        "_name",
+        "_random",
+        "_store",
+        "claim",
+        "in_doubt",
+        "is_answered",
+    )
 
     def __init__(
         self,
@@ -183,6 +193,7 @@
         self._random = source
         self.claim = claim
         self.in_doubt = False
+        self.is_answered = False
 
     async def run(self) -> StoredClaim:
         """Return the claim in force, own or another's; cancel it to give up.
@@ -194,10 +205,13 @@
         """
         expected = 0
         async for _ in iter_pauses(self._random):
-            revision = await self._write(expected)
-            if revision:
+            try:
+                revision = await self._write(expected)
                 return StoredClaim(self.claim, revision)
-            found = await self._read()
+            except PlatformThrottled:
+                continue
+            except (RevisionConflict, PlatformUnavailable):
+                found = await self._read()
             if found is None:
                 continue
             if found.claim is not None and not self._may_replace(found.claim):
@@ -219,13 +233,9 @@
         self.in_doubt = True
         try:
             revision = await self._store.swap(self._name, self.claim, expected)
-        except PlatformUnavailable:
-            return 0
-        except (RevisionConflict, PlatformThrottled):
-            self.in_doubt = was_in_doubt
-            return 0
-        except PlatformRefused:
+        except (RevisionConflict, PlatformThrottled, PlatformRefused):
             self.in_doubt = was_in_doubt
+            self.is_answered = True
             raise
         self.in_doubt = False
         return revision
@@ -276,7 +286,9 @@
         except RevisionConflict as conflict:
             if revision and not conflict.found:
                 return False
-        except (PlatformUnavailable, PlatformThrottled):
+        except PlatformThrottled:
+            continue
+        except PlatformUnavailable:
             pass
         try:
             found = await store.read(name)
--- a/wigeondrift/orders.py
+++ b/wigeondrift/orders.py
@@ -328,7 +328,7 @@
                 return await acquisition.run()
             except PlatformRefused:
                 pass
-        if acquisition.in_doubt:
+        if acquisition.in_doubt and not acquisition.is_answered:
             self._breaker.trip()
         if order.row.drops_repeats:
             return None
