--- a/bench/claims.py
+++ b/bench/claims.py
@@ -4,7 +4,6 @@
 time, so the figures hold the platform's delay and rate and no processor time.
 """
 
-import functools
 import random
 from collections.abc import Callable, Collection
 
@@ -15,7 +14,6 @@
 from trio.testing import MockClock
 
 from wigeondrift.claims import ClaimStore, KeyClaimStore
-from wigeondrift.claims_group import GroupClaimStore
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import RequestError
 from wigeondrift.orders import OrderDesk, OrderJob, UpstreamChooser
@@ -36,12 +34,7 @@
 MICROSECONDS = 1_000_000
 LONGEST_MICROSECONDS = 60 * MICROSECONDS
 
-MAKERS_BY_NAME: dict[str, Callable[..., ClaimStore]] = {
-    "key": KeyClaimStore,
-    "group-4": functools.partial(GroupClaimStore, shards=4),
-    "group-16": functools.partial(GroupClaimStore, shards=16),
-    "group-64": functools.partial(GroupClaimStore, shards=64),
-}
+MAKERS_BY_NAME: dict[str, Callable[..., ClaimStore]] = {"key": KeyClaimStore}
 
 
 class Row(msgspec.Struct, frozen=True):
