--- a/wigeondrift/completions.py
+++ b/wigeondrift/completions.py
@@ -10,6 +10,7 @@
 DEFAULT_MAX_TOKENS = 256
 CHARACTERS_PER_TOKEN = 4
 DONE = b"data: [DONE]\n\n"
+PLACEHOLDER = "\0text\0"
 
 ModelName = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
@@ -156,7 +157,7 @@
         Seconds since the epoch.
     """
 
-    __slots__ = ("_head", "_is_first")
+    __slots__ = ("_chunk_parts", "_head", "_is_first")
 
     prefix: str
     chunk_object: str
@@ -169,10 +170,21 @@
             "model": model,
         }
         self._is_first = True
+        self._chunk_parts: tuple[bytes, bytes] | None = None
 
     def make_chunk(self, text: str) -> bytes:
-        """Return the event of one part of the text."""
-        return self._frame(self._make_choice(text, None))
+        """Return the event of one part of the text.
+
+        All but the first differ only in the text, so the rest is encoded once.
+        """
+        if self._is_first:
+            return self._frame(self._make_choice(text, None))
+        if self._chunk_parts is None:
+            frame = self._frame(self._make_choice(PLACEHOLDER, None))
+            before, _, after = frame.partition(msgspec.json.encode(PLACEHOLDER))
+            self._chunk_parts = (before, after)
+        before, after = self._chunk_parts
+        return before + msgspec.json.encode(text) + after
 
     def make_last_chunk(self, finish_reason: str) -> bytes:
         """Return the event that carries the finish reason."""
--- a/wigeondrift/http.py
+++ b/wigeondrift/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server and client over trio streams, framed by h11."""
 
 import contextlib
+import os
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 
 import h11
@@ -137,21 +138,29 @@
         data += self._connection.send(h11.EndOfMessage())
         await self._write(data)
 
-    async def start(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
-        """Send the head of an answer whose body follows in parts."""
+    async def start(
+        self, status: int, headers: Iterable[tuple[str, str]], data: bytes = b""
+    ) -> None:
+        """Send the head of an answer whose body follows, with its first part."""
         head = h11.Response(
             status_code=status, headers=[*headers, ("Transfer-Encoding", "chunked")]
         )
         self.started = True
-        await self._write(self._connection.send(head))
+        frames = self._connection.send(head)
+        if data:
+            frames += self._connection.send(h11.Data(data=data))
+        await self._write(frames)
 
     async def send(self, data: bytes) -> None:
         """Send one part of the body."""
         await self._write(self._connection.send(h11.Data(data=data)))
 
-    async def finish(self) -> None:
-        """End the body."""
-        await self._write(self._connection.send(h11.EndOfMessage()))
+    async def finish(self, data: bytes = b"") -> None:
+        """End the body after its last part."""
+        frames = b""
+        if data:
+            frames = self._connection.send(h11.Data(data=data))
+        await self._write(frames + self._connection.send(h11.EndOfMessage()))
 
     async def run_until_closed(self, task: Callable[[], Awaitable[None]]) -> None:
         """Run ``task`` and cancel it when the peer closes its side.
@@ -190,9 +199,12 @@
             scope.cancel()
 
     async def _write(self, data: bytes) -> None:
+        rest = self._write_now(data)
+        if not rest:
+            return
         try:
             with trio.fail_after(self._limits.write_timeout):
-                await self._stream.send_all(data)
+                await self._stream.send_all(rest)
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
@@ -200,6 +212,18 @@
         ) as error:
             raise ConnectionLost("the peer is gone") from error
 
+    def _write_now(self, data: bytes) -> bytes:
+        """Write what the socket takes without waiting; return the rest.
+
+        A time-out and a checkpoint for each write cost more than the write.
+        """
+        if not isinstance(self._stream, trio.SocketStream):
+            return data
+        try:
+            return data[os.write(self._stream.socket.fileno(), data) :]
+        except OSError:
+            return data
+
 
 Handler = Callable[[Exchange], Awaitable[None]]
 ErrorResponder = Callable[[Exchange, RequestError], Awaitable[None]]
@@ -428,13 +452,18 @@
         return bytes(body)
 
     async def iter_data(self) -> AsyncIterator[bytes]:
-        """Yield the parts of the body as they arrive."""
-        while True:
-            event = await self._channel.next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
+        """Yield the body as it arrives, all that is there as one part."""
+        channel = self._channel
+        event = await channel.next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            parts = []
+            while isinstance(event, h11.Data):
+                parts.append(event.data)
+                event = channel.take_event()
+            if parts:
+                yield b"".join(parts)
+            if not isinstance(event, h11.EndOfMessage):
+                event = await channel.next_event()
 
 
 class ClientChannel:
@@ -470,6 +499,16 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionLost("the connection broke on sending") from error
 
+    def take_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        """Return the next event if it has arrived.
+
+        What is wrong with the answer shows at the next call of ``next_event``.
+        """
+        try:
+            return self._connection.next_event()
+        except h11.RemoteProtocolError:
+            return h11.NEED_DATA
+
     async def next_event(self) -> h11.Event:
         """Return the next event of the answer."""
         while True:
