Count a short request's patience from when its limit lets it through

Deadlines in a queue are no longer in order of arrival; a heap finds those that are due. Ruled out: making deadlines monotone within a team, which the fuzzing broke with tickets of two kinds in one queue. Before: AdmissionMachine fails (a ticket waits past its deadline).

--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -41,10 +41,6 @@
         """Remove a waiting ticket."""
         super().remove(ONE_FLOW, ticket)
 
-    def get_oldest(self, team: str) -> Ticket | None:
-        """Return the oldest waiting ticket, if any."""
-        return super().get_oldest(ONE_FLOW)
-
     def pop_newest(self, team: str) -> Ticket:
         """Remove and return the newest ticket."""
         return super().pop_newest(ONE_FLOW)
--- a/tests/machines/admission.py
+++ b/tests/machines/admission.py
@@ -18,7 +18,11 @@
 TEAMS = ("small", "large", "huge")
 WEIGHTS = {"small": 1.0, "large": 2.0, "huge": 4.0}
 RULES = AdmissionRules(
-    queue_length=6, queue_timeout=5.0, limit_wait=2.0, long_tokens=50
+    queue_length=6,
+    queue_timeout=5.0,
+    short_queue_timeout=0.5,
+    limit_wait=2.0,
+    long_tokens=50,
 )
 SLACK = 1e-6
 
@@ -194,6 +198,9 @@
         for ticket in self.running:
             self.admission.release(ticket, 0)
         self.running.clear()
+        self.now += RULES.limit_wait + RULES.short_queue_timeout
+        self.tick()
+        assert all(ticket.is_long or not ticket.tokens for ticket in self.waiting)
         self.now += RULES.queue_timeout
         self.tick()
         assert not self.waiting
--- a/wigeondrift/systems/admission.py
+++ b/wigeondrift/systems/admission.py
@@ -5,6 +5,8 @@
 """
 
 import enum
+import heapq
+import itertools
 import math
 from collections.abc import Callable
 from typing import NamedTuple
@@ -38,7 +40,8 @@
     queue_timeout : float
         Longest wait of one request, in seconds.
     short_queue_timeout : float
-        Longest wait of a short model request, in seconds.
+        Longest wait of a short model request for a slot, in seconds, once its
+        team's limit lets it through.
     limit_wait : float
         Longest wait for a rate to let a request through, in seconds; one that
         would wait longer is refused at once.
@@ -255,9 +258,11 @@
     """
 
     __slots__ = (
+        "_deadlines",
         "_get_limit",
         "_make_queue",
         "_rules",
+        "_sequence",
         "_settled",
         "_tables",
         "services_by_name",
@@ -277,6 +282,8 @@
         self._get_limit = get_limit
         self._rules = rules
         self._settled: list[Ticket] = []
+        self._deadlines: list[tuple[float, int, Ticket]] = []
+        self._sequence = itertools.count()
         self.uses_by_row: dict[str, RowUse] = {}
         self.services_by_name: dict[str, ServiceUse] = {}
         self.waiting = 0
@@ -299,10 +306,7 @@
         """
         rules = self._rules
         is_long = tokens >= rules.long_tokens
-        patience = rules.queue_timeout
-        if tokens and not is_long:
-            patience = rules.short_queue_timeout
-        ticket = Ticket(team, service, tokens, is_long, now + patience)
+        ticket = Ticket(team, service, tokens, is_long, now + rules.queue_timeout)
         if ticket.row not in self._tables.table.limits_by_row:
             self._refuse(ticket, ErrorKind.FORBIDDEN)
             return ticket
@@ -310,6 +314,9 @@
         use.wanted_requests += 1
         use.wanted_tokens += tokens
         wait = self._estimate_limit_wait(ticket, use, now)
+        if tokens and not is_long:
+            patience = wait + rules.short_queue_timeout
+            ticket.deadline = min(ticket.deadline, now + patience)
         if wait > rules.limit_wait:
             retry_after = None if math.isinf(wait) else math.ceil(wait)
             self._refuse(ticket, ErrorKind.LIMIT_EXCEEDED, retry_after)
@@ -377,6 +384,7 @@
                 self._make_queue
             )
         service.get_queue(ticket.is_long).push(ticket.team, ticket)
+        heapq.heappush(self._deadlines, (ticket.deadline, next(self._sequence), ticket))
         use.waiting += 1
         use.waiting_tokens += ticket.tokens
         self.waiting += 1
@@ -405,19 +413,18 @@
         return settled
 
     def _expire(self, now: float) -> None:
-        for service in self.services_by_name.values():
-            for queue in (service.short, service.long):
-                self._expire_queue(queue, now)
-
-    def _expire_queue(self, queue: FairQueue[Ticket], now: float) -> None:
-        for team, oldest in queue.iter_oldest():
-            ticket = oldest
-            while ticket is not None and ticket.deadline <= now:
-                queue.remove(team, ticket)
-                self._leave_queue(ticket)
+        deadlines = self._deadlines
+        while deadlines and deadlines[0][0] <= now:
+            ticket = heapq.heappop(deadlines)[2]
+            if ticket.state is TicketState.WAITING:
+                self._remove(ticket)
                 self._refuse(ticket, ErrorKind.QUEUE_TIMEOUT)
                 self._settled.append(ticket)
-                ticket = queue.get_oldest(team)
+
+    def _remove(self, ticket: Ticket) -> None:
+        service = self.services_by_name[ticket.service]
+        service.get_queue(ticket.is_long).remove(ticket.team, ticket)
+        self._leave_queue(ticket)
 
     def _dispatch(self, name: str, service: ServiceUse, now: float) -> None:
         if not service.short.length and not service.long.length:
@@ -496,9 +503,7 @@
         """Take back a waiting request whose caller has gone."""
         if ticket.state is not TicketState.WAITING:
             return
-        service = self.services_by_name[ticket.service]
-        service.get_queue(ticket.is_long).remove(ticket.team, ticket)
-        self._leave_queue(ticket)
+        self._remove(ticket)
         ticket.state = TicketState.ENDED
 
     def take_demand(self) -> list[RowDemand]:
--- a/wigeondrift/systems/fairness.py
+++ b/wigeondrift/systems/fairness.py
@@ -90,11 +90,6 @@
         self._flows_by_team[team].tickets.remove(ticket)
         self.length -= 1
 
-    def get_oldest(self, team: str) -> TicketType | None:
-        """Return the oldest waiting ticket of a team, if any."""
-        flow = self._flows_by_team.get(team)
-        return flow.tickets[0] if flow and flow.tickets else None
-
     def pop_newest(self, team: str) -> TicketType:
         """Remove and return the newest ticket of a team.
 
