Part the operator's commands by matter; race them as processes

The JSON of an edit is a typed document.

New scenario: five wigeondriftctl processes race on own and shared cells while the platform loses a third of the answers to writes; each exit code agrees with the history.

--- a/tests/features/ctl.feature
+++ b/tests/features/ctl.feature
@@ -131,3 +131,10 @@
     Then wigeondriftctl exits with 0
     And wigeondriftctl prints "table_version"
     And wigeondriftctl prints "entries"
+
+  Scenario: Operators race as processes while the platform loses answers
+    Given a table filled by wigeondriftctl
+    And the platform emulator loses a third of the answers to writes
+    When 4 wigeondriftctl processes edit cells of their own and one they share
+    Then each edit that exited with 0 is in the history, and no other but unknown ones
+    And the shared cell holds the value of an accepted edit
--- a/tests/features/steps/ctl_steps.py
+++ b/tests/features/steps/ctl_steps.py
@@ -242,3 +242,59 @@
 @when("wigeondriftctl asks the agent for its status")
 def ask_agent(context):
     run_tool(context, "status", "--agent", context.plane.posts[0])
+
+
+@given("the platform emulator loses a third of the answers to writes")
+def lose_answers(context):
+    async def post():
+        client = HttpClient()
+        body = json.dumps({"lost_probability": 0.33}).encode()
+        async with client.request(
+            context.address, "POST", "/control", body=body
+        ) as response:
+            assert response.status == 200
+        await client.close()
+
+    trio.run(post)
+
+
+@when("{count:d} wigeondriftctl processes edit cells of their own and one they share")
+def race_processes(context, count):
+    columns = ("requests", "tokens", "running")
+    context.tools = {}
+    for index in range(count):
+        cells = [f"weight={index + 3}"]
+        if index < len(columns):
+            cells = [f"{columns[index]}={index + 3}"]
+        arguments = ["table", "set", "large", "lm", *cells]
+        arguments += ["--platform", context.address, "--author", f"op{index}"]
+        context.tools[f"op{index}"] = Process("wigeondrift.ctl", arguments)
+    rival = ["table", "set", "large", "lm", "weight=9", "--author", "rival"]
+    rival += ["--platform", context.address]
+    context.tools["rival"] = Process("wigeondrift.ctl", rival)
+    context.codes = {
+        author: tool.popen.wait(30) for author, tool in context.tools.items()
+    }
+
+
+@then("each edit that exited with 0 is in the history, and no other but unknown ones")
+def check_history(context):
+    run_tool(context, "table", "history", "--json")
+    authors = [change["author"] for change in json.loads(context.printed)]
+    for author, code in context.codes.items():
+        assert code in (0, 3, 5), context.tools[author].log
+        if code != 5:
+            assert authors.count(author) == (code == 0), (author, code, authors)
+
+
+@then("the shared cell holds the value of an accepted edit")
+def check_shared(context):
+    run_tool(context, "table", "show", "--json")
+    cell = json.loads(context.printed)["cells_by_row"]["large/lm"]
+    codes = context.codes
+    values = {"op3": 6, "rival": 9}
+    taken = [author for author in values if codes[author] in (0, 5)]
+    assert cell["weight"] in [values[author] for author in taken], (cell, codes)
+    for index, column in enumerate(("requests", "tokens", "running")):
+        if codes[f"op{index}"] == 0:
+            assert cell[column] == index + 3, (cell, codes)
--- /dev/null
+++ b/wigeondrift/ctl_access.py
@@ -0,0 +1,120 @@
+"""Access of the operator's commands to the platform, and their exit codes."""
+
+import dataclasses
+import enum
+from collections.abc import Awaitable, Callable
+from typing import Annotated, TypeVar
+
+import cyclopts
+import trio
+
+from wigeondrift.editor import PATIENCE_SECONDS, TableEditor
+from wigeondrift.errors import (
+    UsageError,
+)
+from wigeondrift.http import HttpClient
+from wigeondrift.order_porcelain import OrderOperator
+from wigeondrift.platform import PlatformStore
+from wigeondrift.platform_http import HttpPlatformStore
+from wigeondrift.porcelain import Operator
+from wigeondrift.settings_rules import check_address
+from wigeondrift.systems.editing import (
+    Accepted,
+    Conflicted,
+    Refused,
+    Unavailable,
+    Unknown,
+)
+
+ResultType = TypeVar("ResultType")
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the tool.
+
+    ``DIFFERENT`` stands for anything looked for and found: faults of a settings
+    file, a difference, a table that does not pass its checks.
+    """
+
+    DONE = 0
+    DIFFERENT = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNAVAILABLE = 4
+    UNKNOWN = 5
+
+
+EXIT_CODES_BY_RESULT = {
+    Accepted: ExitCode.DONE,
+    Conflicted: ExitCode.CONFLICT,
+    Refused: ExitCode.DIFFERENT,
+    Unavailable: ExitCode.UNAVAILABLE,
+    Unknown: ExitCode.UNKNOWN,
+}
+
+
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Access:
+    """How the platform is reached and results are printed.
+
+    Attributes
+    ----------
+    platform
+        HOST:PORT of the platform's key-value service.
+    json
+        Print results as JSON.
+    author
+        Name for the history of the table; the user's own if left out.
+    patience
+        Longest time over which an edit is tried, in seconds.
+    """
+
+    platform: Annotated[str, cyclopts.Parameter(env_var="WIGEONDRIFT_PLATFORM")] = ""
+    json: Annotated[bool, cyclopts.Parameter(negative=())] = False
+    author: Annotated[str, cyclopts.Parameter(env_var="WIGEONDRIFT_AUTHOR")] = ""
+    patience: float = PATIENCE_SECONDS
+
+    def run(
+        self,
+        work: Callable[[Operator], Awaitable[ResultType]],
+        dry_run: bool = False,
+    ) -> ResultType:
+        """Return what ``work`` does with an operator at the table."""
+
+        async def work_at_table(store: PlatformStore) -> ResultType:
+            editor = TableEditor(store, self.patience)
+            return await work(Operator(editor, self.author, dry_run))
+
+        return self.run_at_platform(work_at_table)
+
+    def run_at_orders(
+        self, work: Callable[[OrderOperator], Awaitable[ResultType]]
+    ) -> ResultType:
+        """Return what ``work`` does with an operator at the claims."""
+
+        async def work_at_orders(store: PlatformStore) -> ResultType:
+            return await work(OrderOperator(store, self.author))
+
+        return self.run_at_platform(work_at_orders)
+
+    def run_at_platform(
+        self, work: Callable[[PlatformStore], Awaitable[ResultType]]
+    ) -> ResultType:
+        """Return what ``work`` does with the platform's store."""
+        reason = check_address(self.platform)
+        if reason:
+            raise UsageError(f"--platform or WIGEONDRIFT_PLATFORM: {reason}")
+
+        async def work_at_platform() -> ResultType:
+            client = HttpClient()
+            try:
+                return await work(HttpPlatformStore(client, self.platform))
+            finally:
+                await client.close()
+
+        return trio.run(work_at_platform)
+
+
+NO_ACCESS = Access()
+DryRun = Annotated[bool, cyclopts.Parameter(negative=())]
--- /dev/null
+++ b/wigeondrift/ctl_orders.py
@@ -0,0 +1,101 @@
+"""Operator's commands on the claims of non-idempotent calls."""
+
+from typing import Literal
+
+import cyclopts
+
+from wigeondrift.ctl_access import NO_ACCESS, Access, ExitCode
+from wigeondrift.errors import (
+    PlatformUnavailable,
+)
+from wigeondrift.order_porcelain import ClaimReport
+from wigeondrift.rendering import Printer, format_time
+from wigeondrift.settlement import Settlement, SettlementRefused
+
+orders_app = cyclopts.App(
+    name="orders", help="Show and settle the claims of non-idempotent calls."
+)
+
+
+@orders_app.command(name="show")
+def show_order(
+    service: str, team: str, key: str, /, *, access: Access = NO_ACCESS
+) -> int:
+    """Show the claim of an idempotency key.
+
+    Parameters
+    ----------
+    key
+        The key, or its SHA-256 digest as ``orders list`` shows it.
+    """
+    report = access.run_at_orders(lambda orders: orders.show(service, team, key))
+    show_claims(Printer(access.json), [report])
+    return ExitCode.DONE
+
+
+@orders_app.command(name="list")
+def list_orders(*, limit: int = 1000, access: Access = NO_ACCESS) -> int:
+    """List claims of unknown outcome.
+
+    Parameters
+    ----------
+    limit
+        Most claims that are looked at; each costs the platform a read.
+    """
+    reports = access.run_at_orders(lambda orders: orders.list_unsettled(limit))
+    show_claims(Printer(access.json), reports)
+    return ExitCode.DONE
+
+
+@orders_app.command(name="settle")
+def settle_order(
+    service: str,
+    team: str,
+    key: str,
+    found: Literal["ran", "not-run"],
+    /,
+    *,
+    access: Access = NO_ACCESS,
+) -> int:
+    """Settle a claim of unknown outcome by what the upstream's own books say.
+
+    Parameters
+    ----------
+    key
+        The key, or its SHA-256 digest as ``orders list`` shows it.
+    found
+        Whether the call ran. A call that did not run may be sent again.
+    """
+    printer = Printer(access.json)
+    settlement = Settlement(found)
+    try:
+        report = access.run_at_orders(
+            lambda orders: orders.settle(service, team, key, settlement)
+        )
+    except SettlementRefused as error:
+        printer.print_message(f"not settled: {error}")
+        return ExitCode.DIFFERENT
+    except PlatformUnavailable as error:
+        printer.print_message(f"unknown whether settled, see `orders show`: {error}")
+        return ExitCode.UNKNOWN
+    show_claims(printer, [report])
+    return ExitCode.DONE
+
+
+def show_claims(printer: Printer, reports: list[ClaimReport]) -> None:
+    """Print claims."""
+    if printer.print_document(reports):
+        return
+    columns = ("claim", "state", "outcome", "request", "at (UTC)", "settled by")
+    rows = [
+        (
+            one.name,
+            one.state,
+            one.outcome,
+            one.request_id,
+            format_time(one.at),
+            one.settled_by,
+        )
+        for one in reports
+    ]
+    printer.print_rows(columns, rows)
--- /dev/null
+++ b/wigeondrift/ctl_settings.py
@@ -0,0 +1,61 @@
+"""Operator's commands on settings files."""
+
+from pathlib import Path
+from typing import Literal
+
+import cyclopts
+import msgspec
+
+from wigeondrift.ctl_access import DryRun, ExitCode
+from wigeondrift.errors import (
+    SettingsError,
+)
+from wigeondrift.rendering import Printer
+from wigeondrift.settings import AgentSettings, EntrySettings, load_settings
+
+SETTINGS_BY_NAME = {"entry": EntrySettings, "agent": AgentSettings}
+
+settings_app = cyclopts.App(name="settings", help="Check settings files.")
+
+
+@settings_app.command
+def check(
+    path: Path,
+    *,
+    program: Literal["entry", "agent"] = "entry",
+    json: DryRun = False,
+) -> int:
+    """Check a settings file and show all its faults; 1 if there are any.
+
+    Parameters
+    ----------
+    path
+        The file.
+    program
+        Program that it is for.
+    json
+        Print the faults as JSON.
+    """
+    printer = Printer(json)
+    faults = []
+    try:
+        load_settings(str(path), SETTINGS_BY_NAME[program])
+    except SettingsError as error:
+        faults = list(error.faults) or [error]
+    rows = [(str(path), fault.location, fault.reason) for fault in faults]
+    document = [
+        {"path": str(path), "location": fault.location, "reason": fault.reason}
+        for fault in faults
+    ]
+    if not printer.print_document(document) and rows:
+        printer.print_rows(("file", "place", "reason"), rows)
+    return ExitCode.DIFFERENT if faults else ExitCode.DONE
+
+
+@settings_app.command
+def schema(program: Literal["entry", "agent"], /) -> int:
+    """Print the JSON schema of a program's settings."""
+    document = msgspec.json.schema(SETTINGS_BY_NAME[program])
+    data = msgspec.json.encode(document, order="sorted")
+    Printer(False).print_text(msgspec.json.format(data, indent=2).decode())
+    return ExitCode.DONE
--- /dev/null
+++ b/wigeondrift/ctl_table.py
@@ -0,0 +1,304 @@
+"""Operator's commands on the table: rows, teams and services."""
+
+import secrets
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated, Literal
+
+import cyclopts
+import msgspec
+
+from wigeondrift.ctl_access import (
+    EXIT_CODES_BY_RESULT,
+    NO_ACCESS,
+    Access,
+    DryRun,
+    ExitCode,
+)
+from wigeondrift.declaration import load_declaration, save_csv, serialize_declaration
+from wigeondrift.edits import CellChange
+from wigeondrift.errors import UsageError
+from wigeondrift.porcelain import EditReport, Operator, list_history, make_grid
+from wigeondrift.rendering import Printer
+from wigeondrift.systems.editing import (
+    Accepted,
+    Conflicted,
+    EditResult,
+    Refused,
+    Unavailable,
+    Unknown,
+)
+
+KEY_RANDOM_BYTES = 32
+
+table_app = cyclopts.App(name="table", help="Show and edit the table.")
+team_app = cyclopts.App(name="team", help="Add and remove teams and their keys.")
+service_app = cyclopts.App(name="service", help="Add, change and remove services.")
+
+
+class EditDocument(msgspec.Struct, frozen=True):
+    """What came of an edit, as it is printed as JSON.
+
+    Attributes
+    ----------
+    result : str
+        ``dry-run``, ``accepted``, ``conflicted``, ``refused``, ``unavailable`` or
+        ``unknown``.
+    change_id : str
+    cells : tuple of CellChange
+    detail : Accepted, Conflicted, Refused, Unavailable, Unknown or None
+    """
+
+    result: str
+    change_id: str
+    cells: tuple[CellChange, ...]
+    detail: EditResult | None
+
+
+def run_edit(
+    access: Access,
+    work: Callable[[Operator], Awaitable[EditReport]],
+    dry_run: bool = False,
+) -> int:
+    """Make an edit, print what came of it and return the exit code."""
+    return show_report(Printer(access.json), access.run(work, dry_run))
+
+
+def show_report(printer: Printer, report: EditReport) -> int:
+    """Print what came of an edit and return the exit code."""
+    result = report.result
+    kind = "dry-run" if result is None else type(result).__name__.lower()
+    code = ExitCode.DONE if result is None else EXIT_CODES_BY_RESULT[type(result)]
+    document = EditDocument(kind, report.change_id, report.cells, result)
+    if printer.print_document(document):
+        return code
+    if report.cells:
+        printer.print_changes(report.cells)
+    match result:
+        case None:
+            printer.print_message("dry run: nothing was changed")
+        case Accepted(version) if not report.cells:
+            printer.print_message(f"nothing to change at version {version}")
+        case Accepted(version):
+            printer.print_message(f"accepted in version {version}")
+        case Conflicted(conflicts):
+            printer.print_message("not accepted: another edit changed these cells")
+            printer.print_conflicts(conflicts)
+        case Refused(problems):
+            printer.print_message("not accepted: the table would not pass its checks")
+            for problem in problems:
+                printer.print_message(f"  {problem}")
+        case Unavailable():
+            printer.print_message("not accepted: the platform could not be reached")
+        case Unknown(change_id):
+            printer.print_message(
+                f"unknown whether accepted: look for {change_id} in `table history`"
+            )
+    return code
+
+
+@table_app.command
+def show(*, access: Access = NO_ACCESS) -> int:
+    """Show teams by services, with weights and limits."""
+    printer = Printer(access.json)
+    grid = make_grid(access.run(lambda operator: operator.read()))
+    if not printer.print_document(grid):
+        printer.print_grid(grid)
+    return ExitCode.DONE
+
+
+@table_app.command
+def history(*, access: Access = NO_ACCESS) -> int:
+    """Show the accepted changes that are kept, the newest first."""
+    printer = Printer(access.json)
+    changes = list_history(access.run(lambda operator: operator.read()))
+    if not printer.print_document(changes):
+        printer.print_history(changes)
+    return ExitCode.DONE
+
+
+@table_app.command
+def export(
+    path: Path | None = None,
+    *,
+    form: Annotated[Literal["json", "csv"], cyclopts.Parameter("--format")] = "json",
+    access: Access = NO_ACCESS,
+) -> int:
+    """Write the table for version control.
+
+    Parameters
+    ----------
+    path
+        JSON file, or directory of CSV files; JSON goes to standard output if left
+        out.
+    form
+        Form of the files.
+    """
+    if form == "csv" and path is None:
+        raise UsageError("CSV files need a directory to go to")
+    read = access.run(lambda operator: operator.read())
+    if form == "csv":
+        save_csv(read.table, path)
+    elif path is None:
+        Printer(False).print_text(serialize_declaration(read.table))
+    else:
+        path.write_text(serialize_declaration(read.table), encoding="utf-8")
+    return ExitCode.DONE
+
+
+@table_app.command(name="import")
+def import_(path: Path, *, dry_run: DryRun = False, access: Access = NO_ACCESS) -> int:
+    """Make the table hold what a declaration says, and nothing else.
+
+    Parameters
+    ----------
+    path
+        JSON file, or directory of CSV files, as ``table export`` writes them.
+    dry_run
+        Show the difference and change nothing.
+    """
+    declared = load_declaration(path)
+    return run_edit(access, lambda operator: operator.apply(declared), dry_run)
+
+
+@table_app.command
+def diff(path: Path, *, access: Access = NO_ACCESS) -> int:
+    """Show what ``table import`` of a declaration would change; 1 if anything."""
+    declared = load_declaration(path)
+    cells = access.run(lambda operator: operator.diff(declared))
+    printer = Printer(access.json)
+    if not printer.print_document(cells) and cells:
+        printer.print_changes(cells)
+    return ExitCode.DIFFERENT if cells else ExitCode.DONE
+
+
+@table_app.command(name="set")
+def set_(
+    team: str,
+    service: str,
+    /,
+    *columns: str,
+    dry_run: DryRun = False,
+    access: Access = NO_ACCESS,
+) -> int:
+    """Set columns of a team's row for a service; the row is made if absent.
+
+    Parameters
+    ----------
+    columns
+        ``COLUMN=VALUE``: weight, requests, tokens, running, domains, preferred.
+    dry_run
+        Show the difference and change nothing.
+    """
+    return run_edit(
+        access,
+        lambda operator: operator.set_limit(team, service, list(columns)),
+        dry_run,
+    )
+
+
+@table_app.command
+def unset(
+    team: str, service: str, /, *, dry_run: DryRun = False, access: Access = NO_ACCESS
+) -> int:
+    """Remove a team's row for a service."""
+    return run_edit(
+        access, lambda operator: operator.remove_limit(team, service), dry_run
+    )
+
+
+@team_app.command(name="add")
+def add_team(
+    name: str,
+    /,
+    *,
+    key_file: Path | None = None,
+    generate: DryRun = False,
+    dry_run: DryRun = False,
+    access: Access = NO_ACCESS,
+) -> int:
+    """Add a team, or further keys to one; the table holds their digests only.
+
+    Parameters
+    ----------
+    key_file
+        File with a bearer key a line; ``-`` reads standard input.
+    generate
+        Make a key and print it, which is the only time that it is shown.
+    dry_run
+        Show the difference and change nothing.
+    """
+    keys = _read_keys(key_file) if key_file else []
+    if generate:
+        keys.append(secrets.token_urlsafe(KEY_RANDOM_BYTES))
+    code = run_edit(access, lambda operator: operator.add_team(name, keys), dry_run)
+    if generate and code in (ExitCode.DONE, ExitCode.UNKNOWN) and not dry_run:
+        Printer(False).print_message(f"key: {keys[-1]}")
+    return code
+
+
+@team_app.command(name="remove")
+def remove_team(
+    name: str, /, *, dry_run: DryRun = False, access: Access = NO_ACCESS
+) -> int:
+    """Remove a team with its rows."""
+    return run_edit(access, lambda operator: operator.remove_team(name), dry_run)
+
+
+@team_app.command
+def remove_key(
+    name: str, digest: str, /, *, dry_run: DryRun = False, access: Access = NO_ACCESS
+) -> int:
+    """Take a key off a team, named by the start of its digest."""
+    return run_edit(access, lambda operator: operator.remove_key(name, digest), dry_run)
+
+
+@service_app.command(name="set")
+def set_service(
+    name: str,
+    /,
+    *columns: str,
+    dry_run: DryRun = False,
+    access: Access = NO_ACCESS,
+) -> int:
+    """Set columns of a service; it is made if absent.
+
+    Parameters
+    ----------
+    columns
+        ``COLUMN=VALUE``: kind, layers, version, idempotent, key_header,
+        checks_fencing, drops_repeats.
+    dry_run
+        Show the difference and change nothing.
+    """
+    return run_edit(
+        access, lambda operator: operator.set_service(name, list(columns)), dry_run
+    )
+
+
+@service_app.command(name="remove")
+def remove_service(
+    name: str, /, *, dry_run: DryRun = False, access: Access = NO_ACCESS
+) -> int:
+    """Remove a service with its rows."""
+    return run_edit(access, lambda operator: operator.remove_service(name), dry_run)
+
+
+@service_app.command(name="list")
+def list_services(*, access: Access = NO_ACCESS) -> int:
+    """Show the services."""
+    printer = Printer(access.json)
+    read = access.run(lambda operator: operator.read())
+    document = msgspec.to_builtins(read.table.services_by_name)
+    if not printer.print_document(document):
+        printer.print_tree({"services": document})
+    return ExitCode.DONE
+
+
+def _read_keys(path: Path) -> list[str]:
+    try:
+        text = sys.stdin.read() if str(path) == "-" else path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise UsageError(f"{path}: {error}") from error
+    return [line.strip() for line in text.splitlines() if line.strip()]
--- /dev/null
+++ b/wigeondrift/order_porcelain.py
@@ -0,0 +1,124 @@
+"""Operators' functions on the claims of non-idempotent calls."""
+
+import re
+import time
+
+import msgspec
+
+from wigeondrift.claim import CLAIM_PREFIX, Claim, ClaimState, make_claim_name
+from wigeondrift.claims import KeyClaimStore
+from wigeondrift.errors import Outcome, UsageError
+from wigeondrift.platform import PlatformStore
+from wigeondrift.porcelain import get_user
+from wigeondrift.settlement import Settlement, list_unsettled, settle_named_claim
+from wigeondrift.timer import TrioClock
+
+DIGEST = re.compile("[0-9a-f]{64}")
+
+
+class ClaimReport(msgspec.Struct, frozen=True):
+    """A claim as operators see it; the answer's body is left out.
+
+    Attributes
+    ----------
+    name : str
+        Service, team and digest of the idempotency key, parted by slashes.
+    state : str
+    outcome : str
+        ``ran``, ``not-run`` or ``unknown``.
+    request_id : str
+        Request that holds the claim.
+    at : float
+        Seconds since the epoch.
+    status : int
+        Status of the upstream's answer; zero if there is none.
+    settled_by : str
+    """
+
+    name: str
+    state: str
+    outcome: str
+    request_id: str
+    at: float
+    status: int
+    settled_by: str
+
+
+def describe_claim(name: str, claim: Claim) -> ClaimReport:
+    """Return a claim as operators see it."""
+    return ClaimReport(
+        name=name.removeprefix(CLAIM_PREFIX),
+        state=claim.state,
+        outcome=claim.outcome or _judge_open(claim),
+        request_id=claim.holder,
+        at=claim.at,
+        status=claim.answer.status if claim.answer else 0,
+        settled_by=claim.settled_by,
+    )
+
+
+def _judge_open(claim: Claim) -> Outcome:
+    released = claim.state is ClaimState.RELEASED
+    return Outcome.NOT_RUN if released else Outcome.UNKNOWN
+
+
+def name_claim(service: str, team: str, key: str) -> str:
+    """Return a claim's name by its idempotency key or the digest of that."""
+    if DIGEST.fullmatch(key):
+        return f"{CLAIM_PREFIX}{service}/{team}/{key}"
+    return make_claim_name(service, team, key)
+
+
+class OrderOperator:
+    """An operator at the claims of non-idempotent calls.
+
+    Parameters
+    ----------
+    platform : PlatformStore
+    author : str, optional
+        Name that a settlement is recorded under; the user's own if absent.
+    """
+
+    __slots__ = ("_author", "_claims", "_platform")
+
+    def __init__(self, platform: PlatformStore, author: str = "") -> None:
+        self._platform = platform
+        self._author = author or get_user()
+        self._claims = KeyClaimStore(platform, TrioClock())
+
+    async def show(self, service: str, team: str, key: str) -> ClaimReport:
+        """Return the claim of a key or of its digest.
+
+        Raises
+        ------
+        UsageError
+            If there is none.
+        """
+        name = name_claim(service, team, key)
+        found = await self._claims.read(name)
+        if found.claim is None:
+            raise UsageError(f"there is no claim {name.removeprefix(CLAIM_PREFIX)}")
+        return describe_claim(name, found.claim)
+
+    async def list_unsettled(self, limit: int) -> list[ClaimReport]:
+        """Return claims of unknown outcome among the first ``limit`` claims."""
+        found = await list_unsettled(self._platform, time.time(), limit)
+        return [describe_claim(one.name, one.claim) for one in found]
+
+    async def settle(
+        self, service: str, team: str, key: str, settlement: Settlement
+    ) -> ClaimReport:
+        """Settle a claim by what the upstream's own books say.
+
+        Raises
+        ------
+        SettlementRefused
+            If the claim cannot be settled.
+        PlatformUnavailable
+            If the platform gave no answer; the claim may have been settled.
+        """
+        name = name_claim(service, team, key)
+        claim = await settle_named_claim(
+            self._claims, name, settlement, self._author, time.time()
+        )
+        return describe_claim(name, claim)
