Drop idle connections to a platform that failed to answer

When connections that were open had gone silent for good, each of them cost a call its whole time-out: only the next call went over a new one, and calls at once fell back to the dead ones. All idle ones are now closed with the first failure.

Seen to fail: without the dropping, 'silent connections' of the store over HTTP fails; with it 25 of 25 pass. All faults of the settings go into the entry's log.

--- a/tests/features/platform_store.feature
+++ b/tests/features/platform_store.feature
@@ -22,6 +22,7 @@
       | outage                | memory |
       | outage                | http   |
       | outage of one caller  | memory |
+      | silent connections    | http   |
       | throttling            | memory |
       | throttling            | http   |
       | stale reads           | memory |
--- a/tests/features/steps/ctl_steps.py
+++ b/tests/features/steps/ctl_steps.py
@@ -190,7 +190,8 @@
 
 @then('wigeondriftctl prints what is in "{name}"')
 def check_file(context, name):
-    assert context.printed == (Path(__file__).parents[3] / name).read_text()
+    committed = (Path(__file__).parents[3] / name).read_text()
+    assert context.printed == committed, f"write the command's output to {name}"
 
 
 @when("wigeondriftctl checks a settings file with ten faults")
--- a/tests/platform_cases.py
+++ b/tests/platform_cases.py
@@ -121,6 +121,18 @@
     assert (await store.get("k")).value == b"one"
 
 
+async def case_silent_connections(store, control):
+    """Connections open before go silent for good; new ones work."""
+    async with trio.open_nursery() as nursery:
+        for _ in range(4):
+            nursery.start_soon(store.watch, "k", 0, SHORT_SECONDS)
+    control.silence()
+    await refusal_of(PlatformUnavailable, store.get, "k")
+    async with trio.open_nursery() as nursery:
+        for _ in range(4):
+            nursery.start_soon(store.get, "k")
+
+
 async def case_outage_of_one_caller(store, control):
     control.change_faults(down_by_caller={"cut": DownMode.RESET})
     await store.put("k", b"one", 0)
@@ -174,17 +186,61 @@
     await case(store, store)
 
 
+class SilenceableStream(trio.abc.Stream):
+    """Server's end of a connection whose data stop coming at a command."""
+
+    def __init__(self, stream):
+        self.stream = stream
+        self.is_silent = False
+
+    async def send_all(self, data):
+        await self.stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self):
+        await self.stream.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes=None):
+        data = await self.stream.receive_some(max_bytes)
+        if self.is_silent:
+            await trio.sleep_forever()
+        return data
+
+    async def aclose(self):
+        await self.stream.aclose()
+
+
+class HttpControl:
+    """Control of the emulator's store and of the connections to it."""
+
+    def __init__(self, store):
+        self.store = store
+        self.streams = []
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    def silence(self):
+        for stream in self.streams:
+            stream.is_silent = True
+
+
 async def run_over_http(case):
     emulator = PlatformEmulator(Faults())
+    control = HttpControl(emulator.store)
+
+    async def serve(stream):
+        control.streams.append(SilenceableStream(stream))
+        await server.serve_stream(control.streams[-1])
+
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         server = emulator.make_server("direct")
-        nursery.start_soon(trio.serve_listeners, server.serve_stream, listeners)
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
         port = listeners[0].socket.getsockname()[1]
         client = HttpClient()
         store = HttpPlatformStore(client, f"127.0.0.1:{port}", call_timeout=1.0)
         with trio.fail_after(LONG_SECONDS):
-            await case(store, emulator.store)
+            await case(store, control)
         await client.close()
         nursery.cancel_scope.cancel()
 
--- a/wigeondrift/entry.py
+++ b/wigeondrift/entry.py
@@ -63,6 +63,7 @@
         path=error.path,
         location=error.location,
         reason=error.reason,
+        faults=[str(fault) for fault in error.faults],
     )
 
 
--- a/wigeondrift/http.py
+++ b/wigeondrift/http.py
@@ -656,8 +656,12 @@
         else:
             await channel.close()
 
+    async def forget(self, address: str) -> None:
+        """Close the idle connections to an address, which may have gone silent."""
+        for channel in self._idle_by_address.pop(address, ()):
+            await channel.close()
+
     async def close(self) -> None:
         """Close all idle connections."""
-        for idle in self._idle_by_address.values():
-            while idle:
-                await idle.pop().close()
+        for address in list(self._idle_by_address):
+            await self.forget(address)
--- a/wigeondrift/platform_http.py
+++ b/wigeondrift/platform_http.py
@@ -107,7 +107,8 @@
             with trio.fail_after(timeout):
                 status, body = await self._exchange(call, timeout)
         except (TransportError, trio.TooSlowError) as error:
-            self._answered_at = -REUSE_SECONDS
+            # What made this connection fail may have hit the idle ones as well.
+            await self._client.forget(self._address)
             raise PlatformUnavailable(f"{self._address}: {error}") from error
         self._answered_at = trio.current_time()
         if status != STATUS_OK:
@@ -118,7 +119,7 @@
             raise PlatformUnavailable(f"{self._address}: {error}") from error
 
     async def _exchange(self, call: Call, timeout: float) -> tuple[int, bytes]:
-        # A connection that was idle for long or failed before may be dead.
+        # A connection that was idle for long may be dead.
         fresh = trio.current_time() - self._answered_at > REUSE_SECONDS
         async with self._client.request(
             self._address,
