--- a/tests/features/ordering.feature
+++ b/tests/features/ordering.feature
@@ -33,3 +33,13 @@
       | the platform is down, repeats dropped | dropping | 1  | ran                   | platform down reset; send 0; wait 5; send 1                               |
       | answer and outcome are lost         | strict   | 1    | claim_outcome_unknown | upstream lose_answer; platform lost_answers 3; send 0; wait 9; send 1     |
       | fencing is checked and it is settled | fenced  | 1    | ran                   | pause 0 before_send 100; send 0; wait 70; settle; send 1; wait 60         |
+
+  Scenario Outline: Orders flow again soon after an outage in which calls <end>
+    Given 30 callers who repeat their order at once while the platform's calls <end> for 60 s
+    Then each was refused at most 30 times as not run, and ran once
+    And all had their answer 2 s after the platform answered again
+
+    Examples:
+      | end   |
+      | reset |
+      | hang  |
--- a/tests/features/steps/ordering.py
+++ b/tests/features/steps/ordering.py
@@ -6,6 +6,7 @@
 from tests.machines.ordering import OrderMachine
 from tests.order_faults import ChangePlatform, Heal, Settle, SwitchUpstream, TrapEntry
 from tests.order_world import World
+from wigeondrift.errors import Outcome
 from wigeondrift.platform_core import DownMode
 from wigeondrift.service_memory import FaultMode
 
@@ -82,3 +83,50 @@
     last = context.world.replies[-1]
     heard = last.error.kind if last.error else last.outcome
     assert heard == told, heard
+
+
+async def repeat_until_run(world, number, waits):
+    """Send an order again at once whenever it is refused."""
+    refusals = 0
+    while True:
+        reply = world.submit(number % 3, "strict", f"strict-{number}")
+        await reply.heard.wait()
+        if reply.outcome is Outcome.RAN:
+            waits.append((trio.current_time(), refusals))
+            return
+        assert reply.outcome is Outcome.NOT_RUN
+        refusals += 1
+
+
+@given(
+    "{count:d} callers who repeat their order at once while the platform's calls "
+    "{mode} for {seconds:d} s"
+)
+def repeat_through_outage(context, count, mode, seconds):
+    context.world = World(3)
+    context.waits = []
+
+    async def act(world):
+        world.store.change_faults(down=DownMode(mode))
+        for number in range(count):
+            world.nursery.start_soon(repeat_until_run, world, number, context.waits)
+        await trio.sleep(seconds)
+        world.heal()
+        context.healed_at = trio.current_time()
+
+    context.count = count
+    context.world.run([act])
+
+
+@then("each was refused at most {most:d} times as not run, and ran once")
+def check_refusals(context, most):
+    runs = context.world.service.ledger.runs_by_key
+    assert sorted(runs.values()) == [1] * context.count
+    assert max(refusals for _, refusals in context.waits) <= most
+
+
+@then("all had their answer {seconds:d} s after the platform answered again")
+def check_flow_again(context, seconds):
+    assert len(context.waits) == context.count
+    last = max(at for at, _ in context.waits)
+    assert last - context.healed_at <= seconds, last - context.healed_at
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -182,6 +182,7 @@
         self.result = None
         self.error = None
         self.runs = 0
+        self.heard = trio.Event()
 
     @property
     def outcome(self):
@@ -238,6 +239,7 @@
         reply = Reply(f"request-{len(self.replies)}", service, key, body)
         self.replies.append(reply)
         self.nursery.start_soon(self._ask, entry, reply)
+        return reply
 
     async def _ask(self, entry, reply):
         if entry.desk is None:
@@ -250,6 +252,7 @@
         except RequestError as error:
             reply.error = error
         reply.runs = len(self.service.ledger.entries)
+        reply.heard.set()
 
     def switch(self, service, number, mode=FaultMode.NORMAL, count=-1, delay=0.0):
         address = ADDRESSES_BY_SERVICE[service][number]
