Orders: one retry budget, upstreams that fail are avoided

The order desk had a retry budget of its own beside systems.retries; it now uses that one. A send after a failed connect is not charged, since nothing was sent to the upstream before it. Upstreams that are lost or refuse are named to routing, which avoids them for a while.

--- a/tests/features/ordering.feature
+++ b/tests/features/ordering.feature
@@ -43,3 +43,17 @@
       | end   |
       | reset |
       | hang  |
+
+  Scenario: A call that may be repeated is tried at another upstream without a claim
+    Given reads of orders where the first upstream is "silent"
+    When 3 reads are sent
+    Then all reads ran and the platform had no call
+
+  Scenario: Repeats stay a part of the first sends
+    Given reads of orders where the first upstream is "refuse"
+    When 100 reads are sent
+    Then at most 80 reads were sent again and the others were refused as not run
+
+  Scenario: A call without its key is refused as not run
+    Given orders of service strict with the plan unkeyed 0
+    Then the order ran 0 times and the last caller was told idempotency_key_required
--- a/tests/features/steps/ordering.py
+++ b/tests/features/steps/ordering.py
@@ -1,5 +1,5 @@
 import trio
-from behave import given, then
+from behave import given, then, when
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
@@ -60,6 +60,8 @@
     async def act(world):
         if verb == "wait":
             await trio.sleep(float(words[0]))
+        elif verb == "unkeyed":
+            world.submit(int(words[0]), service, "")
         elif verb in ("send", "other"):
             body = "{}" if verb == "send" else "other"
             world.submit(int(words[0]), service, f"{service}-a", body)
@@ -130,3 +132,34 @@
     assert len(context.waits) == context.count
     last = max(at for at, _ in context.waits)
     assert last - context.healed_at <= seconds, last - context.healed_at
+
+
+@given('reads of orders where the first upstream is "{mode}"')
+def prepare_reads(context, mode):
+    context.mode = FaultMode(mode)
+
+
+@when("{count:d} reads are sent")
+def send_reads(context, count):
+    context.world = World(1)
+
+    async def act(world):
+        world.switch("strict", 0, context.mode)
+        for _ in range(count):
+            reply = world.submit(0, "strict", "", method="GET")
+            await reply.heard.wait()
+
+    context.world.run([act])
+
+
+@then("all reads ran and the platform had no call")
+def check_reads(context):
+    assert {reply.outcome for reply in context.world.replies} == {Outcome.RAN}
+    assert context.world.core.calls_by_name == {}
+
+
+@then("at most {most:d} reads were sent again and the others were refused as not run")
+def check_budget(context, most):
+    outcomes = [reply.outcome for reply in context.world.replies]
+    assert 0 < outcomes.count(Outcome.RAN) <= most
+    assert set(outcomes) == {Outcome.RAN, Outcome.NOT_RUN}
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -174,11 +174,12 @@
 class Reply:
     """What one caller was told; nothing if its entry died."""
 
-    def __init__(self, request_id, service, key, body):
+    def __init__(self, request_id, service, key, body, method):
         self.request_id = request_id
         self.service = service
         self.key = key
         self.body = body
+        self.method = method
         self.result = None
         self.error = None
         self.runs = 0
@@ -234,9 +235,10 @@
         await done.wait()
         return results[0]
 
-    def submit(self, number, service, key, body="{}"):
+    def submit(self, number, service, key, body="{}", method="POST"):
         entry = self.entries[number]
-        reply = Reply(f"request-{len(self.replies)}", service, key, body)
+        request_id = f"request-{len(self.replies)}"
+        reply = Reply(request_id, service, key, body, method)
         self.replies.append(reply)
         self.nursery.start_soon(self._ask, entry, reply)
         return reply
@@ -245,7 +247,7 @@
         if entry.desk is None:
             return
         headers = ((KEY_HEADER, reply.key),)
-        call = ServiceCall("POST", "/orders", headers, reply.body.encode())
+        call = ServiceCall(reply.method, "/orders", headers, reply.body.encode())
         job = OrderJob(reply.request_id, TEAM, reply.service, reply.key, call)
         try:
             reply.result = await entry.desk.run(job)
--- a/wigeondrift/orders.py
+++ b/wigeondrift/orders.py
@@ -40,7 +40,6 @@
 from wigeondrift.settings import RequestSettings
 from wigeondrift.systems.ordering import (
     SEND_WINDOW_SECONDS,
-    RetryBudget,
     Sending,
     Verdict,
     digest_call,
@@ -49,6 +48,7 @@
     needs_claim,
     refuse_by_claim,
 )
+from wigeondrift.systems.retries import RetryBudget
 from wigeondrift.table import ServiceKind, ServiceRow
 from wigeondrift.tables import Tables
 from wigeondrift.timer import Clock
@@ -126,6 +126,10 @@
         """Count a call to the upstreams that has ended."""
         return None
 
+    def note_failure(self, instance_ids: Collection[str], now: float) -> None:
+        """Avoid upstreams that were lost or refused a call."""
+        return None
+
 
 class _RunningOrder:
     """A claimed call in progress in this process; repeats join it."""
@@ -479,6 +483,8 @@
             sending.note_lost(upstream.instance_id)
         finally:
             self._chooser.note_end(ids, self._clock.now())
+        if sending.answer is None:
+            self._chooser.note_failure(ids, self._clock.now())
 
     async def _probe(self) -> None:
         await self._claims.read(PROBE_NAME)
--- a/wigeondrift/systems/ordering.py
+++ b/wigeondrift/systems/ordering.py
@@ -11,13 +11,12 @@
 from wigeondrift.claim import Claim, ClaimState
 from wigeondrift.errors import ErrorKind, Outcome, RequestError
 from wigeondrift.service import OUTCOME_HEADER, ServiceAnswer, ServiceCall
+from wigeondrift.systems.retries import RetryBudget
 from wigeondrift.table import ServiceRow
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 SEND_WINDOW_SECONDS = 8.0
 SETTLE_AFTER_SECONDS = 60.0
-RETRY_RATIO = 0.1
-RETRY_BURST = 10.0
 
 
 def needs_claim(row: ServiceRow, method: str) -> bool:
@@ -116,36 +115,6 @@
     )
 
 
-class RetryBudget:
-    """Bounds repeated sends to a part of the first ones.
-
-    Parameters
-    ----------
-    ratio : float
-        Retries earned by each first send.
-    burst : float
-        Most retries saved up.
-    """
-
-    __slots__ = ("_burst", "_ratio", "_saved")
-
-    def __init__(self, ratio: float = RETRY_RATIO, burst: float = RETRY_BURST) -> None:
-        self._ratio = ratio
-        self._burst = burst
-        self._saved = burst
-
-    def earn(self) -> None:
-        """Count a first send."""
-        self._saved = min(self._saved + self._ratio, self._burst)
-
-    def spend(self) -> bool:
-        """Take one retry; false if none is left."""
-        if self._saved < 1:
-            return False
-        self._saved -= 1
-        return True
-
-
 class Sending:
     """The sends of one call over its upstreams and what they say together.
 
@@ -177,6 +146,7 @@
     __slots__ = (
         "_attempts",
         "_budget",
+        "_is_charged",
         "_repeatable",
         "_send_by",
         "answer",
@@ -197,6 +167,7 @@
         self._attempts = attempts
         self._send_by = send_by
         self._budget = budget
+        self._is_charged = False
         self.excluded: set[str] = set()
         self.answer: ServiceAnswer | None = None
         self.is_lost = is_repeat
@@ -208,29 +179,31 @@
             return False
         if self.is_lost and not self._repeatable:
             return False
-        if self.excluded and not self._budget.spend():
+        if self._is_charged and not self._budget.take():
             return False
-        if not self.excluded:
-            self._budget.earn()
         self._attempts -= 1
         return True
 
     def note_unsent(self, upstream: str) -> None:
-        """No byte left for the upstream."""
+        """No byte left for the upstream; trying another adds no load."""
         self.excluded.add(upstream)
+        self._is_charged = False
 
     def note_lost(self, upstream: str) -> None:
         """Bytes left for the upstream and no whole answer came."""
         self.excluded.add(upstream)
         self.is_lost = True
+        self._is_charged = True
 
     def note_answer(self, upstream: str, answer: ServiceAnswer) -> None:
         """Take an upstream's answer; a refusal before running is not final."""
         self.excluded.add(upstream)
         if judge_answer(answer) is Outcome.NOT_RUN:
             self.is_refused = True
+            self._is_charged = True
         else:
             self.answer = answer
+            self._budget.note_success()
 
     @property
     def outcome(self) -> Outcome:
