--- a/tests/features/ordering.feature
+++ b/tests/features/ordering.feature
@@ -33,3 +33,27 @@
       | the platform is down, repeats dropped | dropping | 1  | ran                   | platform down reset; send 0; wait 5; send 1                               |
       | answer and outcome are lost         | strict   | 1    | claim_outcome_unknown | upstream lose_answer; platform lost_answers 3; send 0; wait 9; send 1     |
       | fencing is checked and it is settled | fenced  | 1    | ran                   | pause 0 before_send 100; send 0; wait 70; settle; send 1; wait 60         |
+
+  Scenario Outline: Orders flow again soon after an outage in which calls <end>
+    Given 30 callers who repeat their order at once while the platform's calls <end> for 60 s
+    Then each was refused at most 30 times as not run, and ran once
+    And all had their answer 2 s after the platform answered again
+
+    Examples:
+      | end   |
+      | reset |
+      | hang  |
+
+  Scenario: A call that may be repeated is tried at another upstream without a claim
+    Given reads of orders where the first upstream is "silent"
+    When 3 reads are sent
+    Then all reads ran and the platform had no call
+
+  Scenario: Repeats stay a part of the first sends
+    Given reads of orders where the first upstream is "refuse"
+    When 100 reads are sent
+    Then at most 80 reads were sent again and the others were refused as not run
+
+  Scenario: A call without its key is refused as not run
+    Given orders of service strict with the plan unkeyed 0
+    Then the order ran 0 times and the last caller was told idempotency_key_required
