Tell an unreachable stage and a failing domain from a fatal request

Cause of the known red 'kill -9 of the stages of a failure domain': a stream that lost a stage was resumed over a first stage elsewhere with a later stage in the dead domain; that one failed to connect, was reported as died, and two deaths refused an innocent request. Ruled out: deaths of both stages within one time window alone (waiting half a second changed nothing, 3 of 3 runs failed still).

A stage that takes no connection is now reported as unreachable, which blames nobody; the first stage checks later ones before it takes an order.

--- a/tests/generations.py
+++ b/tests/generations.py
@@ -93,11 +93,13 @@
         self.all_runners.append(runner)
         return runner
 
-    def add_grid(self, columns, cuts=(0, 4, 8, LAYERS), **fields):
-        """Add ``columns`` runners for each range between two cuts."""
-        for first, end in zip(cuts, cuts[1:], strict=False):
+    def add_grid(self, columns, domains=("rajkot",), **fields):
+        """Add ``columns`` runners for each range, spread over failure domains."""
+        for first, end in ((0, 4), (4, 8), (8, LAYERS)):
             for column in range(columns):
-                self.add_runner(f"r{first}-{column}", first, end, **fields)
+                domain = domains[column % len(domains)]
+                name = f"r{first}-{column}"
+                self.add_runner(name, first, end, failure_domain=domain, **fields)
 
     def publish_tables(self):
         """Give all processes the list and the table."""
--- a/tests/machines/quarantine.py
+++ b/tests/machines/quarantine.py
@@ -20,7 +20,7 @@
 RESENDS = 6
 MOST_RUNNERS_LOST = 2
 MOST_LOST_OF_TWO = 6
-MOST_FATAL = 2
+MOST_FAULTS = 2
 LIST_LAG_SECONDS = 1.0
 REVIVE_SECONDS = 3.0
 PATIENCE_SECONDS = 200.0
@@ -34,16 +34,21 @@
     def __init__(self):
         super().__init__()
         self.bed = Bed(seed=5, entries=ENTRIES)
-        self.bed.add_grid(COLUMNS)
         self.schedule = []
         self.innocent = []
         self.fatal = []
         self.deaths = 0
         self.calls = 0
-        self.fatal_calls = 0
+        self.faults = 0
+        self.resending = 0
 
-    @initialize(crash_after=st.sampled_from([0, 1, 5, 30]), restarts=st.booleans())
-    def arm(self, crash_after, restarts):
+    @initialize(
+        crash_after=st.sampled_from([0, 1, 5, 30]),
+        restarts=st.booleans(),
+        domains=st.sampled_from([("rajkot",), ("rajkot", "morbi", "jamnagar")]),
+    )
+    def arm(self, crash_after, restarts, domains):
+        self.bed.add_grid(COLUMNS, domains)
         self.restarts = restarts
         for runner in self.bed.cluster.runners_by_id.values():
             if runner.settings.first_layer == 4:
@@ -58,10 +63,10 @@
             lambda: self.innocent.append(self.bed.call(prompt, count, entry))
         )
 
-    @precondition(lambda self: self.fatal_calls < MOST_FATAL)
+    @precondition(lambda self: self.faults < MOST_FAULTS)
     @rule(first=entries)
     def call_fatal(self, first):
-        self.fatal_calls += 1
+        self.faults += 1
         self.calls += 1
         prompt = f"{MARKER} {self.calls}"
         self.schedule.append(
@@ -72,12 +77,30 @@
     def wait(self, seconds):
         self.schedule.append(seconds)
 
+    @precondition(lambda self: self.faults < MOST_FAULTS)
+    @rule(domain=st.sampled_from(["rajkot", "morbi"]))
+    def lose_domain(self, domain):
+        """All runners of a failure domain but its middles die at once."""
+        self.faults += 1
+        self.schedule.append(lambda: self.kill_domain(domain))
+
+    def kill_domain(self, domain):
+        runners = self.bed.cluster.runners_by_id.values()
+        here = [r for r in runners if r.settings.failure_domain == domain]
+        if len(here) < len(runners):
+            for runner in here:
+                if runner.settings.first_layer != 4 and runner.alive:
+                    runner.die()
+                    self.bed.nursery.start_soon(self.restart, runner)
+
     async def resend(self, prompt, entry):
         """Send the request again at once, to the next entry, as callers do."""
+        self.resending += 1
         for number in range(RESENDS):
             caller = self.bed.call(prompt, 60, (entry + number) % ENTRIES)
             self.fatal.append(caller)
             await caller.done.wait()
+        self.resending -= 1
 
     async def watch_deaths(self, runner):
         while True:
@@ -85,22 +108,27 @@
             self.deaths += 1
             if not self.restarts:
                 return
-            await trio.sleep(REVIVE_SECONDS)
-            runner.revive()
-            await trio.sleep(LIST_LAG_SECONDS)
-            self.bed.publish_tables()
+            await self.restart(runner)
+
+    async def restart(self, runner):
+        await trio.sleep(REVIVE_SECONDS)
+        runner.revive()
+        await trio.sleep(LIST_LAG_SECONDS)
+        self.bed.publish_tables()
 
     async def run_schedule(self):
         for runner in self.bed.cluster.runners_by_id.values():
-            self.bed.nursery.start_soon(self.watch_deaths, runner)
+            if runner.settings.first_layer == 4:
+                self.bed.nursery.start_soon(self.watch_deaths, runner)
         for step in self.schedule:
             if isinstance(step, float):
                 await trio.sleep(step)
             else:
                 step()
                 await trio.sleep(0)
-        await self.bed.wait(PATIENCE_SECONDS)
-        await trio.sleep(1.0)
+        with trio.fail_after(PATIENCE_SECONDS):
+            while self.resending:
+                await trio.sleep(0.1)
         await self.bed.wait(PATIENCE_SECONDS)
 
     def teardown(self):
--- a/wigeondrift/engine.py
+++ b/wigeondrift/engine.py
@@ -106,7 +106,7 @@
     failed_stage : str
         Runner that failed, if known.
     reason : str
-        For the log.
+        ``unreachable`` if the runner took no connection; else for the log.
     """
 
     request_id: str
@@ -115,6 +115,8 @@
     reason: str
 
 
+UNREACHABLE_REASON = "unreachable"
+
 EngineEvent = TokenEvent | EndEvent | FailureEvent
 
 
--- a/wigeondrift/engine_http.py
+++ b/wigeondrift/engine_http.py
@@ -106,7 +106,8 @@
 
     async def cancel(self, address: str, order: CancelRequest) -> None:
         """Drop one attempt; unknown ones are ignored."""
-        await self._call(address, "POST", "/cancel", _ENCODER.encode(order))
+        body = _ENCODER.encode(order)
+        await self._call(address, "POST", "/cancel", body, fresh=True)
 
     async def get_load(self, address: str) -> LoadReport:
         """Return the runner's own report of its load."""
@@ -116,9 +117,17 @@
         except msgspec.DecodeError as error:
             raise ProtocolViolation("the load report does not decode") from error
 
-    async def _call(self, address: str, method: str, target: str, body: bytes) -> bytes:
+    async def _call(
+        self, address: str, method: str, target: str, body: bytes, fresh: bool = False
+    ) -> bytes:
         request = self._client.request(
-            address, method, target, [], body, head_timeout=CALL_TIMEOUT_SECONDS
+            address,
+            method,
+            target,
+            [],
+            body,
+            head_timeout=CALL_TIMEOUT_SECONDS,
+            fresh=fresh,
         )
         async with request as response:
             data = await response.read()
--- a/wigeondrift/generation.py
+++ b/wigeondrift/generation.py
@@ -8,7 +8,13 @@
 import xxhash
 
 from wigeondrift.application import Component
-from wigeondrift.engine import CancelRequest, Engine, EngineEvent, EngineRefused
+from wigeondrift.engine import (
+    UNREACHABLE_REASON,
+    CancelRequest,
+    Engine,
+    EngineEvent,
+    EngineRefused,
+)
 from wigeondrift.entities import Route
 from wigeondrift.errors import (
     ConnectFailed,
@@ -255,7 +261,7 @@
             if refusal.reason == "leaving":
                 generator.report_leaving(stage)
             failure = Failure.refused(stage)
-            if refusal.reason == "unreachable":
+            if refusal.reason == UNREACHABLE_REASON:
                 failure = Failure.unreachable(stage)
             await self._fail(attempt, failure)
         except ConnectionSilent:
@@ -299,7 +305,10 @@
     def _find_failure(self) -> Failure | None:
         stream = self.stream
         if stream.failure is not None:
-            return Failure.died(stream.failure.failed_stage)
+            stage = stream.failure.failed_stage
+            if stream.failure.reason == UNREACHABLE_REASON:
+                return Failure.cut(stage)
+            return Failure.died(stage)
         if stream.has_gap:
             return Failure.gap()
         return None
--- a/wigeondrift/systems/quarantine.py
+++ b/wigeondrift/systems/quarantine.py
@@ -9,6 +9,9 @@
 QUARANTINE_SECONDS = 600.0
 SETTLE_SECONDS = 0.5
 TURN_SECONDS = 1.0
+CORRELATED_SECONDS = 0.5
+NEWS_JITTER_SECONDS = 1.0
+SPREAD_SECONDS = 1.0
 PROBATION_TOKENS = 8
 LONGEST_PROBATION_TOKENS = 64
 DEATHS_TO_QUARANTINE = 2
@@ -123,6 +126,7 @@
         "_cleared",
         "_deaths",
         "_epochs_by_id",
+        "_own_deaths",
         "_probation_by_fingerprint",
         "_refused",
         "_runs_by_upstream",
@@ -139,11 +143,20 @@
         self._runs_by_upstream: dict[str, dict[Run, None]] = {}
         self._epochs_by_id: dict[str, int] = {}
         self._probation_by_fingerprint: dict[str, int] = {}
+        self._own_deaths: set[str] = set()
 
     def is_refused(self, fingerprint: str) -> bool:
         """Whether requests with this fingerprint are not run."""
         return fingerprint in self._tables.quarantined
 
+    def is_spreading(self, fingerprint: str, now: float) -> bool:
+        """Whether a refusal is so new that other instances may not know of it.
+
+        Its caller is answered a little later, or the repeat would run elsewhere.
+        """
+        age = self._refused.get_age(fingerprint, "", now)
+        return age < SPREAD_SECONDS
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Whether an upstream died while it ran this fingerprint."""
         return fingerprint in self._upstreams_by_fingerprint
@@ -158,7 +171,7 @@
         upstreams = self._upstreams_by_fingerprint.get(fingerprint)
         if upstreams is None:
             return False
-        if len(upstreams) >= DEATHS_TO_QUARANTINE:
+        if self._count_deaths(fingerprint) >= DEATHS_TO_QUARANTINE:
             wait = SETTLE_SECONDS + TURN_SECONDS * self._count_before(fingerprint)
             ages = [self._deaths.get_age(fingerprint, u, now) for u in upstreams]
             if min(ages) < wait or self._is_guilty(fingerprint, now):
@@ -196,6 +209,17 @@
                     dead.add(name)
         return dead
 
+    def list_failing_domains(self, fingerprint: str, now: float) -> set[str]:
+        """Return the failure domains where an upstream died of it just now.
+
+        A trial there would tell nothing, since all of the domain may be failing.
+        """
+        return {
+            self._find_domain(upstream)
+            for upstream in self._upstreams_by_fingerprint.get(fingerprint, ())
+            if self._deaths.get_age(fingerprint, upstream, now) < CORRELATED_SECONDS
+        }
+
     def begin(self, fingerprint: str, instance_ids: tuple[str, ...]) -> Run:
         """Note that a request runs on upstreams from now on."""
         epochs = {name: self._epochs_by_id.get(name, 0) for name in instance_ids}
@@ -240,6 +264,7 @@
         instance = self._tables.instances_by_id.get(instance_id)
         incarnation = instance.incarnation if instance is not None else 0
         upstream = f"{instance_id}/{incarnation}"
+        self._own_deaths.add(upstream)
         blamed = [
             other
             for other in self._runs_by_upstream.get(instance_id, ())
@@ -318,16 +343,48 @@
         deaths; neither is refused for that.
         """
         upstreams = self._upstreams_by_fingerprint[fingerprint]
-        if len(upstreams) < DEATHS_TO_QUARANTINE:
+        if self._count_deaths(fingerprint) < DEATHS_TO_QUARANTINE:
             return False
         if not all(self._has_settled(fingerprint, one, now) for one in upstreams):
             return False
         shared: set[str] = set()
         for other, others in self._upstreams_by_fingerprint.items():
-            if other != fingerprint and len(others) >= DEATHS_TO_QUARANTINE:
+            if other == fingerprint or not upstreams & others:
+                continue
+            if self._count_deaths(other) >= DEATHS_TO_QUARANTINE:
                 shared |= others
         return bool(upstreams - shared)
 
+    def _count_deaths(self, fingerprint: str) -> int:
+        """Return its deaths; those of one failure domain at one time are one.
+
+        What fails together is no fault of a request. News of other instances come
+        with a jitter, so that a wider time is taken for them.
+        """
+        deaths = sorted(
+            (
+                self._find_domain(upstream),
+                -self._deaths.get_age(fingerprint, upstream, 0.0),
+                upstream in self._own_deaths,
+            )
+            for upstream in self._upstreams_by_fingerprint[fingerprint]
+        )
+        count = 0
+        last_domain, last_at, last_own = "", 0.0, False
+        for domain, at, own in deaths:
+            window = CORRELATED_SECONDS
+            if not (own and last_own):
+                window += NEWS_JITTER_SECONDS
+            is_one = count and domain == last_domain and at - last_at < window
+            count += 0 if is_one else 1
+            last_domain, last_at, last_own = domain, at, own
+        return count
+
+    def _find_domain(self, upstream: str) -> str:
+        """Return the failure domain of an upstream; its name if it is not known."""
+        instance = self._tables.instances_by_id.get(upstream.rpartition("/")[0])
+        return instance.failure_domain if instance is not None else upstream
+
     def _count_before(self, fingerprint: str) -> int:
         """Return how many of those that share its deaths are tried before it."""
         upstreams = self._upstreams_by_fingerprint[fingerprint]
@@ -335,9 +392,9 @@
         return sum(
             (len(others), other) < place
             for other, others in self._upstreams_by_fingerprint.items()
-            if len(others) >= DEATHS_TO_QUARANTINE
-            and upstreams & others
+            if upstreams & others
             and not self.is_refused(other)
+            and self._count_deaths(other) >= DEATHS_TO_QUARANTINE
         )
 
     def _extend_probation(self, run: Run) -> None:
@@ -351,6 +408,8 @@
             if not self._cleared.counts(fingerprint, upstream, now):
                 by_fingerprint.setdefault(fingerprint, set()).add(upstream)
         self._upstreams_by_fingerprint = by_fingerprint
+        known = {one for upstreams in by_fingerprint.values() for one in upstreams}
+        self._own_deaths &= known
         for fingerprint in list(self._probation_by_fingerprint):
             if fingerprint not in by_fingerprint:
                 del self._probation_by_fingerprint[fingerprint]
--- a/wigeondrift/systems/recovery.py
+++ b/wigeondrift/systems/recovery.py
@@ -196,6 +196,8 @@
         """
         fingerprint = self._job.fingerprint
         if self._quarantine.is_refused(fingerprint):
+            if self._quarantine.is_spreading(fingerprint, now):
+                return None
             raise self._make_error(ErrorKind.QUARANTINED, "upstreams died of it")
         if self._attempts >= self._most_attempts or self._refusals >= REFUSALS:
             raise self._give_up("too many attempts")
@@ -232,14 +234,18 @@
         quarantine = self._quarantine
         shunned = quarantine.list_shunned(self._job.fingerprint)
         strict = self._excluded | self._doubted | shunned | quarantine.list_dead()
+        failing = quarantine.list_failing_domains(self._job.fingerprint, now)
+        doubtful = strict | self._routing.list_in_domains(failing)
         reserved = self._routing.list_reserved(self._job.service)
-        route = self._plan(strict | reserved, now)
+        route = self._plan(doubtful | reserved, now)
         if route is not None:
             return route
         waits_since = now if self._waits_since is None else self._waits_since
         waited = now - waits_since
         if waited < RESERVED_WAIT_SECONDS and self._plan(reserved, now):
             return None
+        if failing:
+            return self._plan(doubtful, now)
         return self._plan(strict, now) or self._plan(self._excluded | shunned, now)
 
     def _plan(self, excluded: set[str], now: float) -> Route | None:
--- a/wigeondrift/systems/routing.py
+++ b/wigeondrift/systems/routing.py
@@ -277,6 +277,14 @@
             )
         return total
 
+    def list_in_domains(self, failure_domains: Collection[str]) -> set[str]:
+        """Return the names of all instances in some failure domains."""
+        return {
+            instance.instance_id
+            for instance in self._tables.instances_by_id.values()
+            if instance.failure_domain in failure_domains
+        }
+
     def list_reserved(self, service: str) -> set[str]:
         """Return the runners left to other instances for their suspect requests.
 
@@ -293,15 +301,17 @@
             return set()
         rank = agents.index(self._instance_id)
         cover = self._fleet.get_cover(service, row.version)
-        names_by_range: dict[tuple[int, int], list[str]] = {}
+        ranked_by_range: dict[tuple[int, int], list[tuple[str, str]]] = {}
         for group in cover.groups if cover is not None else ():
             place = (group.first_layer, group.end_layer)
-            names = [instance.instance_id for instance in group.instances]
-            names_by_range.setdefault(place, []).extend(names)
+            ranked_by_range.setdefault(place, []).extend(
+                (group.failure_domain, instance.instance_id)
+                for instance in group.instances
+            )
         return {
             name
-            for names in names_by_range.values()
-            for index, name in enumerate(sorted(names))
+            for ranked in ranked_by_range.values()
+            for index, (_, name) in enumerate(sorted(ranked))
             if index % len(agents) != rank
         }
 
--- a/wigeondrift_emulator/engine.py
+++ b/wigeondrift_emulator/engine.py
@@ -18,7 +18,7 @@
 
 from wigeondrift.engine import CancelRequest, EngineRefused, GenerateRequest
 from wigeondrift.entities import Stage
-from wigeondrift.errors import ProtocolViolation
+from wigeondrift.errors import ProtocolViolation, TransportError
 from wigeondrift.http import (
     Exchange,
     HttpClient,
@@ -36,6 +36,7 @@
 STREAM_TYPE = [("Content-Type", "application/x-ndjson")]
 BODY_BYTES = 8 * 1048576
 FORWARD_TIMEOUT_SECONDS = 30.0
+CHECK_SECONDS = 1.0
 BACKLOG = 1024
 
 _ENCODER = msgspec.json.Encoder()
@@ -85,6 +86,20 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
 
+    async def check(self, stage: Stage) -> None:
+        """Return if a new connection to ``stage`` is answered.
+
+        Raises
+        ------
+        TransportError
+            If it is not.
+        """
+        request = self._client.request(
+            stage.address, "GET", "/load", head_timeout=CHECK_SECONDS, fresh=True
+        )
+        async with request as response:
+            await response.read()
+
     async def forward(
         self, order: GenerateRequest, stage: Stage, activation: int
     ) -> int:
@@ -193,6 +208,7 @@
     async def _generate(self, exchange: Exchange) -> None:
         order = msgspec.json.decode(exchange.request.body, type=GenerateRequest)
         try:
+            await self._check_remote_stages(order)
             session = self._runner.start(order)
         except EngineRefused as refusal:
             headers = [
@@ -210,6 +226,16 @@
         finally:
             session.close()
 
+    async def _check_remote_stages(self, order: GenerateRequest) -> None:
+        cluster = self._runner.cluster
+        for stage in order.stages:
+            if stage.instance_id in cluster.runners_by_id:
+                continue
+            try:
+                await cluster.forwarder.check(stage)
+            except TransportError as error:
+                raise EngineRefused("unreachable", stage.instance_id) from error
+
     async def _forward(self, exchange: Exchange) -> None:
         order = msgspec.json.decode(exchange.request.body, type=ForwardRequest)
         runner = self._runner
--- a/wigeondrift_emulator/session.py
+++ b/wigeondrift_emulator/session.py
@@ -5,6 +5,7 @@
 import trio
 
 from wigeondrift.engine import (
+    UNREACHABLE_REASON,
     EndEvent,
     EngineEvent,
     FailureEvent,
@@ -13,7 +14,7 @@
 )
 from wigeondrift.engine_memory import MemorySession
 from wigeondrift.entities import Stage
-from wigeondrift.errors import ConnectionLost, TransportError
+from wigeondrift.errors import ConnectFailed, ConnectionLost, TransportError
 from wigeondrift_emulator.slots import Ticket
 from wigeondrift_emulator.tokens import (
     begin_token,
@@ -29,14 +30,16 @@
 HEARTBEAT_SECONDS = 0.4
 STEP_SECONDS = 0.004
 TOKENS_PER_STEP = 16
+DIED_REASON = "died"
 
 
 class StageFailed(Exception):
     """A later stage failed."""
 
-    def __init__(self, instance_id: str) -> None:
+    def __init__(self, instance_id: str, reason: str) -> None:
         super().__init__(instance_id)
         self.instance_id = instance_id
+        self.reason = reason
 
 
 class Session(MemorySession):
@@ -103,12 +106,14 @@
         """Return the next events; empty for a sign of life, None after the end."""
         batch = None
         failed = ""
+        reason = DIED_REASON
         if self._lost is None and not self._ended:
             with trio.CancelScope() as self._scope:
                 try:
                     batch = await self._advance()
                 except StageFailed as failure:
                     failed = failure.instance_id
+                    reason = failure.reason
             self._scope = None
         if self._lost is self.head:
             self.close()
@@ -119,7 +124,6 @@
             failed = self._lost.settings.instance_id
         if failed:
             self.close()
-            reason = "stage died"
             order = self.order
             return [FailureEvent(order.request_id, order.attempt, failed, reason)]
         return batch
@@ -256,8 +260,10 @@
             return await self.head.cluster.forwarder.forward(
                 self.order, stage, activation
             )
+        except ConnectFailed as error:
+            raise StageFailed(stage.instance_id, UNREACHABLE_REASON) from error
         except TransportError as error:
-            raise StageFailed(stage.instance_id) from error
+            raise StageFailed(stage.instance_id, DIED_REASON) from error
 
     def _make_stray_events(self, event: TokenEvent) -> list[EngineEvent]:
         if not self.head.cross_tokens:
