--- a/wigeondrift/systems/admission.py
+++ b/wigeondrift/systems/admission.py
@@ -5,6 +5,8 @@
 """
 
 import enum
+import heapq
+import itertools
 import math
 from collections.abc import Callable
 from typing import NamedTuple
@@ -37,6 +39,9 @@
         Requests waiting at once.
     queue_timeout : float
         Longest wait of one request, in seconds.
+    short_queue_timeout : float
+        Longest wait of a short model request for a slot, in seconds, once its
+        team's limit lets it through.
     limit_wait : float
         Longest wait for a rate to let a request through, in seconds; one that
         would wait longer is refused at once.
@@ -55,12 +60,14 @@
         "long_tokens",
         "queue_length",
         "queue_timeout",
+        "short_queue_timeout",
     )
 
     def __init__(
         self,
         queue_length: int = 1000,
         queue_timeout: float = 20.0,
+        short_queue_timeout: float = 20.0,
         limit_wait: float = 2.0,
         burst_seconds: float = 1.0,
         long_tokens: int = 2048,
@@ -68,6 +75,7 @@
     ) -> None:
         self.queue_length = queue_length
         self.queue_timeout = queue_timeout
+        self.short_queue_timeout = short_queue_timeout
         self.limit_wait = limit_wait
         self.burst_seconds = burst_seconds
         self.long_tokens = long_tokens
@@ -183,6 +191,9 @@
         self.tokens.set_rate(limit.tokens, limit.tokens * rules.burst_seconds, now)
 
 
+MakeQueue = Callable[[], FairQueue[Ticket]]
+
+
 class ServiceUse:
     """Queues and slots of one service.
 
@@ -199,9 +210,9 @@
 
     __slots__ = ("long", "running_long", "running_short", "short", "slots", "slots_at")
 
-    def __init__(self) -> None:
-        self.short: FairQueue[Ticket] = FairQueue()
-        self.long: FairQueue[Ticket] = FairQueue()
+    def __init__(self, make_queue: MakeQueue) -> None:
+        self.short = make_queue()
+        self.long = make_queue()
         self.running_short = 0
         self.running_long = 0
         self.slots = 1
@@ -242,11 +253,16 @@
     get_limit : callable
         Takes a row and the time, returns the ``Limit`` of this entry.
     rules : AdmissionRules
+    make_queue : callable, optional
+        Returns an empty queue of one service and class.
     """
 
     __slots__ = (
+        "_deadlines",
         "_get_limit",
+        "_make_queue",
         "_rules",
+        "_sequence",
         "_settled",
         "_tables",
         "services_by_name",
@@ -255,12 +271,19 @@
     )
 
     def __init__(
-        self, tables: Tables, get_limit: GetLimit, rules: AdmissionRules
+        self,
+        tables: Tables,
+        get_limit: GetLimit,
+        rules: AdmissionRules,
+        make_queue: MakeQueue = FairQueue,
     ) -> None:
+        self._make_queue = make_queue
         self._tables = tables
         self._get_limit = get_limit
         self._rules = rules
         self._settled: list[Ticket] = []
+        self._deadlines: list[tuple[float, int, Ticket]] = []
+        self._sequence = itertools.count()
         self.uses_by_row: dict[str, RowUse] = {}
         self.services_by_name: dict[str, ServiceUse] = {}
         self.waiting = 0
@@ -291,6 +314,9 @@
         use.wanted_requests += 1
         use.wanted_tokens += tokens
         wait = self._estimate_limit_wait(ticket, use, now)
+        if tokens and not is_long:
+            patience = wait + rules.short_queue_timeout
+            ticket.deadline = min(ticket.deadline, now + patience)
         if wait > rules.limit_wait:
             retry_after = None if math.isinf(wait) else math.ceil(wait)
             self._refuse(ticket, ErrorKind.LIMIT_EXCEEDED, retry_after)
@@ -354,8 +380,11 @@
     def _enqueue(self, ticket: Ticket, use: RowUse) -> None:
         service = self.services_by_name.get(ticket.service)
         if service is None:
-            service = self.services_by_name[ticket.service] = ServiceUse()
+            service = self.services_by_name[ticket.service] = ServiceUse(
+                self._make_queue
+            )
         service.get_queue(ticket.is_long).push(ticket.team, ticket)
+        heapq.heappush(self._deadlines, (ticket.deadline, next(self._sequence), ticket))
         use.waiting += 1
         use.waiting_tokens += ticket.tokens
         self.waiting += 1
@@ -384,19 +413,18 @@
         return settled
 
     def _expire(self, now: float) -> None:
-        for service in self.services_by_name.values():
-            for queue in (service.short, service.long):
-                self._expire_queue(queue, now)
-
-    def _expire_queue(self, queue: FairQueue[Ticket], now: float) -> None:
-        for team, oldest in queue.iter_oldest():
-            ticket = oldest
-            while ticket is not None and ticket.deadline <= now:
-                queue.remove(team, ticket)
-                self._leave_queue(ticket)
+        deadlines = self._deadlines
+        while deadlines and deadlines[0][0] <= now:
+            ticket = heapq.heappop(deadlines)[2]
+            if ticket.state is TicketState.WAITING:
+                self._remove(ticket)
                 self._refuse(ticket, ErrorKind.QUEUE_TIMEOUT)
                 self._settled.append(ticket)
-                ticket = queue.get_oldest(team)
+
+    def _remove(self, ticket: Ticket) -> None:
+        service = self.services_by_name[ticket.service]
+        service.get_queue(ticket.is_long).remove(ticket.team, ticket)
+        self._leave_queue(ticket)
 
     def _dispatch(self, name: str, service: ServiceUse, now: float) -> None:
         if not service.short.length and not service.long.length:
@@ -475,9 +503,7 @@
         """Take back a waiting request whose caller has gone."""
         if ticket.state is not TicketState.WAITING:
             return
-        service = self.services_by_name[ticket.service]
-        service.get_queue(ticket.is_long).remove(ticket.team, ticket)
-        self._leave_queue(ticket)
+        self._remove(ticket)
         ticket.state = TicketState.ENDED
 
     def take_demand(self) -> list[RowDemand]:
