--- a/bench/shares.py
+++ b/bench/shares.py
@@ -65,6 +65,10 @@
         """Return the bytes that one node sends, per second."""
         return 0.0
 
+    def most_bytes_per_second(self) -> float:
+        """Return the bytes of the busiest node, both directions, per second."""
+        return 0.0
+
 
 class AllToAll:
     """Each entry tells its demand to all others and divides by the last heard."""
@@ -87,6 +91,10 @@
         size = len(serialize_message(news)) + FRAME_BYTES
         return size * (self.nodes - 1) / REPORT_SECONDS
 
+    def most_bytes_per_second(self) -> float:
+        """Return the bytes of the busiest node, both directions, per second."""
+        return 2 * self.bytes_per_second()
+
 
 class SoftOwners:
     """The product's own systems on a message list."""
@@ -150,18 +158,23 @@
     def reset_bytes(self) -> None:
         """Count bytes from now on."""
         self.network.sent_bytes_by_type.clear()
+        self.network.sent_bytes_by_address.clear()
+        self.network.received_bytes_by_address.clear()
         self._since = self.network.now
 
     def bytes_per_second(self) -> float:
-        """Return the bytes of shares that one node sends, per second.
-
-        Reports and slices between agents; loopback between an entry and its agent
-        is left out, which carries each of them once more.
-        """
+        """Return the bytes of shares that one node sends, per second."""
         by_type = self.network.sent_bytes_by_type
-        shares = sum(by_type.get(kind, 0) for kind in ("DemandNews", "SliceNews"))
-        elapsed = self.network.now - self._since
-        return shares / 2 / self.nodes / elapsed
+        kinds = ("DemandNews", "SliceNews", "RowsNews")
+        shares = sum(by_type.get(kind, 0) for kind in kinds)
+        return shares / self.nodes / (self.network.now - self._since)
+
+    def most_bytes_per_second(self) -> float:
+        """Return the bytes of all control of the busiest node, both directions."""
+        sent = self.network.sent_bytes_by_address
+        received = self.network.received_bytes_by_address
+        most = max(sent[address] + received.get(address, 0) for address in sent)
+        return most / (self.network.now - self._since)
 
 
 def score(way, nodes: int, steady: int, swings: int) -> dict[str, float]:
@@ -189,7 +202,8 @@
         "error_percent": round(100 * statistics.fmean(errors), 2),
         "excess_percent": round(100 * max(excesses), 2),
         "adapt_seconds": None if None in times else max(times),
-        "bytes_per_second": round(way.bytes_per_second()),
+        "sent_bytes_per_second": round(way.bytes_per_second()),
+        "most_bytes_per_second": round(way.most_bytes_per_second()),
     }
 
 
--- a/wigeondrift_emulator/network.py
+++ b/wigeondrift_emulator/network.py
@@ -92,6 +92,7 @@
         Sender's and receiver's address of connections that have gone silent; a
         reset by the sender heals one.
     sent_bytes_by_address : dict of str to int
+        Without what stays on one host; so are the next two.
     received_bytes_by_address : dict of str to int
     sent_bytes_by_type : dict of str to int
         By the message's type.
@@ -157,12 +158,12 @@
         return pair not in self.cuts
 
     def _send(self, source: Process, address: str, message) -> None:
-        data = serialize_message(message)
-        size = len(data) + FRAME_BYTES
-        sent = self.sent_bytes_by_address
-        sent[source.address] = sent.get(source.address, 0) + size
-        kind = type(message).__name__
-        self.sent_bytes_by_type[kind] = self.sent_bytes_by_type.get(kind, 0) + size
+        size = len(serialize_message(message)) + FRAME_BYTES
+        is_remote = _get_host(source.address) != _get_host(address)
+        if is_remote:
+            kind = type(message).__name__
+            _add(self.sent_bytes_by_address, source.address, size)
+            _add(self.sent_bytes_by_type, kind, size)
         if self.loss and self._rng.random() < self.loss:
             return
         if (source.address, address) in self.silent:
@@ -178,8 +179,8 @@
             target = self.processes_by_address.get(address)
             if target is None or not self.can_pass(source, target):
                 continue
-            received = self.received_bytes_by_address
-            received[address] = received.get(address, 0) + size
+            if _get_host(source.address) != _get_host(address):
+                _add(self.received_bytes_by_address, address, size)
             self.perform(target, target.decisions.receive(message, self.now))
 
     def _run(self, process: Process) -> None:
@@ -224,3 +225,11 @@
         listed = self.core.read_instances(self.now)
         actions = attachment.note_platform(stored, listed, self.now)
         self.perform(process, actions)
+
+
+def _get_host(address: str) -> str:
+    return address.rpartition(":")[0]
+
+
+def _add(counts: dict[str, int], key: str, amount: int) -> None:
+    counts[key] = counts.get(key, 0) + amount
