--- a/bench/control.py
+++ b/bench/control.py
@@ -29,7 +29,15 @@
 from wigeondrift.post import PostOffice
 from wigeondrift.status import ask_status
 from wigeondrift.systems.control import AgentControl
-from wigeondrift.table import TABLE_KEY, LimitRow, Table, TeamRow, serialize_table
+from wigeondrift.table import (
+    TABLE_KEY,
+    LimitRow,
+    ServiceKind,
+    ServiceRow,
+    Table,
+    TeamRow,
+    serialize_table,
+)
 from wigeondrift_emulator.network import Process, VirtualNetwork
 
 WARM_SECONDS = 4.0
@@ -46,8 +54,12 @@
         for team in range(teams)
         for service in range(services)
     }
-    names = {f"team-{team}": TeamRow(("0" * 64,)) for team in range(teams)}
-    return Table(teams_by_name=names, limits_by_row=limits)
+    names = {f"team-{team}": TeamRow((f"{team:064x}",)) for team in range(teams)}
+    kinds = {
+        f"service-{service}": ServiceRow(ServiceKind.PLAIN)
+        for service in range(services)
+    }
+    return Table(kinds, names, limits)
 
 
 def read_memory(pid: int) -> dict[str, float]:
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -22,7 +22,15 @@
     divide,
     get_limit,
 )
-from wigeondrift.table import TABLE_KEY, LimitRow, Table, serialize_table
+from wigeondrift.table import (
+    TABLE_KEY,
+    LimitRow,
+    ServiceKind,
+    ServiceRow,
+    Table,
+    TeamRow,
+    serialize_table,
+)
 from wigeondrift.tables import Tables
 from wigeondrift_emulator.network import FRAME_BYTES, Process, VirtualNetwork
 
@@ -111,7 +119,12 @@
 
     def _build(self) -> None:
         limit = LimitRow(requests=self.nodes * LIMIT_EACH)
-        table = Table(limits_by_row=dict.fromkeys(self.rows, limit))
+        teams = [row.partition("/")[0] for row in self.rows]
+        table = Table(
+            services_by_name={"kokil-lm": ServiceRow(ServiceKind.PLAIN)},
+            teams_by_name=dict.fromkeys(teams, TeamRow()),
+            limits_by_row=dict.fromkeys(self.rows, limit),
+        )
         self.core.put(0.0, TABLE_KEY, serialize_table(table), 0)
         agents = [f"10.0.{i // 250}.{i % 250}:1" for i in range(self.nodes)]
         domains = [DOMAINS[i % len(DOMAINS)] for i in range(self.nodes)]
--- a/tests/control_plane.py
+++ b/tests/control_plane.py
@@ -16,6 +16,7 @@
 from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.status import ask_status
 from wigeondrift.systems.attachment import Attachment
+from wigeondrift.systems.shares import get_limit
 from wigeondrift.table import (
     TABLE_KEY,
     LimitRow,
@@ -57,20 +58,21 @@
         self.platform.wait_for_event("started")
         self.posts = [free_address() for _ in range(count)]
         for index in range(count):
-            self.agents.append(self._start_agent(index))
+            self.agents.append(self._start_agent(index, len(self.posts)))
         self.set_instances()
         self._started = threading.Event()
         self._thread = threading.Thread(target=self._run_links, daemon=True)
         self._thread.start()
         assert self._started.wait(10)
 
-    def _start_agent(self, index):
+    def _start_agent(self, index, count):
         document = {
             "instance_id": f"i-{index}",
             "failure_domain": DOMAINS[index % len(DOMAINS)],
             "post": self.posts[index],
             "platform": self.callers[index],
             "seeds": self.posts,
+            "configured_instances": count,
             "gossip_interval": 0.1,
         }
         path = write_settings(document)
@@ -80,7 +82,7 @@
 
     def restart_agent(self, index):
         self.agents[index].kill()
-        self.agents[index] = self._start_agent(index)
+        self.agents[index] = self._start_agent(index, len(self.posts))
 
     def set_instances(self, *more):
         agents = [
@@ -104,13 +106,16 @@
         trio.run(post)
 
     def write_table(self, running):
+        self.write(make_table(running))
+
+    def write(self, table):
         async def write():
             client = HttpClient()
             store = HttpPlatformStore(client, self.callers[-1])
             while True:
                 with contextlib.suppress(PlatformError):
                     found = await store.get(TABLE_KEY)
-                    data = serialize_table(make_table(running))
+                    data = serialize_table(table)
                     await store.put(TABLE_KEY, data, found.revision)
                     break
             await client.close()
@@ -164,6 +169,12 @@
         row = tables.table.limits_by_row.get(ROW)
         return row.running if row else None
 
+    def list_amounts(self):
+        now = trio.current_time()
+        return [
+            get_limit(link.attachment.tables, ROW, now).running for link in self.links
+        ]
+
     def wait_for_link(self, index, limit):
         wait_until(lambda: self.get_limit(index) == limit, f"link {index}: {limit}")
 
--- a/tests/features/agents.feature
+++ b/tests/features/agents.feature
@@ -47,3 +47,20 @@
     And every agent and every link has the limit of 7 in force
     When link 2 reports that "f00d" is quarantined
     Then every link refuses "f00d"
+
+  Scenario: A table that fails its check is refused and the one in force stays
+    Given a platform with 2 agents and an entry's link to each
+    And the operators write the table with a limit of 7
+    And every agent and every link has the limit of 7 in force
+    When a table that names no service of its limit is written
+    Then every agent logs that it refused a table
+    And every agent and every link has the limit of 7 in force
+    When the operators write the table with a limit of 9
+    Then every agent and every link has the limit of 9 in force
+
+  Scenario: An entry that needs more is lent what the others do not use
+    Given a platform with 3 agents and an entry's link to each
+    And the operators write the table with a limit of 90
+    And every agent and every link has the limit of 90 in force
+    When link 0 asks for 80 requests at once and the others for 1
+    Then link 0 may run more than 60 and all together at most 90
--- a/tests/features/steps/agents.py
+++ b/tests/features/steps/agents.py
@@ -1,8 +1,9 @@
 from behave import given, step, then, when
 
-from tests.control_plane import ControlPlane
+from tests.control_plane import ROW, ControlPlane
 from tests.processes import wait_until
 from wigeondrift.entities import Instance, InstanceState, Role
+from wigeondrift.table import LimitRow, Table
 
 
 @given("a platform with {count:d} agents and an entry's link to each")
@@ -91,3 +92,33 @@
     for link in context.plane.links:
         tables = link.attachment.tables
         wait_until(lambda t=tables: fingerprint in t.quarantined, fingerprint)
+
+
+@when("a table that names no service of its limit is written")
+def write_bad_table(context):
+    context.plane.write(Table(limits_by_row={ROW: LimitRow()}))
+
+
+@then("every agent logs that it refused a table")
+def check_refused(context):
+    for agent in context.plane.agents:
+        agent.wait_for_event("table_refused")
+
+
+@when("link 0 asks for {first:d} requests at once and the others for {others:d}")
+def ask_unevenly(context, first, others):
+    context.wanted = [first] + [others] * (len(context.plane.links) - 1)
+
+
+@then("link 0 may run more than {least:d} and all together at most {limit:d}")
+def check_lent(context, least, limit):
+    plane = context.plane
+
+    def look():
+        for link, running in zip(plane.links, context.wanted, strict=True):
+            plane.do(link.report_demand, ROW, running, 0.0, running)
+        amounts = plane.do(plane.list_amounts)
+        assert sum(amounts) <= limit, amounts
+        return amounts[0] > least
+
+    wait_until(look, f"link 0 may run more than {least}")
--- a/tests/machines/control.py
+++ b/tests/machines/control.py
@@ -13,6 +13,7 @@
 )
 
 from wigeondrift.entities import Instance, InstanceState, Role
+from wigeondrift.messages import SuspectNews
 from wigeondrift.platform_core import DownMode, Faults, StoreCore
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.control import AgentControl
@@ -39,6 +40,8 @@
 LIMIT = 80.0
 IN_FORCE_SECONDS = 4.0
 LEAVE_SECONDS = 3.0
+SUSPECT_SECONDS = 2.0
+RECOVERY_SECONDS = 5.0
 FORCED_WINDOW_SECONDS = 7.0
 UPSTREAM = Instance("runner-1", 1, Role.RUNNER, "10.0.1.1:1", "rajkot")
 
@@ -46,6 +49,14 @@
 domains = st.sampled_from(DOMAINS)
 
 
+def make_table(row):
+    return Table(
+        services_by_name={"service": ServiceRow(ServiceKind.PLAIN)},
+        teams_by_name={"team": TeamRow()},
+        limits_by_row={ROW: row},
+    )
+
+
 class ControlMachine(RuleBasedStateMachine):
     """Any number of faults at once; the oracle tracks who could reach whom."""
 
@@ -64,6 +75,8 @@
         self.seen_version = {}
         self.settled = {}
         self.marked_at = None
+        self.suspected_at = None
+        self.suspect_bound = RECOVERY_SECONDS
         self.seen_leaving = set()
         self.restarted_at = []
         self.forced = []
@@ -180,6 +193,7 @@
             self.check_entry_version(i)
             self.check_settled(i)
             self.check_leaving(i)
+            self.check_suspects(i)
         self.check_limit()
 
     def check_entry_version(self, i):
@@ -216,6 +230,19 @@
         if self.calm and joined and self.network.now - fair > LEAVE_SECONDS:
             raise AssertionError(f"entry {i} has no leave mark")
 
+    def check_suspects(self, i):
+        if self.suspected_at is None or not self.agent(i).is_up or not self.calm:
+            return
+        source, suspected_at = self.suspected_at
+        fair = max(self.fair_since[i], self.fair_since[source], suspected_at)
+        joined = self.network.can_pass(self.agent(source), self.agent(i))
+        if "f00d" not in self.entry(source).decisions.tables.quarantined:
+            return
+        bound = self.suspect_bound if fair == suspected_at else RECOVERY_SECONDS
+        if joined and self.network.now - fair > bound:
+            known = "f00d" in self.entry(i).decisions.tables.quarantined
+            assert known, f"entry {i} does not refuse the request"
+
     def check_limit(self):
         now = self.network.now
         in_force = [self.entry(i).decisions.tables.table_version for i in range(NODES)]
@@ -366,6 +393,7 @@
     def silence(self, i, j):
         if i != j:
             self.network.silent.add((self.agent_address(i), self.agent_address(j)))
+            self.touch()
 
     @rule(i=nodes)
     def silence_all(self, i):
@@ -376,6 +404,23 @@
         self.core.faults.down_by_caller[self.domain(i)] = DownMode.RESET
         self.touch()
 
+    @precondition(lambda self: self.suspected_at is None)
+    @rule(i=nodes)
+    def upstream_dies(self, i):
+        if not self.agent(i).is_up or not self.entry(i).decisions.is_ready:
+            return
+        since = self.network.now - max(self.fair_since)
+        self.suspect_bound = (
+            SUSPECT_SECONDS if since > RECOVERY_SECONDS else RECOVERY_SECONDS
+        )
+        self.touch()
+        self.suspected_at = (i, self.network.now)
+        entry = self.entry(i)
+        news = SuspectNews((("f00d", ("runner-1", "runner-2")),), (), ("f00d",))
+        actions = entry.decisions.report_suspects(news, self.network.now)
+        self.network.perform(entry, actions)
+        self.network.advance(3.0)
+
     @precondition(lambda self: self.marked_at is None)
     @rule(i=nodes)
     def upstream_refuses(self, i):
--- a/wigeondrift/systems/control.py
+++ b/wigeondrift/systems/control.py
@@ -475,7 +475,8 @@
             actions.send(hello.address, TableNews(replica.table_version, replica.data))
         if hello.instances_revision < replica.instances_revision:
             actions.send(hello.address, self._build_instances())
-        if hello.marks != self._get_marks_digest():
+        is_new = record is None or record.hello.incarnation != hello.incarnation
+        if is_new or hello.marks != self._get_marks_digest():
             self._send_marks(hello.address, actions)
         replica.note_announced(hello.entry_id, hello.table_version)
         self._pull(
