--- a/bench/control.py
+++ b/bench/control.py
@@ -1,8 +1,8 @@
 """Measures the control plane.
 
 ``processes`` runs real agents on loopback; ``gossip`` runs the systems of a large
-fleet in virtual time; ``memory`` compares an agent of its own with control inside an
-entry; ``work`` times the decisions that would stall a token stream.
+fleet in virtual time; ``work`` times the decisions that would stall a token stream.
+``bench.control_memory`` weighs control inside an entry.
 """
 
 import contextlib
@@ -17,7 +17,7 @@
 import msgspec
 import trio
 
-from bench.shares import DOMAINS, make_rows
+from bench.shares import DOMAINS
 from tests.processes import Process as Program
 from tests.processes import free_address, write_settings
 from wigeondrift.entities import Instance, Role
@@ -364,37 +364,5 @@
     )
 
 
-@app.command
-def memory(*, teams: int = 10, instances: int = 40) -> None:
-    """Print what control adds to this process beside an entry's imports.
-
-    Parameters
-    ----------
-    teams
-        Teams in the table.
-    instances
-        Agents known.
-    """
-    import wigeondrift.gateway
-
-    before = read_memory(os.getpid())
-    import wigeondrift.loads
-    import wigeondrift.watcher  # noqa: F401
-
-    rng = random.Random(1)
-    control = AgentControl("i-0", "rajkot", "10.0.0.0:1", 1, (), rng, instances)
-    core = StoreCore()
-    agents = tuple(
-        Instance(f"i-{i}", 1, Role.AGENT, f"10.0.0.{i}:1", "rajkot")
-        for i in range(instances)
-    )
-    core.set_instances(0.0, agents)
-    core.put(0.0, TABLE_KEY, serialize_table(make_table(teams)), 0)
-    control.note_table(core.read(0.0, TABLE_KEY), 0.0)
-    control.note_instances(core.read_instances(0.0), 0.0)
-    after = read_memory(os.getpid())
-    print(json.dumps({"before": before, "after": after, "rows": len(make_rows(1))}))
-
-
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/bench/control_memory.py
@@ -0,0 +1,66 @@
+"""Prints what an agent's work would add to the memory of an entry.
+
+Run as ``python -m bench.control_memory``: the entry's parts are imported first, then
+the agent's, then a table of some size is put in force. Nothing else may be imported
+before, so this module stays apart from the other measurements.
+"""
+
+import json
+import os
+import random
+import sys
+from pathlib import Path
+
+
+def read_anonymous() -> float:
+    """Return the process's own memory, not backed by files, in megabytes."""
+    text = Path(f"/proc/{os.getpid()}/smaps_rollup").read_text()
+    for line in text.splitlines():
+        if line.startswith("Pss_Anon:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def main(teams: int, instances: int) -> None:
+    """Print the sizes at each step, in megabytes."""
+    import wigeondrift.gateway
+    import wigeondrift.generation
+    import wigeondrift.link
+    import wigeondrift.orders
+    import wigeondrift.platform_http
+
+    sizes = {"entry": read_anonymous()}
+    import wigeondrift.loads
+    import wigeondrift.systems.control
+    import wigeondrift.watcher  # noqa: F401
+
+    sizes["with_control"] = read_anonymous()
+    from wigeondrift.entities import Instance, Role
+    from wigeondrift.systems.control import AgentControl
+    from wigeondrift.table import (
+        LimitRow,
+        ServiceKind,
+        ServiceRow,
+        Table,
+        TeamRow,
+        serialize_table,
+    )
+
+    limits = {f"team-{team}/service": LimitRow() for team in range(teams)}
+    names = {f"team-{team}": TeamRow() for team in range(teams)}
+    table = Table({"service": ServiceRow(ServiceKind.PLAIN)}, names, limits)
+    agents = tuple(
+        Instance(f"i-{i}", 1, Role.AGENT, f"10.0.0.{i}:1", "rajkot")
+        for i in range(instances)
+    )
+    control = AgentControl("i-0", "rajkot", "10.0.0.0:1", 1, (), random.Random(1))
+    control.replica.offer_table(1, serialize_table(table), 0.0)
+    control.replica.offer_instances(1, agents)
+    control.membership.note_list(agents, 0.0)
+    sizes["with_state"] = read_anonymous()
+    rounded = {name: round(size, 2) for name, size in sizes.items()}
+    print(json.dumps({"teams": teams, "instances": instances, **rounded}))
+
+
+if __name__ == "__main__":
+    main(*(int(argument) for argument in sys.argv[1:] or ("10", "40")))
--- a/tests/features/agents.feature
+++ b/tests/features/agents.feature
@@ -64,3 +64,16 @@
     And every agent and every link has the limit of 90 in force
     When link 0 asks for 80 requests at once and the others for 1
     Then link 0 may run more than 60 and all together at most 90
+
+  Scenario: An agent that froze is noticed and taken back
+    Given a platform with 2 agents and an entry's link to each
+    And the operators write the table with a limit of 7
+    And every agent and every link has the limit of 7 in force
+    When agent 0 is frozen
+    Then link 0 notices that its agent is silent
+    And agent 1 logs "peer_lost"
+    When agent 0 runs on
+    And the operators write the table with a limit of 9
+    Then every agent and every link has the limit of 9 in force
+    And link 0 hears its agent
+    And agent 1 logs "peer_back"
--- a/tests/features/steps/agents.py
+++ b/tests/features/steps/agents.py
@@ -122,3 +122,23 @@
         return amounts[0] > least
 
     wait_until(look, f"link 0 may run more than {least}")
+
+
+@when("agent {index:d} is frozen")
+def freeze_agent(context, index):
+    context.plane.agents[index].pause()
+
+
+@when("agent {index:d} runs on")
+def resume_agent(context, index):
+    context.plane.agents[index].go_on()
+
+
+@then('agent {index:d} logs "{event}"')
+def check_logged(context, index, event):
+    context.plane.agents[index].wait_for_event(event)
+
+
+@then("link {index:d} hears its agent")
+def check_agent_back(context, index):
+    wait_until(lambda: not context.plane.links[index].agent_lost, "the agent is back")
