--- a/tests/callers.py
+++ b/tests/callers.py
@@ -57,7 +57,7 @@
     return headers + [(name.replace("_", "-"), more[name]) for name in more]
 
 
-async def stream(address, prompt, max_tokens, seen=None):
+async def stream(address, prompt, max_tokens, seen=None, **headers):
     """Stream one completion; return what was seen."""
     seen = seen or Seen()
     document = {
@@ -72,7 +72,7 @@
             address,
             "POST",
             "/v1/completions",
-            get_headers(),
+            get_headers(**headers),
             body,
             head_timeout=HEAD_TIMEOUT_SECONDS,
         ) as response:
@@ -98,14 +98,14 @@
             seen.take(event)
 
 
-async def order(address, key, body=b"book"):
+async def order(address, key, body=b"book", **headers):
     """Send one order; return its status and outcome, or why there is none."""
     try:
         async with HttpClient().request(
             address,
             "POST",
             f"/services/{PLAIN}/orders",
-            get_headers(Idempotency_Key=key),
+            get_headers(Idempotency_Key=key, **headers),
             body,
             head_timeout=HEAD_TIMEOUT_SECONDS,
         ) as response:
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -62,6 +62,11 @@
     When the only caller of a running request leaves
     Then the run is ended and its slot is free
 
+  Scenario: A caller that half-closes before its answer is told so
+    Given a gateway with a fake model
+    When a caller sends a whole request and closes its side while the model is busy
+    Then the answer has kind "caller_closed" and outcome "unknown"
+
   Scenario: A refused caller is answered late and told when to come again
     Given a gateway with a fake model
     When a team of one request a second sends 6 different requests at once
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -293,6 +293,24 @@
     assert context.running == 0
 
 
+@when("a caller sends a whole request and closes its side while the model is busy")
+def half_close(context):
+    async def task(bench):
+        bench.generator.go_on = trio.Event()
+        data = await bench.send_raw(frame_json(), half_close=True)
+        context.answer = parse_answer(data)
+        await wait_until_settled(bench)
+
+    run(task)
+
+
+@then('the answer has kind "{kind}" and outcome "{outcome}"')
+def check_half_closed(context, kind, outcome):
+    _, headers, body = context.answer
+    assert json.loads(body)["error"]["code"] == kind
+    assert headers["x-outcome"] == outcome
+
+
 @when("a team of one request a second sends {count:d} different requests at once")
 def send_too_many(context, count):
     context.answers = []
--- a/tests/features/steps/stack_steps.py
+++ b/tests/features/steps/stack_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from tests.callers import Seen, get_text, order, order_until_answered, stream
+from tests.collector import Collector
 from wigeondrift.table import LimitRow
 from wigeondrift_emulator.processes import (
     ROOT,
@@ -51,6 +52,47 @@
     context.stack.start()
 
 
+@given("a stack of processes whose entries send spans to a collector")
+def start_traced_stack(context):
+    context.collector = Collector()
+    keep(context, context.collector.close)
+    telemetry = {"otlp": context.collector.url}
+    context.stack = Stack(StackSettings(entry={"telemetry": telemetry}))
+    keep(context, context.stack.close)
+    context.stack.start()
+
+
+@when('a caller with trace id "{trace_id}" streams and orders')
+def call_traced(context, trace_id):
+    address = context.stack.entry_addresses[0]
+    traceparent = f"00-{trace_id}-{'b' * 16}-01"
+    context.trace_id = trace_id
+
+    async def main():
+        seen = await stream(address, "bellows", 5, traceparent=traceparent)
+        assert seen.is_whole
+        answer = await order(address, "traced", traceparent=traceparent)
+        assert answer == (201, "ran")
+
+    run(main)
+
+
+@then("the collector has these spans in that trace, each below its parent")
+def check_spans(context):
+    wanted = [(row["span"], row["parent"]) for row in context.table]
+
+    def look():
+        spans = context.collector.list_spans(context.trace_id)
+        names_by_id = {span.span_id: span.name for span in spans}
+        names_by_id[bytes.fromhex("b" * 16)] = "caller"
+        found = [
+            (span.name, names_by_id.get(span.parent_span_id, "none")) for span in spans
+        ]
+        return sorted(found) == sorted(wanted)
+
+    wait_until(look, f"spans; there are {[s.name for s in context.collector.spans]}")
+
+
 @when("the demo runs")
 def run_demo(context):
     context.demo = subprocess.run(
--- a/tests/features/whole.feature
+++ b/tests/features/whole.feature
@@ -16,3 +16,15 @@
   Scenario: An entry without a table is not ready
     When an entry is started whose agent and platform are away
     Then it is alive, not ready, and refuses work with "not_ready"
+
+  Scenario: A request's trace has a span for each hop
+    Given a stack of processes whose entries send spans to a collector
+    When a caller with trace id "0af7651916cd43dd8448eb211c80319c" streams and orders
+    Then the collector has these spans in that trace, each below its parent
+      | span            | parent        |
+      | entry.request   | caller        |
+      | entry.queue     | entry.request |
+      | engine.generate | entry.request |
+      | entry.request   | caller        |
+      | entry.queue     | entry.request |
+      | entry.order     | entry.request |
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -43,6 +43,7 @@
     UPSTREAM_LOST = "upstream_lost"
     UPSTREAM_TIMEOUT = "upstream_timeout"
     STREAM_CUT = "stream_cut"
+    CALLER_CLOSED = "caller_closed"
     INTERNAL = "internal"
 
 
@@ -95,6 +96,7 @@
     ErrorKind.UPSTREAM_LOST: Answer(502, Outcome.UNKNOWN, None, 2025),
     ErrorKind.UPSTREAM_TIMEOUT: Answer(504, Outcome.UNKNOWN, None, 2026),
     ErrorKind.STREAM_CUT: Answer(502, Outcome.UNKNOWN, None, 2027),
+    ErrorKind.CALLER_CLOSED: Answer(499, Outcome.UNKNOWN, None, 2029),
     ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN, None, 2028),
 }
 
--- a/wigeondrift/gateway.py
+++ b/wigeondrift/gateway.py
@@ -240,9 +240,13 @@
         if path.startswith(PATH_PREFIX):
             await self._serve(exchange, request_id)
         else:
-            await exchange.run_until_closed(
+            ended = await exchange.run_until_closed(
                 lambda: self._serve(exchange, request_id),
             )
+            if not ended and not exchange.started:
+                reason = "the caller closed its side before the answer"
+                error = RequestError(ErrorKind.CALLER_CLOSED, reason)
+                await self._refuse(exchange, error, request_id, "")
 
     async def _serve(self, exchange: Exchange, request_id: str) -> None:
         headers = exchange.request.headers_by_name
--- a/wigeondrift/http.py
+++ b/wigeondrift/http.py
@@ -162,13 +162,13 @@
             frames = self._connection.send(h11.Data(data=data))
         await self._write(frames + self._connection.send(h11.EndOfMessage()))
 
-    async def run_until_closed(self, task: Callable[[], Awaitable[None]]) -> None:
+    async def run_until_closed(self, task: Callable[[], Awaitable[None]]) -> bool:
         """Run ``task`` and cancel it when the peer closes its side.
 
-        Raises
-        ------
-        ConnectionLost
-            If the peer closed before the task ended.
+        Returns
+        -------
+        bool
+            Whether the task ended before the peer closed.
         """
         failure = None
         ended = False
@@ -182,8 +182,7 @@
             nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
-        if not ended:
-            raise ConnectionLost("the peer closed")
+        return ended
 
     async def _watch(self, scope: trio.CancelScope) -> None:
         """Cancel ``scope`` at the end of what the peer sends.
--- a/wigeondrift_emulator/demo.py
+++ b/wigeondrift_emulator/demo.py
@@ -5,17 +5,14 @@
 """
 
 import contextlib
+import subprocess
 import sys
 import time
 from collections.abc import Iterator
 
 import msgspec
-import trio
 
 from wigeondrift.completions import CompletionRequest
-from wigeondrift.http import HttpClient
-from wigeondrift.platform_http import HttpPlatformStore
-from wigeondrift.table import TABLE_KEY, LimitRow, parse_table, serialize_table
 from wigeondrift_emulator.stack import (
     MODEL,
     PLAIN,
@@ -142,15 +139,18 @@
     def change_limit(self) -> None:
         """Close the row of a team, show it in force everywhere, open it again."""
         say("4. A changed limit in force on all entries:")
-        self._set_requests(0.0)
-        self._wait_for_status(429, "requests per second of team-0 set to 0")
-        self._set_requests(100.0)
-        self._wait_for_status(200, "and back to 100")
-
-    def _set_requests(self, requests: float) -> None:
-        trio.run(set_requests, self._stack, f"team-0/{MODEL}", requests)
-
-    def _wait_for_status(self, wanted: int, what: str) -> None:
+        self._set_requests(0)
+        self._wait_for_status(429)
+        self._set_requests(100)
+        self._wait_for_status(200)
+
+    def _set_requests(self, requests: int) -> None:
+        arguments = ["table", "set", "team-0", MODEL, f"requests={requests}"]
+        say(f"   $ wigeondriftctl {' '.join(arguments)}")
+        for line in run_operator_tool(self._stack, *arguments).splitlines():
+            say(f"   {line}")
+
+    def _wait_for_status(self, wanted: int) -> None:
         started_at = time.monotonic()
         for number, address in enumerate(self._stack.entry_addresses):
             prompt = f"probe {number}"
@@ -163,7 +163,7 @@
                 time.sleep(POLL_SECONDS)
                 status = self._post_prompt(address, prompt, False)[0]
             seconds = time.monotonic() - started_at
-            say(f"   {what}: {address} answers {status} after {seconds:.2f} s")
+            say(f"   {address} answers {status} after {seconds:.2f} s")
 
 
 def iter_texts(body: bytes) -> Iterator[str]:
@@ -176,18 +176,24 @@
                 yield text
 
 
-async def set_requests(stack: Stack, row: str, requests: float) -> None:
-    """Put a new request rate into the operators' table."""
-    store = HttpPlatformStore(HttpClient(), stack.operator_address)
-    stored = await store.get(TABLE_KEY)
-    table = parse_table(stored.value)
-    old = table.limits_by_row[row]
-    changed: dict[str, LimitRow] = {
-        **table.limits_by_row,
-        row: msgspec.structs.replace(old, requests=requests),
-    }
-    table = msgspec.structs.replace(table, limits_by_row=changed)
-    await store.put(TABLE_KEY, serialize_table(table), stored.revision)
+def run_operator_tool(stack: Stack, *arguments: str) -> str:
+    """Run ``wigeondriftctl`` on the stack's platform and return its output.
+
+    Raises
+    ------
+    DemoFailed
+        If it exits with an error.
+    """
+    command = [sys.executable, "-m", "wigeondrift.ctl", *arguments]
+    done = subprocess.run(
+        [*command, "--platform", stack.operator_address],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    output = done.stdout + done.stderr
+    check(done.returncode == 0, f"wigeondriftctl: {output}")
+    return output
 
 
 def main() -> int:
