--- a/wigeondrift/systems/admission.py
+++ b/wigeondrift/systems/admission.py
@@ -37,6 +37,8 @@
         Requests waiting at once.
     queue_timeout : float
         Longest wait of one request, in seconds.
+    short_queue_timeout : float
+        Longest wait of a short model request, in seconds.
     limit_wait : float
         Longest wait for a rate to let a request through, in seconds; one that
         would wait longer is refused at once.
@@ -55,12 +57,14 @@
         "long_tokens",
         "queue_length",
         "queue_timeout",
+        "short_queue_timeout",
     )
 
     def __init__(
         self,
         queue_length: int = 1000,
         queue_timeout: float = 20.0,
+        short_queue_timeout: float = 20.0,
         limit_wait: float = 2.0,
         burst_seconds: float = 1.0,
         long_tokens: int = 2048,
@@ -68,6 +72,7 @@
     ) -> None:
         self.queue_length = queue_length
         self.queue_timeout = queue_timeout
+        self.short_queue_timeout = short_queue_timeout
         self.limit_wait = limit_wait
         self.burst_seconds = burst_seconds
         self.long_tokens = long_tokens
@@ -183,6 +188,9 @@
         self.tokens.set_rate(limit.tokens, limit.tokens * rules.burst_seconds, now)
 
 
+MakeQueue = Callable[[], FairQueue[Ticket]]
+
+
 class ServiceUse:
     """Queues and slots of one service.
 
@@ -199,9 +207,9 @@
 
     __slots__ = ("long", "running_long", "running_short", "short", "slots", "slots_at")
 
-    def __init__(self) -> None:
-        self.short: FairQueue[Ticket] = FairQueue()
-        self.long: FairQueue[Ticket] = FairQueue()
+    def __init__(self, make_queue: MakeQueue) -> None:
+        self.short = make_queue()
+        self.long = make_queue()
         self.running_short = 0
         self.running_long = 0
         self.slots = 1
@@ -242,10 +250,13 @@
     get_limit : callable
         Takes a row and the time, returns the ``Limit`` of this entry.
     rules : AdmissionRules
+    make_queue : callable, optional
+        Returns an empty queue of one service and class.
     """
 
     __slots__ = (
         "_get_limit",
+        "_make_queue",
         "_rules",
         "_settled",
         "_tables",
@@ -255,8 +266,13 @@
     )
 
     def __init__(
-        self, tables: Tables, get_limit: GetLimit, rules: AdmissionRules
+        self,
+        tables: Tables,
+        get_limit: GetLimit,
+        rules: AdmissionRules,
+        make_queue: MakeQueue = FairQueue,
     ) -> None:
+        self._make_queue = make_queue
         self._tables = tables
         self._get_limit = get_limit
         self._rules = rules
@@ -283,7 +299,10 @@
         """
         rules = self._rules
         is_long = tokens >= rules.long_tokens
-        ticket = Ticket(team, service, tokens, is_long, now + rules.queue_timeout)
+        patience = rules.queue_timeout
+        if tokens and not is_long:
+            patience = rules.short_queue_timeout
+        ticket = Ticket(team, service, tokens, is_long, now + patience)
         if ticket.row not in self._tables.table.limits_by_row:
             self._refuse(ticket, ErrorKind.FORBIDDEN)
             return ticket
@@ -354,7 +373,9 @@
     def _enqueue(self, ticket: Ticket, use: RowUse) -> None:
         service = self.services_by_name.get(ticket.service)
         if service is None:
-            service = self.services_by_name[ticket.service] = ServiceUse()
+            service = self.services_by_name[ticket.service] = ServiceUse(
+                self._make_queue
+            )
         service.get_queue(ticket.is_long).push(ticket.team, ticket)
         use.waiting += 1
         use.waiting_tokens += ticket.tokens
