--- a/wigeondrift/systems/admission.py
+++ b/wigeondrift/systems/admission.py
@@ -310,7 +310,7 @@
         use.wanted_requests += 1
         use.wanted_tokens += tokens
         wait = self._estimate_limit_wait(ticket, use, now)
-        if wait > rules.limit_wait:
+        if wait > min(rules.limit_wait, patience):
             retry_after = None if math.isinf(wait) else math.ceil(wait)
             self._refuse(ticket, ErrorKind.LIMIT_EXCEEDED, retry_after)
             return ticket
