--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -23,3 +23,18 @@
 
   Scenario: A request that kills runners is refused after two, innocents finish
     Then 40 fuzzed schedules with fatal requests lose two runners a request at most
+
+  Scenario Outline: Deaths of one failure domain at one moment are one
+    Given runners "u1" in "rajkot" and "u2" in "<domain>" that run "a"
+    When "u1" dies and "u2" <seconds> seconds later
+    Then "a" is refused: <refused>
+
+    Examples:
+      | domain | seconds | refused |
+      | rajkot | 0.1     | no      |
+      | rajkot | 0.6     | yes     |
+      | morbi  | 0.1     | yes     |
+
+  Scenario: Instances share no runner for their trials while there are enough
+    Given 3 agents and 6 runners of one range in 3 failure domains
+    Then each runner is left to one agent, and each has 2 in different domains
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -2,9 +2,12 @@
 
 from behave import given, then, when
 
+from tests.fleets import make_runner, make_tables
 from tests.machines import quarantine
+from wigeondrift.entities import Instance, Role
 from wigeondrift.messages import SuspectNews
 from wigeondrift.systems.quarantine import Quarantine
+from wigeondrift.systems.routing import Routing
 from wigeondrift.tables import Tables
 
 NAMES = ("a", "b")
@@ -102,3 +105,52 @@
 )
 def fuzz_quarantine(context, examples):
     quarantine.run(examples)
+
+
+@given('runners "{one}" in "{first}" and "{two}" in "{second}" that run "{name}"')
+def make_running(context, one, first, two, second, name):
+    tables = Tables()
+    for runner, domain in ((one, first), (two, second)):
+        tables.instances_by_id[runner] = make_runner(runner, 0, 12, domain)
+    context.quarantine = Quarantine(tables)
+    context.now = 0.0
+    context.name = name
+
+
+@when('"{one}" dies and "{two}" {seconds:g} seconds later')
+def die_both(context, one, two, seconds):
+    for runner in (one, two):
+        run = context.quarantine.begin(context.name, (runner,))
+        run.has_started = True
+        context.quarantine.note_death(run, runner, context.now)
+        context.quarantine.end(run)
+        context.now += seconds
+
+
+@then('"{name}" is refused: {refused}')
+def check_refused(context, name, refused):
+    assert list_refused(context) == ([name] if refused == "yes" else [])
+
+
+@given("{agents:d} agents and {runners:d} runners of one range in 3 failure domains")
+def make_dealt(context, agents, runners):
+    domains = ("rajkot", "morbi", "jamnagar")
+    members = [make_runner(f"r{i}", 0, 12, domains[i % 3]) for i in range(runners)]
+    names = [f"agent-{i}" for i in range(agents)]
+    members += [Instance(name, 1, Role.AGENT, "", "rajkot") for name in names]
+    tables = make_tables(members, 12, version="v1")
+    context.members = tables.instances_by_id
+    context.left = {}
+    for name in names:
+        routing = Routing(tables, "rajkot", random.Random(1), name)
+        routing.plan("kokil-lm", "counters", (), 0, 0.0)
+        reserved = routing.list_reserved("kokil-lm")
+        context.left[name] = {m for m in context.members if m[0] == "r"} - reserved
+
+
+@then("each runner is left to one agent, and each has {count:d} in different domains")
+def check_dealt(context, count):
+    parts = list(context.left.values())
+    assert sorted(m for part in parts for m in part) == [f"r{i}" for i in range(6)]
+    for part in parts:
+        assert len({context.members[m].failure_domain for m in part}) == count
--- a/tests/features/steps/routing.py
+++ b/tests/features/steps/routing.py
@@ -2,43 +2,15 @@
 
 from behave import given, then, when
 
-from wigeondrift.entities import Instance, InstanceState, LoadReport, Role
+from tests.fleets import SERVICE, TEAM, make_runner, make_tables
+from wigeondrift.entities import LoadReport
 from wigeondrift.errors import ErrorKind, RequestError
 from wigeondrift.systems.routing import Routing
-from wigeondrift.table import LimitRow, ServiceKind, ServiceRow, Table
-from wigeondrift.tables import Tables
+from wigeondrift.table import LimitRow
 
-SERVICE = "kokil-lm"
-TEAM = "counters"
 PROMPT_HASH = 0x1234567890ABCDEF
 
 
-def make_tables(instances, layers, row=None, version=""):
-    tables = Tables()
-    service = ServiceRow(ServiceKind.MODEL, layers=layers, version=version)
-    limits = {f"{TEAM}/{SERVICE}": row or LimitRow()}
-    tables.table = Table(services_by_name={SERVICE: service}, limits_by_row=limits)
-    tables.instances_by_id = {one.instance_id: one for one in instances}
-    tables.instances_revision = 1
-    return tables
-
-
-def make_runner(name, first, end, domain="rajkot", version="v1", state="live", slots=8):
-    return Instance(
-        name,
-        1,
-        Role.RUNNER,
-        f"{name}:1",
-        domain,
-        InstanceState(state),
-        SERVICE,
-        version,
-        first,
-        end,
-        slots=slots,
-    )
-
-
 def is_exact(route, layers):
     at = 0
     for stage in route.stages:
