--- a/tests/machines/admission.py
+++ b/tests/machines/admission.py
@@ -20,7 +20,7 @@
 RULES = AdmissionRules(
     queue_length=6,
     queue_timeout=5.0,
-    short_queue_timeout=3.0,
+    short_queue_timeout=0.5,
     limit_wait=2.0,
     long_tokens=50,
 )
@@ -73,7 +73,7 @@
 
     @rule(
         team=teams,
-        tokens=st.sampled_from([1, 10, 40, 50, 90, 200]),
+        tokens=st.sampled_from([0, 1, 10, 40, 50, 90, 200]),
         count=st.integers(1, 5),
     )
     def offer(self, team, tokens, count):
@@ -104,7 +104,6 @@
     def withdraw(self, data):
         ticket = self.waiting.pop(data.draw(st.integers(0, len(self.waiting) - 1)))
         self.admission.withdraw(ticket)
-        self.tick()
 
     @rule(
         team=teams,
@@ -199,6 +198,9 @@
         for ticket in self.running:
             self.admission.release(ticket, 0)
         self.running.clear()
+        self.now += RULES.limit_wait + RULES.short_queue_timeout
+        self.tick()
+        assert all(ticket.is_long or not ticket.tokens for ticket in self.waiting)
         self.now += RULES.queue_timeout
         self.tick()
         assert not self.waiting
