--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,158 @@
+"""State and messages that grow with the fleet: instance list and table, by size.
+
+Run as ``python -m bench.capacity``; docs/CAPACITY.md is worked out from it and from
+the other benchmarks that it names.
+"""
+
+import json
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import cyclopts
+
+from wigeondrift.entities import Instance, Role
+from wigeondrift.messages import InstancesNews, TableNews, serialize_message
+from wigeondrift.packing import pack, unpack
+from wigeondrift.post import MESSAGE_BYTES
+from wigeondrift.table import (
+    LimitRow,
+    ServiceKind,
+    ServiceRow,
+    Table,
+    TeamRow,
+    parse_table,
+    serialize_table,
+)
+
+RUNNERS = (30, 300, 4100)
+TEAMS = (10, 100, 340)
+MODELS = 4
+LAYERS = 64
+RANGES = 4
+DOMAINS = 4
+WEIGHTS = (0.5, 1.0, 2.0, 4.0)
+REPEATS = 5
+
+
+def make_instances(runners: int) -> tuple[Instance, ...]:
+    """Return a list of runners in ranges of a few models."""
+    step = LAYERS // RANGES
+    return tuple(
+        Instance(
+            instance_id=f"domain-{index % DOMAINS}-runner-{index}",
+            incarnation=1700000000000 + index,
+            role=Role.RUNNER,
+            address=f"10.{index % DOMAINS}.{index // 256}.{index % 256}:7000",
+            failure_domain=f"domain-{index % DOMAINS}",
+            service=f"model-{index % MODELS}",
+            version="2026-11",
+            first_layer=index % RANGES * step,
+            end_layer=(index % RANGES + 1) * step,
+            kind=f"kind-{index % DOMAINS}",
+            slots=8,
+        )
+        for index in range(runners)
+    )
+
+
+def make_table(teams: int) -> Table:
+    """Return a table of teams by models."""
+    source = random.Random(teams)
+    names = [f"team-{index:04}" for index in range(teams)]
+    models = [f"model-{index}" for index in range(MODELS)]
+    return Table(
+        {name: ServiceRow(ServiceKind.MODEL, LAYERS, "2026-11") for name in models},
+        {name: TeamRow((source.randbytes(32).hex(),)) for name in names},
+        {
+            f"{team}/{model}": LimitRow(
+                weight=source.choice(WEIGHTS),
+                requests=float(source.randrange(1, 1000)),
+                tokens=float(source.randrange(1000, 1000000)),
+                running=source.randrange(1, 500),
+            )
+            for team in names
+            for model in models
+        },
+    )
+
+
+def measure_bytes(make: Callable[[], object]) -> int:
+    """Return the memory that an object holds, in bytes."""
+    tracemalloc.start()
+    kept = make()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def measure_seconds(call: Callable[[], object]) -> float:
+    """Return the least time of a few calls, in seconds."""
+    times = []
+    for _ in range(REPEATS):
+        began = time.perf_counter()
+        call()
+        times.append(time.perf_counter() - began)
+    return min(times)
+
+
+def measure_list(runners: int) -> dict[str, float]:
+    """Return what one instance list costs."""
+    message = serialize_message(InstancesNews(1, make_instances(runners)))
+    return {
+        "runners": runners,
+        "memory_bytes": measure_bytes(lambda: make_instances(runners)),
+        "message_bytes": len(message),
+        "compressed_bytes": len(pack(message)),
+    }
+
+
+def measure_table(teams: int) -> dict[str, float]:
+    """Return what one table costs."""
+    data = serialize_table(make_table(teams))
+    message = serialize_message(TableNews(1, data))
+    packed = pack(message)
+    return {
+        "teams": teams,
+        "memory_bytes": measure_bytes(lambda: parse_table(data)),
+        "message_bytes": len(message),
+        "compressed_bytes": len(packed),
+        "compress_ms": 1e3 * measure_seconds(lambda: pack(message)),
+        "decompress_ms": 1e3 * measure_seconds(lambda: unpack(packed, MESSAGE_BYTES)),
+        "parse_ms": 1e3 * measure_seconds(lambda: parse_table(data)),
+    }
+
+
+def print_rows(rows: list[dict[str, float]]) -> None:
+    """Print measurements as a table."""
+    print("".join(f"{name:>18}" for name in rows[0]))
+    for row in rows:
+        print("".join(f"{value:18,.1f}" for value in row.values()))
+
+
+app = cyclopts.App(name="bench.capacity", help=__doc__)
+
+
+@app.default
+def run(json_path: str = "") -> None:
+    """Measure lists and tables by size.
+
+    Parameters
+    ----------
+    json_path
+        File for the figures as JSON.
+    """
+    lists = [measure_list(runners) for runners in RUNNERS]
+    tables = [measure_table(teams) for teams in TEAMS]
+    print_rows(lists)
+    print_rows(tables)
+    if json_path:
+        with open(json_path, "w") as file:
+            json.dump({"lists": lists, "tables": tables}, file, indent=1)
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -10,3 +10,7 @@
   Scenario: Settings with an unknown name are refused with its place
     When settings with the document {"instance_id": "a", "surprise": 1} are parsed
     Then the settings are refused at "$" with "surprise"
+
+  Scenario: A large message is compressed and bounded
+    Then a message of 100000 equal bytes is packed into less than 1000 and unpacked
+    And a packed message that is cut, unmarked or over its bound is refused
--- a/tests/features/steps/answers_steps.py
+++ b/tests/features/steps/answers_steps.py
@@ -4,6 +4,7 @@
 
 from wigeondrift.errors import ANSWERS_BY_KIND, ErrorKind, SettingsError
 from wigeondrift.messages import Digest, parse_message, serialize_message
+from wigeondrift.packing import pack, unpack
 from wigeondrift.settings import EntrySettings, parse_settings
 
 
@@ -38,3 +39,25 @@
 def check_refusal(context, place, word):
     assert context.refusal.location == place
     assert word in context.refusal.reason
+
+
+@then(
+    "a message of {size:d} equal bytes is packed into less than {bound:d} and unpacked"
+)
+def check_packing(context, size, bound):
+    data = b"x" * size
+    assert len(pack(data)) < bound
+    assert unpack(pack(data), size) == data
+    assert unpack(pack(b"short"), size) == b"short"
+
+
+@then("a packed message that is cut, unmarked or over its bound is refused")
+def check_unpacking(context):
+    packed = pack(b"x" * 100000)
+    for bad in (packed[:-1], packed + b"y", b"\x02abc", b"", b"\x01abc", packed):
+        bound = 99999 if bad is packed else 100000
+        try:
+            unpack(bad, bound)
+        except ValueError:
+            continue
+        raise AssertionError(bad[:10])
--- a/wigeondrift/post.py
+++ b/wigeondrift/post.py
@@ -4,6 +4,7 @@
 import trio
 
 from wigeondrift.messages import Message, parse_message, serialize_message
+from wigeondrift.packing import pack, unpack
 
 MESSAGE_BYTES = 4 * 1048576
 SEND_QUEUE_MESSAGES = 64
@@ -40,7 +41,7 @@
             data = await self._inbox.arecv()
             self.received += 1
             try:
-                return parse_message(data)
+                return parse_message(unpack(data, MESSAGE_BYTES))
             except ValueError:
                 self.dropped += 1
 
@@ -49,7 +50,7 @@
         outbox = self._outboxes_by_address.get(address)
         if outbox is None:
             outbox = self._open_outbox(address)
-        data = serialize_message(message)
+        data = pack(serialize_message(message))
         try:
             outbox.send(data, block=False)
         except pynng.TryAgain:
--- a/wigeondrift_emulator/network.py
+++ b/wigeondrift_emulator/network.py
@@ -11,6 +11,7 @@
 
 from wigeondrift.errors import PlatformError
 from wigeondrift.messages import serialize_message
+from wigeondrift.packing import pack
 from wigeondrift.platform_core import StoreCore
 from wigeondrift.systems.actions import Actions, Notice
 from wigeondrift.systems.attachment import Attachment
@@ -158,7 +159,7 @@
         return pair not in self.cuts
 
     def _send(self, source: Process, address: str, message) -> None:
-        size = len(serialize_message(message)) + FRAME_BYTES
+        size = len(pack(serialize_message(message))) + FRAME_BYTES
         is_remote = _get_host(source.address) != _get_host(address)
         if is_remote:
             kind = type(message).__name__
