--- a/wigeondrift_emulator/engine.py
+++ b/wigeondrift_emulator/engine.py
@@ -145,6 +145,8 @@
     def __init__(self, runner: Runner) -> None:
         self._runner = runner
         self._streams: set[SwitchedStream] = set()
+        self._listeners: list[trio.SocketListener] = []
+        runner.on_death = self._close_listeners
         self.listening = trio.Event()
 
     async def run(self) -> None:
@@ -161,6 +163,11 @@
         await self._runner.died.wait()
         scope.cancel()
 
+    def _close_listeners(self) -> None:
+        """Take no connection from now on, before any that is open breaks."""
+        for listener in self._listeners:
+            listener.socket.close()
+
     async def _serve(self) -> None:
         host, port = parse_address(self._runner.settings.address)
         listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
@@ -175,7 +182,11 @@
             finally:
                 self._streams.discard(switched)
 
-        await trio.serve_listeners(serve_stream, listeners)
+        self._listeners = listeners
+        try:
+            await trio.serve_listeners(serve_stream, listeners)
+        except* trio.ClosedResourceError:
+            await trio.sleep_forever()
 
     def silence(self) -> None:
         """Never send anything again on the connections that are open now."""
--- a/wigeondrift_emulator/runner.py
+++ b/wigeondrift_emulator/runner.py
@@ -1,6 +1,7 @@
 """One emulated runner: slots, prefix cache, load reports and fault switches."""
 
 from collections import OrderedDict, deque
+from collections.abc import Callable
 
 import msgspec
 import trio
@@ -94,6 +95,7 @@
         self.thawed = trio.Event()
         self.thawed.set()
         self.died = trio.Event()
+        self.on_death: Callable[[], None] = _ignore_death
         self.crash_marker = ""
         self.crash_after_tokens = 0
         self.die_after_tokens: int | None = None
@@ -217,6 +219,7 @@
     def die(self) -> None:
         """End at once, with all that runs here."""
         self.alive = False
+        self.on_death()
         self.die_after_tokens = None
         self._blocks.clear()
         for session in list(self.sessions):
@@ -281,3 +284,7 @@
         block = text[start : start + CACHE_BLOCK_CHARACTERS]
         digest = xxhash.xxh3_64_intdigest(block.encode(), seed=digest)
         yield digest
+
+
+def _ignore_death() -> None:
+    """Do nothing."""
