--- a/tests/machines/admission.py
+++ b/tests/machines/admission.py
@@ -104,6 +104,7 @@
     def withdraw(self, data):
         ticket = self.waiting.pop(data.draw(st.integers(0, len(self.waiting) - 1)))
         self.admission.withdraw(ticket)
+        self.tick()
 
     @rule(
         team=teams,
--- a/wigeondrift/gate.py
+++ b/wigeondrift/gate.py
@@ -126,9 +126,9 @@
     def _give_up(self, ticket: Ticket) -> None:
         if ticket.state is TicketState.ADMITTED:
             self._admission.release(ticket, 0)
-            self._tick(self._clock.now())
         else:
             self._admission.withdraw(ticket)
+        self._tick(self._clock.now())
 
     async def pace(self, team: str, error: RequestError) -> None:
         """Hold a refusal back, so that a caller that retries at once waits."""
