--- a/bench/token_cost.py
+++ b/bench/token_cost.py
@@ -6,10 +6,9 @@
 ``python -m bench.token_cost``.
 """
 
-import argparse
-import sys
 from pathlib import Path
 
+import cyclopts
 import msgspec
 import trio
 
@@ -167,11 +166,18 @@
     return stack
 
 
-def main() -> int:
-    """Measure in turns and print a JSON document."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--rounds", type=int, default=ROUNDS)
-    rounds = parser.parse_args().rounds
+app = cyclopts.App(name="bench.token_cost", help=__doc__)
+
+
+@app.default
+def main(rounds: int = ROUNDS) -> None:
+    """Measure in turns and print a JSON document.
+
+    Parameters
+    ----------
+    rounds
+        Turns of each target; the least figure counts.
+    """
     stack = start_stack()
     (runner,) = stack.runners_by_id.values()
     listen = free_address()
@@ -193,7 +199,6 @@
         relay.kill()
         stack.close()
     print(msgspec.json.format(msgspec.json.encode(summarize(costs))).decode())
-    return 0
 
 
 def summarize(costs: dict[str, list[Cost]]) -> dict[str, object]:
@@ -216,4 +221,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    app()
--- a/wigeondrift_emulator/engine.py
+++ b/wigeondrift_emulator/engine.py
@@ -6,13 +6,13 @@
 ``ControlOrder`` and answers ``GET /ledger`` with tokens run by runner and request.
 """
 
-import argparse
 import json
 import logging
 import sys
 from pathlib import Path
 from urllib.parse import unquote
 
+import cyclopts
 import msgspec
 import trio
 
@@ -322,19 +322,25 @@
         await exchange.respond(200, JSON_TYPE, b"{}")
 
 
-def main() -> None:
-    """Run the emulated engine."""
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--settings", required=True, help="path of the settings")
-    arguments = parser.parse_args()
+app = cyclopts.App(name="wigeondrift_emulator.engine", help="Emulated engine.")
+
+
+@app.default
+def main(*, settings: Path) -> None:
+    """Run the emulated engine.
+
+    Parameters
+    ----------
+    settings
+        JSON file with the settings.
+    """
     logging.basicConfig(stream=sys.stderr)
-    data = Path(arguments.settings).read_bytes()
-    settings = msgspec.json.decode(data, type=EngineSettings)
+    loaded = msgspec.json.decode(settings.read_bytes(), type=EngineSettings)
     try:
-        trio.run(EngineProcess(settings).run)
+        trio.run(EngineProcess(loaded).run)
     except KeyboardInterrupt:
         sys.exit(0)
 
 
 if __name__ == "__main__":
-    main()
+    app()
