--- a/wigeondrift/systems/attachment.py
+++ b/wigeondrift/systems/attachment.py
@@ -35,6 +35,7 @@
 DEMAND_DECAY = 0.5
 ROWS = 8192
 WANTED_SECONDS = 30.0
+TELL_SECONDS = 1.5
 
 SuspectListener = Callable[[SuspectNews], None]
 
@@ -132,6 +133,7 @@
         "_rng",
         "_sent_at_by_sequence",
         "_sequence",
+        "_told_at",
         "agent_lost",
         "deaths",
         "entry_id",
@@ -171,6 +173,7 @@
         self._configured_instances = configured_instances
         self._rng = rng
         self._sequence = 0
+        self._told_at = -TELL_SECONDS
         self._sent_at_by_sequence: dict[int, float] = {}
         self._folded_at: float | None = None
         self._direct_read = direct_read
@@ -206,6 +209,7 @@
         self._drop_slices(now)
         self._check_agent(now, actions)
         actions.send(self._agent, self._build_hello())
+        self._tell_again(now, actions)
         self._report_demand(now, actions)
         return actions
 
@@ -279,6 +283,18 @@
     def _choose_direct_wait(self) -> float:
         return self._direct_read * self._rng.uniform(1.0, 2.0)
 
+    def _tell_again(self, now: float, actions: Actions) -> None:
+        """Repeat marks and deaths, as the agent may have been restarted."""
+        if now - self._told_at < TELL_SECONDS:
+            return
+        self._told_at = now
+        marks = self.marks.list_marks()
+        if marks:
+            actions.send(self._agent, LeaveNews(marks))
+        deaths = self.deaths.get_all()
+        if deaths is not None:
+            actions.send(self._agent, deaths)
+
     def _check_agent(self, now: float, actions: Actions) -> None:
         silent = now - self.heard_at
         if silent <= AGENT_TIMEOUT_SECONDS:
--- a/wigeondrift_emulator/network.py
+++ b/wigeondrift_emulator/network.py
@@ -127,6 +127,7 @@
         self.processes_by_address[process.address] = process
         if isinstance(process.decisions, AgentControl):
             self.perform(process, process.decisions.start(self.now))
+            self._watch_platform(process, process.decisions)
 
     def perform(self, process: Process, actions: Actions) -> None:
         """Carry out what a process's decisions return."""
