--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -169,6 +169,12 @@
     return float("inf")
 
 
+def add_settings(arm: Arm, admission: dict[str, Any]) -> Arm:
+    """Return the arm with more settings of the admission."""
+    merged = {**arm.entry.get("admission", {}), **admission}
+    return Arm(arm.entry_module, {**arm.entry, "admission": merged})
+
+
 app = cyclopts.App(name="bench.experiment", help=__doc__)
 
 
@@ -180,12 +186,14 @@
     seed: int,
     json_path: str,
     fault: Fault | None = None,
+    extra: dict[str, Any] | None = None,
 ) -> dict[str, Any]:
     """Run the workload over each arm and print the summaries."""
     report = {}
     for name in arms or list(ARMS):
         began = time.perf_counter()
-        summary = run_arm(ARMS[name], workload, chains, entries, seed, fault)
+        arm = add_settings(ARMS[name], extra or {})
+        summary = run_arm(arm, workload, chains, entries, seed, fault)
         summary["wall_seconds"] = time.perf_counter() - began
         report[name] = summary
         print(f"\n{name}")
@@ -248,7 +256,10 @@
     workload.long_tokens = 800
     workload.long_share = 0.02
     workload.rate = get_bound(settings) * load / mean_tokens(workload)
-    report = run_arms(workload, arms or [], chains, entries, seed, json_path)
+    extra = {"long_tokens": workload.long_tokens // 2}
+    report = run_arms(
+        workload, arms or [], chains, entries, seed, json_path, extra=extra
+    )
     for name, summary in report.items():
         waits = summary["first_token_from_arrival"]
         short, long = waits[SHORT]["p95"], waits[LONG]["p95"]
