--- a/bench/control.py
+++ b/bench/control.py
@@ -22,7 +22,7 @@
 from tests.processes import free_address, write_settings
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import PlatformError, WigeondriftError
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.messages import Hello, InstancesNews, TableNews
 from wigeondrift.platform_core import DownMode, StoreCore
 from wigeondrift.platform_http import HttpPlatformStore
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -22,7 +22,7 @@
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import RequestError
 from wigeondrift.generation import GenerationJob, Generator
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.settings import RequestSettings
 from wigeondrift.systems.quarantine import Quarantine, make_fingerprint
 from wigeondrift.systems.retries import RetryBudget
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -4,7 +4,9 @@
 
 import trio
 
-from wigeondrift.http import Exchange, HttpClient, HttpServer, parse_address
+from wigeondrift.address import parse_address
+from wigeondrift.http_client import HttpClient
+from wigeondrift.http_server import Exchange, HttpServer
 
 LISTEN_BACKLOG = 512
 
--- a/bench/table.py
+++ b/bench/table.py
@@ -17,7 +17,7 @@
 from wigeondrift.declaration import serialize_csv
 from wigeondrift.editor import TableEditor
 from wigeondrift.edits import CellChange, Edit, apply_edit, diff_tables, get_cells
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.platform_core import Faults
 from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.rendering import Printer
--- a/bench/token_cost.py
+++ b/bench/token_cost.py
@@ -15,7 +15,7 @@
 from wigeondrift.completions import CompletionRequest
 from wigeondrift.engine import GenerateRequest
 from wigeondrift.entities import Stage
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.table import LimitRow
 from wigeondrift_emulator.processes import Process, free_address
 from wigeondrift_emulator.stack import (
--- a/tests/control_plane.py
+++ b/tests/control_plane.py
@@ -11,7 +11,7 @@
 from tests.processes import Process, free_address, wait_until, write_settings
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import PlatformError, WigeondriftError
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.link import Link
 from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.status import ask_status
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -10,7 +10,7 @@
 from wigeondrift.engine_http import HttpEngine
 from wigeondrift.engine_memory import MemoryEngine
 from wigeondrift.entities import Instance, Role, Stage
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift_emulator.engine import EngineProcess, EngineSettings
 from wigeondrift_emulator.runner import Cluster, RunnerSettings
 
--- a/tests/features/steps/engine.py
+++ b/tests/features/steps/engine.py
@@ -21,7 +21,7 @@
 from wigeondrift.engine import CancelRequest, EngineRefused, FailureEvent
 from wigeondrift.engine_http import EventParser, HttpEngine
 from wigeondrift.errors import ConnectFailed, ConnectionLost, ProtocolViolation
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift_emulator.engine import EngineSettings
 from wigeondrift_emulator.tokens import expected_tokens
 
--- a/tests/features/steps/http_steps.py
+++ b/tests/features/steps/http_steps.py
@@ -4,7 +4,8 @@
 
 from tests.processes import free_address
 from wigeondrift.errors import ConnectFailed, ConnectionLost
-from wigeondrift.http import HttpClient, HttpLimits, HttpServer
+from wigeondrift.http_client import HttpClient
+from wigeondrift.http_server import HttpLimits, HttpServer
 
 HEAD = b"POST /echo HTTP/1.1\r\nHost: a\r\n"
 BYTES_BY_NAME = {
--- a/tests/features/steps/platform_store.py
+++ b/tests/features/steps/platform_store.py
@@ -6,7 +6,7 @@
 from tests.processes import Process, free_address
 from wigeondrift.entities import InstanceState
 from wigeondrift.errors import PlatformUnavailable
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.platform_http import HttpPlatformStore
 
 
--- a/tests/platform_cases.py
+++ b/tests/platform_cases.py
@@ -10,7 +10,7 @@
     PlatformUnavailable,
     RevisionConflict,
 )
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.platform_core import VALUE_BYTES, DownMode, Faults
 from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.platform_memory import MemoryStore
--- a/wigeondrift/answers.py
+++ b/wigeondrift/answers.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from wigeondrift.errors import Outcome, RequestError
-from wigeondrift.http import Exchange
+from wigeondrift.http_server import Exchange
 from wigeondrift.service import OUTCOME_HEADER, REQUEST_ID_HEADER
 
 JSON_TYPE = ("Content-Type", "application/json")
--- a/wigeondrift/composition.py
+++ b/wigeondrift/composition.py
@@ -13,7 +13,7 @@
 from wigeondrift.gate import make_gate
 from wigeondrift.gateway import Gateway
 from wigeondrift.generation import Generator
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.link import Link
 from wigeondrift.loads import LoadPoller
 from wigeondrift.metrics import FLUSH_INTERVAL_SECONDS, Metrics, make_metrics
--- a/wigeondrift/ctl.py
+++ b/wigeondrift/ctl.py
@@ -7,6 +7,7 @@
 import cyclopts
 import trio
 
+from wigeondrift.address import parse_address
 from wigeondrift.ctl_access import DryRun, ExitCode
 from wigeondrift.ctl_orders import orders_app
 from wigeondrift.ctl_settings import settings_app
@@ -18,7 +19,6 @@
     TransportError,
     UsageError,
 )
-from wigeondrift.http import parse_address
 from wigeondrift.rendering import Printer
 from wigeondrift.settings_rules import check_address
 from wigeondrift.status import ask_status
--- a/wigeondrift/ctl_access.py
+++ b/wigeondrift/ctl_access.py
@@ -12,7 +12,7 @@
 from wigeondrift.errors import (
     UsageError,
 )
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.order_porcelain import OrderOperator
 from wigeondrift.platform import PlatformStore
 from wigeondrift.platform_http import HttpPlatformStore
--- a/wigeondrift/engine_http.py
+++ b/wigeondrift/engine_http.py
@@ -14,7 +14,7 @@
 )
 from wigeondrift.entities import LoadReport
 from wigeondrift.errors import ConnectionLost, ProtocolViolation
-from wigeondrift.http import ClientResponse, HttpClient
+from wigeondrift.http_client import ClientResponse, HttpClient
 
 LINE_BYTES = 1048576
 HEAD_TIMEOUT_SECONDS = 1.5
--- a/wigeondrift/gateway.py
+++ b/wigeondrift/gateway.py
@@ -7,12 +7,13 @@
 import trio
 
 from wigeondrift.accounts import Accounts
+from wigeondrift.address import parse_address
 from wigeondrift.answers import make_headers, respond_error, respond_json
 from wigeondrift.application import Component
 from wigeondrift.errors import ConnectionLost, ErrorKind, Outcome, RequestError
 from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.gate import Gate
-from wigeondrift.http import Exchange, HttpLimits, HttpServer, parse_address
+from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
 from wigeondrift.metrics import Metric, Metrics
 from wigeondrift.model_api import Call, ModelApi
 from wigeondrift.request_ids import RequestIds
--- /dev/null
+++ b/wigeondrift/http_client.py
@@ -0,0 +1,265 @@
+"""HTTP/1.1 client over trio streams, framed by h11."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import h11
+import trio
+
+from wigeondrift.address import parse_address
+from wigeondrift.errors import (
+    ConnectFailed,
+    ConnectionLost,
+    ConnectionSilent,
+    ProtocolViolation,
+)
+
+READ_SIZE_BYTES = 65536
+
+Headers = list[tuple[str, str]]
+
+
+class ClientResponse:
+    """Answer to a client request whose body is read on demand.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    headers : list of (str, str)
+        Headers with lower-case names, in order.
+    """
+
+    __slots__ = ("_channel", "headers", "status")
+
+    def __init__(self, status: int, headers: Headers, channel: "ClientChannel") -> None:
+        self.status = status
+        self.headers = headers
+        self._channel = channel
+
+    def header(self, name: str) -> str | None:
+        """Return the value of the header of lower-case ``name``, if any."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    async def read(self, limit: int = 4 * 1048576) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        ProtocolViolation
+            If the body is longer than ``limit`` bytes.
+        ConnectionLost
+            If the body is cut.
+        """
+        body = bytearray()
+        async for data in self.iter_data():
+            body += data
+            if len(body) > limit:
+                raise ProtocolViolation("the answer is too large")
+        return bytes(body)
+
+    async def iter_data(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives, all that is there as one part."""
+        channel = self._channel
+        event = await channel.next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            parts = []
+            while isinstance(event, h11.Data):
+                parts.append(event.data)
+                event = channel.take_event()
+            if parts:
+                yield b"".join(parts)
+            if not isinstance(event, h11.EndOfMessage):
+                event = await channel.next_event()
+
+
+class ClientChannel:
+    """One client connection."""
+
+    __slots__ = ("_connection", "_stream")
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self._connection = h11.Connection(h11.CLIENT)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent on the connection."""
+        connection = self._connection
+        return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+
+    def start_next(self) -> None:
+        """Prepare for the next request."""
+        self._connection.start_next_cycle()
+
+    async def send(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> None:
+        """Send one whole request in one write."""
+        head = h11.Request(method=method, target=target, headers=headers)
+        data = self._connection.send(head)
+        if body:
+            data += self._connection.send(h11.Data(data=body))
+        data += self._connection.send(h11.EndOfMessage())
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionLost("the connection broke on sending") from error
+
+    def take_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        """Return the next event if it has arrived.
+
+        What is wrong with the answer shows at the next call of ``next_event``.
+        """
+        try:
+            return self._connection.next_event()
+        except h11.RemoteProtocolError:
+            return h11.NEED_DATA
+
+    async def next_event(self) -> h11.Event:
+        """Return the next event of the answer."""
+        while True:
+            try:
+                event = self._connection.next_event()
+                if event is not h11.NEED_DATA:
+                    break
+                data = await self._stream.receive_some(READ_SIZE_BYTES)
+                self._connection.receive_data(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise ConnectionLost("the connection broke") from error
+            except h11.RemoteProtocolError as error:
+                raise ConnectionLost("the answer was cut") from error
+        if isinstance(event, h11.ConnectionClosed):
+            raise ConnectionLost("the connection closed")
+        return event
+
+    async def read_head(self) -> ClientResponse:
+        """Return the answer after its head has arrived."""
+        event = await self.next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self.next_event()
+        headers = [
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in event.headers
+        ]
+        return ClientResponse(event.status_code, headers, self)
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        await trio.aclose_forcefully(self._stream)
+
+
+class HttpClient:
+    """Client with a bounded pool of idle connections for each address.
+
+    Parameters
+    ----------
+    connect_timeout : float
+        Longest time for a connection to be made, in seconds.
+    idle_per_address : int
+        Idle connections kept for each address.
+    """
+
+    __slots__ = ("_connect_timeout", "_idle_by_address", "_idle_per_address")
+
+    def __init__(
+        self, connect_timeout: float = 1.0, idle_per_address: int = 16
+    ) -> None:
+        self._connect_timeout = connect_timeout
+        self._idle_per_address = idle_per_address
+        self._idle_by_address: dict[str, list[ClientChannel]] = {}
+
+    async def connect(self, address: str) -> ClientChannel:
+        """Return a new connection.
+
+        Raises
+        ------
+        ConnectFailed
+            If none could be made in time.
+        """
+        host, port = parse_address(address)
+        try:
+            with trio.fail_after(self._connect_timeout):
+                stream = await trio.open_tcp_stream(host, port)
+        except (OSError, trio.TooSlowError) as error:
+            raise ConnectFailed(f"no connection to {address}") from error
+        return ClientChannel(stream)
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        *,
+        head_timeout: float = 10.0,
+        fresh: bool = False,
+    ) -> AsyncIterator[ClientResponse]:
+        """Send a request and enter with its answer.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the server.
+        method, target : str
+            Request line.
+        headers : list of (str, str), optional
+            Headers besides ``Host`` and ``Content-Length``.
+        body : bytes
+            Whole body.
+        head_timeout : float
+            Longest time until the head of the answer, in seconds.
+        fresh : bool
+            Whether to open a new connection even if an idle one is at hand.
+
+        Raises
+        ------
+        ConnectFailed
+            If no byte of the request was sent.
+        ConnectionLost
+            If the connection broke or stayed silent after bytes were sent.
+        """
+        channel = None if fresh else self._take_idle(address)
+        if channel is None:
+            channel = await self.connect(address)
+        whole = [("Host", address), ("Content-Length", str(len(body)))]
+        whole.extend(headers or [])
+        try:
+            try:
+                with trio.fail_after(head_timeout):
+                    await channel.send(method, target, whole, body)
+                    response = await channel.read_head()
+            except trio.TooSlowError as error:
+                raise ConnectionSilent(f"{address} stayed silent") from error
+            yield response
+        except BaseException:
+            await channel.close()
+            raise
+        await self._give_back(address, channel)
+
+    def _take_idle(self, address: str) -> ClientChannel | None:
+        idle = self._idle_by_address.get(address)
+        return idle.pop() if idle else None
+
+    async def _give_back(self, address: str, channel: ClientChannel) -> None:
+        idle = self._idle_by_address.setdefault(address, [])
+        if channel.is_reusable and len(idle) < self._idle_per_address:
+            channel.start_next()
+            idle.append(channel)
+        else:
+            await channel.close()
+
+    async def forget(self, address: str) -> None:
+        """Close the idle connections to an address, which may have gone silent."""
+        for channel in self._idle_by_address.pop(address, ()):
+            await channel.close()
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle_by_address):
+            await self.forget(address)
--- a/wigeondrift/model_api.py
+++ b/wigeondrift/model_api.py
@@ -25,7 +25,7 @@
 from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.gate import Gate
 from wigeondrift.generation import GenerationJob, Generator
-from wigeondrift.http import Exchange
+from wigeondrift.http_server import Exchange
 from wigeondrift.metrics import Metric, Metrics
 from wigeondrift.runs import RunDesk, RunReader, RunWriter
 from wigeondrift.settings import RequestSettings
--- a/wigeondrift/platform_http.py
+++ b/wigeondrift/platform_http.py
@@ -12,7 +12,7 @@
     RevisionConflict,
     TransportError,
 )
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.platform import InstanceList, PlatformStore, Versioned
 from wigeondrift.platform_calls import (
     NAMES_BY_CALL,
--- a/wigeondrift/service_api.py
+++ b/wigeondrift/service_api.py
@@ -6,7 +6,7 @@
 from wigeondrift.errors import ErrorKind, RequestError
 from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.gate import Gate
-from wigeondrift.http import Request
+from wigeondrift.http_server import Request
 from wigeondrift.metrics import Metric, Metrics
 from wigeondrift.model_api import Call
 from wigeondrift.orders import OrderDesk, OrderJob, OrderResult
--- a/wigeondrift/service_http.py
+++ b/wigeondrift/service_http.py
@@ -4,7 +4,7 @@
 import trio
 
 from wigeondrift.errors import ConnectFailed, ConnectionLost, ProtocolViolation
-from wigeondrift.http import ClientChannel, Headers, HttpClient
+from wigeondrift.http_client import ClientChannel, Headers, HttpClient
 from wigeondrift.service import PlainService, ServiceAnswer, ServiceCall
 
 ANSWER_BYTES = 4 * 1048576
--- a/wigeondrift_emulator/engine.py
+++ b/wigeondrift_emulator/engine.py
@@ -16,16 +16,12 @@
 import msgspec
 import trio
 
+from wigeondrift.address import parse_address
 from wigeondrift.engine import CancelRequest, EngineRefused, GenerateRequest
 from wigeondrift.entities import Stage
 from wigeondrift.errors import ProtocolViolation, TransportError
-from wigeondrift.http import (
-    Exchange,
-    HttpClient,
-    HttpLimits,
-    HttpServer,
-    parse_address,
-)
+from wigeondrift.http_client import HttpClient
+from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
 from wigeondrift_emulator.control import ControlOrder, carry_out
 from wigeondrift_emulator.links import Links, LinkSettings
 from wigeondrift_emulator.runner import Cluster, KvState, Runner, RunnerSettings
--- a/wigeondrift_emulator/orders.py
+++ b/wigeondrift_emulator/orders.py
@@ -11,8 +11,9 @@
 import msgspec
 import trio
 
+from wigeondrift.address import parse_address
 from wigeondrift.events import Event, configure_logging, log_event
-from wigeondrift.http import Exchange, HttpLimits, HttpServer, parse_address
+from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
 from wigeondrift.service import ServiceCall
 from wigeondrift.service_memory import (
     AnswerLost,
--- a/wigeondrift_emulator/platform.py
+++ b/wigeondrift_emulator/platform.py
@@ -25,6 +25,7 @@
 import msgspec
 import trio
 
+from wigeondrift.address import parse_address
 from wigeondrift.entities import InstanceState
 from wigeondrift.errors import (
     ConnectionLost,
@@ -34,12 +35,7 @@
     RevisionConflict,
 )
 from wigeondrift.events import Event, configure_logging, log_event
-from wigeondrift.http import (
-    Exchange,
-    HttpLimits,
-    HttpServer,
-    parse_address,
-)
+from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
 from wigeondrift.platform_calls import (
     CALLS_BY_NAME,
     PATH_PREFIX,
--- a/wigeondrift_emulator/stack.py
+++ b/wigeondrift_emulator/stack.py
@@ -12,7 +12,7 @@
 
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import TransportError
-from wigeondrift.http import HttpClient
+from wigeondrift.http_client import HttpClient
 from wigeondrift.platform_calls import InstancesUpdate
 from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.table import (
