--- a/tests/control_plane.py
+++ b/tests/control_plane.py
@@ -27,7 +27,7 @@
     serialize_table,
 )
 from wigeondrift.tables import Tables
-from wigeondrift.timer import TrioClock
+from wigeondrift.timer import TimerService, TrioClock
 
 ROW = "team/service"
 DOMAINS = ("rajkot", "morbi", "jamnagar")
@@ -47,6 +47,7 @@
     def __init__(self):
         self.agents = []
         self.links = []
+        self.timers = []
         self.platform = None
         self._scope = None
         self._token = None
@@ -138,6 +139,7 @@
             for index, post in enumerate(self.posts):
                 link = self._make_link(index, post, logger)
                 await link.start(nursery)
+                nursery.start_soon(self.timers[index].run)
                 self.links.append(link)
             self._token = trio.lowlevel.current_trio_token()
             self._scope = nursery.cancel_scope
@@ -158,7 +160,10 @@
             direct_read=0.5,
         )
         store = HttpPlatformStore(HttpClient(), self.callers[index])
-        return Link(attachment, address, store, TrioClock(), logger)
+        timer = TimerService(TrioClock())
+        link = Link(attachment, address, store, TrioClock(), timer, logger)
+        self.timers.append(timer)
+        return link
 
     def do(self, function, *arguments):
         """Call a function on the links' thread."""
--- a/wigeondrift/composition.py
+++ b/wigeondrift/composition.py
@@ -70,7 +70,7 @@
     tracer = make_tracer(settings.telemetry.otlp, settings.instance_id)
     client = HttpClient()
     store = HttpPlatformStore(client, settings.platform)
-    link = _make_link(settings, tables, store, incarnation, clock, logger)
+    link = _make_link(settings, tables, store, incarnation, clock, timer, logger)
     policy = make_policy(settings, tables)
     routing = policy.make_routing(random.Random())
     generator = _make_generator(
@@ -110,7 +110,7 @@
     timer.subscribe("gauges", FLUSH_INTERVAL_SECONDS, gateway.record_gauges)
     timer.subscribe("metrics", FLUSH_INTERVAL_SECONDS, metrics.flush)
     stop_bound = settings.stop.notice + settings.stop.bound
-    return Application([timer, link, generator, desk, gateway], stop_bound)
+    return Application([link, timer, generator, desk, gateway], stop_bound)
 
 
 def _make_link(
@@ -119,6 +119,7 @@
     store: PlatformStore,
     incarnation: int,
     clock: Clock,
+    timer: TimerService,
     logger: logging.Logger,
 ) -> Link:
     attachment = Attachment(
@@ -130,7 +131,7 @@
         settings.configured_instances,
         random.Random(),
     )
-    return Link(attachment, settings.post, store, clock, logger)
+    return Link(attachment, settings.post, store, clock, timer, logger)
 
 
 def _make_generator(
--- a/wigeondrift/link.py
+++ b/wigeondrift/link.py
@@ -13,7 +13,7 @@
 from wigeondrift.systems.actions import Actions
 from wigeondrift.systems.attachment import Attachment, SuspectListener
 from wigeondrift.table import TABLE_KEY
-from wigeondrift.timer import Clock
+from wigeondrift.timer import Clock, TimerService
 
 LINK_SECONDS = 0.5
 DIRECT_CALL_SECONDS = 2.0
@@ -31,6 +31,8 @@
     store : PlatformStore
         Read directly while the agent is silent.
     clock : Clock
+    timer : TimerService
+        Calls the periodic parts; it is to be started after the link.
     logger : logging.Logger
     """
 
@@ -42,6 +44,7 @@
         listen: str,
         store: PlatformStore,
         clock: Clock,
+        timer: TimerService,
         logger: logging.Logger,
     ) -> None:
         self.attachment = attachment
@@ -50,6 +53,8 @@
         self._clock = clock
         self._logger = logger
         self._post: PostOffice | None = None
+        timer.subscribe("link", LINK_SECONDS, self._tick)
+        timer.subscribe("platform", LINK_SECONDS, self._read_directly)
 
     @property
     def is_ready(self) -> bool:
@@ -62,11 +67,9 @@
         return self.attachment.agent_lost
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Listen and start the tasks."""
+        """Listen and start to receive."""
         self._post = PostOffice(self._listen)
         nursery.start_soon(self._receive)
-        nursery.start_soon(self._tick)
-        nursery.start_soon(self._read_directly)
 
     async def stop(self) -> None:
         """Tell the agent that the entry takes no new work."""
@@ -132,16 +135,12 @@
             message = await self._post.receive()
             self._do(self.attachment.receive(message, self._clock.now()))
 
-    async def _tick(self) -> None:
-        while True:
-            self._do(self.attachment.tick(self._clock.now()))
-            await trio.sleep(LINK_SECONDS)
+    async def _tick(self, now: float) -> None:
+        self._do(self.attachment.tick(now))
 
-    async def _read_directly(self) -> None:
-        while True:
-            await trio.sleep(LINK_SECONDS)
-            if self.attachment.is_direct_read_due(self._clock.now()):
-                await self._read_platform()
+    async def _read_directly(self, now: float) -> None:
+        if self.attachment.is_direct_read_due(now):
+            await self._read_platform()
 
     async def _read_platform(self) -> None:
         attachment = self.attachment
