--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -35,16 +35,6 @@
       | rajkot | 0.6     | yes     |
       | morbi  | 0.1     | yes     |
 
-  Scenario Outline: Deaths beside that of an upstream that did not run the request
-    Given runners "u1" in "rajkot" and "u2" in "morbi" that run "a"
-    When another upstream dies running "b", and <before> seconds later "u1" and "u2"
-    Then "a" is refused: <refused>
-
-    Examples:
-      | before | refused |
-      | 0.1    | no      |
-      | 5.0    | yes     |
-
   Scenario: Instances share no runner for their trials while there are enough
     Given 3 agents and 6 runners of one range in 3 failure domains
     Then each runner is left to one agent, and each has 2 in different domains
--- a/wigeondrift/systems/quarantine.py
+++ b/wigeondrift/systems/quarantine.py
@@ -90,18 +90,6 @@
         added_at = self._added_at_by_fact.get((name, detail))
         return added_at is not None and now - added_at <= self._seconds
 
-    def is_known(self, name: str, detail: str) -> bool:
-        """Whether a fact is kept, young or not."""
-        return (name, detail) in self._added_at_by_fact
-
-    def get_first_times(self, now: float) -> dict[str, float]:
-        """Return when each detail came first in a fact that counts, in seconds."""
-        times: dict[str, float] = {}
-        for (_, detail), added_at in self._added_at_by_fact.items():
-            if now - added_at <= self._seconds:
-                times.setdefault(detail, added_at)
-        return times
-
     def get_age(self, name: str, detail: str, now: float) -> float:
         """Return the time since a known fact was added, in seconds."""
         return now - self._added_at_by_fact[name, detail]
@@ -137,7 +125,6 @@
     __slots__ = (
         "_cleared",
         "_deaths",
-        "_died_at_by_upstream",
         "_epochs_by_id",
         "_own_deaths",
         "_probation_by_fingerprint",
@@ -153,7 +140,6 @@
         self._cleared = Facts(SUSPECT_SECONDS)
         self._refused = Facts(QUARANTINE_SECONDS)
         self._upstreams_by_fingerprint: dict[str, set[str]] = {}
-        self._died_at_by_upstream: dict[str, float] = {}
         self._runs_by_upstream: dict[str, dict[Run, None]] = {}
         self._epochs_by_id: dict[str, int] = {}
         self._probation_by_fingerprint: dict[str, int] = {}
@@ -372,41 +358,28 @@
     def _count_deaths(self, fingerprint: str) -> int:
         """Return its deaths; those of one failure domain at one time are one.
 
-        So are those beside deaths of upstreams that did not run it. What fails
-        together is no fault of a request. News of other instances come
+        What fails together is no fault of a request. News of other instances come
         with a jitter, so that a wider time is taken for them.
         """
-        upstreams = self._upstreams_by_fingerprint[fingerprint]
-        beside = {one for one in upstreams if self._is_beside(fingerprint, one)}
         deaths = sorted(
             (
                 self._find_domain(upstream),
                 -self._deaths.get_age(fingerprint, upstream, 0.0),
                 upstream in self._own_deaths,
             )
-            for upstream in upstreams - beside
+            for upstream in self._upstreams_by_fingerprint[fingerprint]
         )
-        count = 1 if beside else 0
+        count = 0
         last_domain, last_at, last_own = "", 0.0, False
         for domain, at, own in deaths:
             window = CORRELATED_SECONDS
             if not (own and last_own):
                 window += NEWS_JITTER_SECONDS
-            is_one = last_domain and domain == last_domain and at - last_at < window
+            is_one = count and domain == last_domain and at - last_at < window
             count += 0 if is_one else 1
             last_domain, last_at, last_own = domain, at, own
         return count
 
-    def _is_beside(self, fingerprint: str, upstream: str) -> bool:
-        """Whether an upstream that did not run it died at the same time."""
-        at = self._died_at_by_upstream[upstream]
-        return any(
-            abs(other_at - at) < CORRELATED_SECONDS
-            and not self._deaths.is_known(fingerprint, other)
-            for other, other_at in self._died_at_by_upstream.items()
-            if other != upstream
-        )
-
     def _find_domain(self, upstream: str) -> str:
         """Return the failure domain of an upstream; its name if it is not known."""
         instance = self._tables.instances_by_id.get(upstream.rpartition("/")[0])
@@ -435,7 +408,6 @@
             if not self._cleared.counts(fingerprint, upstream, now):
                 by_fingerprint.setdefault(fingerprint, set()).add(upstream)
         self._upstreams_by_fingerprint = by_fingerprint
-        self._died_at_by_upstream = self._deaths.get_first_times(now)
         known = {one for upstreams in by_fingerprint.values() for one in upstreams}
         self._own_deaths &= known
         for fingerprint in list(self._probation_by_fingerprint):
