--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -35,6 +35,16 @@
       | rajkot | 0.6     | yes     |
       | morbi  | 0.1     | yes     |
 
+  Scenario: Deaths at one moment in two failure domains, beside a third, are one
+    Given runners "u1" in "rajkot" and "u2" in "morbi" that run "a"
+    When another upstream dies running "b", and 0.1 seconds later "u1" and "u2"
+    Then "a" is refused: no
+
+  Scenario: Deaths long after that of another upstream are two
+    Given runners "u1" in "rajkot" and "u2" in "morbi" that run "a"
+    When another upstream dies running "b", and 5 seconds later "u1" and "u2"
+    Then "a" is refused: yes
+
   Scenario: Instances share no runner for their trials while there are enough
     Given 3 agents and 6 runners of one range in 3 failure domains
     Then each runner is left to one agent, and each has 2 in different domains
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -127,6 +127,20 @@
         context.now += seconds
 
 
+@when(
+    'another upstream dies running "{other}", and {before:g} seconds later "{one}"'
+    ' and "{two}"'
+)
+def die_beside(context, other, before, one, two):
+    run = context.quarantine.begin(other, ("u9",))
+    run.has_started = True
+    context.quarantine.note_death(run, "u9", context.now)
+    context.quarantine.end(run)
+    context.quarantine.note_success(other, context.now)
+    context.now += before
+    die_both(context, one, two, 0.1)
+
+
 @then('"{name}" is refused: {refused}')
 def check_refused(context, name, refused):
     assert list_refused(context) == ([name] if refused == "yes" else [])
