Trace each stage of a route that reported tokens

whole.feature with the two rows for stages failed before (4 passed, 1 failed) and passes after. A stage's span lasts from the first token that names it to the end of the attempt, since engines report no times of their own.

--- a/tests/features/whole.feature
+++ b/tests/features/whole.feature
@@ -25,6 +25,8 @@
       | entry.request   | caller        |
       | entry.queue     | entry.request |
       | engine.generate | entry.request |
+      | engine.stage    | engine.generate |
+      | engine.stage    | engine.generate |
       | entry.request   | caller        |
       | entry.queue     | entry.request |
       | entry.order     | entry.request |
--- a/wigeondrift/generation.py
+++ b/wigeondrift/generation.py
@@ -113,6 +113,8 @@
     run : Run
         As the quarantine knows it.
     span : Span
+    stage_spans : list of Span
+        One for each stage, from the first token that names it.
     stack : contextlib.AsyncExitStack
         Holds the connection.
     batches : AsyncIterator
@@ -132,6 +134,7 @@
         "route",
         "run",
         "span",
+        "stage_spans",
         "stack",
         "tokens",
     )
@@ -140,6 +143,7 @@
         self.route = route
         self.run = run
         self.span = span
+        self.stage_spans: list[Span] = []
         self.stack = contextlib.AsyncExitStack()
         self.batches: AsyncIterator[list[EngineEvent]] | None = None
         self.tokens = 0
@@ -323,6 +327,7 @@
             return
         now = trio.current_time()
         if first:
+            self._start_stage_spans(attempt)
             generator.routing.health.note_success(attempt.route.instance_ids)
         else:
             seconds = (now - attempt.learned_at) / fresh
@@ -368,9 +373,21 @@
             now = generator.clock.now()
             generator.routing.note_end(attempt.route.instance_ids, now)
             generator.quarantine.end(attempt.run)
+            for span in attempt.stage_spans:
+                span.end()
             attempt.span.set("tokens", attempt.tokens)
             attempt.span.end()
 
+    def _start_stage_spans(self, attempt: Attempt) -> None:
+        for stage in attempt.route.stages:
+            layers = {"first_layer": stage.first_layer, "end_layer": stage.end_layer}
+            span = self._generator.tracer.start(
+                "engine.stage",
+                attempt.span.traceparent,
+                {"runner": stage.instance_id, **layers},
+            )
+            attempt.stage_spans.append(span)
+
     def _note_success(self) -> None:
         if self._succeeded:
             return
