--- a/wigeondrift/settings.py
+++ b/wigeondrift/settings.py
@@ -95,7 +95,7 @@
 
     limit_wait: Seconds = 2.0
     burst_seconds: Seconds = 1.0
-    short_queue_timeout: Seconds = 0.25
+    short_queue_timeout: Seconds = 0.15
     long_tokens: Positive = 2048
     long_fraction: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.5
     refusals_per_second: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 50.0
