--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -3,6 +3,7 @@
 Run as ``python -m bench.experiment overload``; see ``--help`` for the scenarios.
 """
 
+import dataclasses
 import json
 import sys
 import time
@@ -178,88 +179,97 @@
 app = cyclopts.App(name="bench.experiment", help=__doc__)
 
 
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(slots=True)
+class Options:
+    """Options that all scenarios share.
+
+    Attributes
+    ----------
+    arms : list of str
+        Policies to run; all if empty.
+    chains, entries : int
+        Chains of runners and entries in each failure domain.
+    seed : int
+        Seed of the arrivals.
+    json_path : str
+        File for the summaries as JSON; none if empty.
+    """
+
+    arms: list[str] = dataclasses.field(default_factory=list)
+    chains: int = 5
+    entries: int = 1
+    seed: int = 1
+    json_path: str = ""
+
+    def get_bound(self) -> float:
+        """Return the tokens a second that the runners' slots allow."""
+        return get_bound(make_stack_settings(Arm(), self.chains, self.entries))
+
+
 def run_arms(
     workload: Workload,
-    arms: list[str],
-    chains: int,
-    entries: int,
-    seed: int,
-    json_path: str,
+    options: Options,
     fault: Fault | None = None,
     extra: dict[str, Any] | None = None,
 ) -> dict[str, Any]:
     """Run the workload over each arm and print the summaries."""
     report = {}
-    for name in arms or list(ARMS):
+    for name in options.arms or list(ARMS):
         began = time.perf_counter()
         arm = add_settings(ARMS[name], extra or {})
-        summary = run_arm(arm, workload, chains, entries, seed, fault)
+        summary = run_arm(
+            arm, workload, options.chains, options.entries, options.seed, fault
+        )
         summary["wall_seconds"] = time.perf_counter() - began
         report[name] = summary
         print(f"\n{name}")
         print_summary(summary)
         print(f"{'part of the bound':34}{summary['part_of_bound']:8.3f}")
-        print(f"{'answers by status':34}{summary['answers_by_status']}")
-    if json_path:
-        with open(json_path, "w") as file:
+        print(f"{'answers by status':34}{summary['answers_by_status']}", flush=True)
+    if options.json_path:
+        with open(options.json_path, "w") as file:
             json.dump(report, file, indent=1)
     return report
 
 
 @app.command
 def overload(
-    arms: list[str] | None = None,
-    load: float = 2.0,
-    seconds: float = 20.0,
-    chains: int = 5,
-    entries: int = 1,
-    seed: int = 1,
-    json_path: str = "",
+    options: Options | None = None, *, load: float = 2.0, seconds: float = 20.0
 ) -> None:
     """Ask for more than the bound, with callers that retry at once."""
-    settings = make_stack_settings(Arm(), chains, entries)
-    workload = make_workload(get_bound(settings), load, seconds)
-    run_arms(workload, arms or [], chains, entries, seed, json_path)
+    options = options or Options()
+    run_arms(make_workload(options.get_bound(), load, seconds), options)
 
 
 @app.command
 def crest(
-    arms: list[str] | None = None,
+    options: Options | None = None,
+    *,
     load: float = 0.4,
     factor: float = 5.0,
     seconds: float = 30.0,
-    chains: int = 5,
-    entries: int = 1,
-    seed: int = 1,
-    json_path: str = "",
 ) -> None:
     """Let demand rise to ``factor`` times within 2 s and fall again."""
-    settings = make_stack_settings(Arm(), chains, entries)
-    workload = make_workload(get_bound(settings), load, seconds)
+    options = options or Options()
+    workload = make_workload(options.get_bound(), load, seconds)
     workload.crest = Crest(seconds / 3, seconds * 2 / 3, 2.0, factor)
-    run_arms(workload, arms or [], chains, entries, seed, json_path)
+    run_arms(workload, options)
 
 
 @app.command
 def behind_long(
-    arms: list[str] | None = None,
-    load: float = 1.0,
-    seconds: float = 30.0,
-    chains: int = 5,
-    entries: int = 1,
-    seed: int = 1,
-    json_path: str = "",
+    options: Options | None = None, *, load: float = 1.0, seconds: float = 30.0
 ) -> None:
     """Mix short requests with long ones that take half of the tokens."""
-    settings = make_stack_settings(Arm(), chains, entries)
-    workload = make_workload(get_bound(settings), load, seconds)
+    options = options or Options()
+    bound = options.get_bound()
+    workload = make_workload(bound, load, seconds)
     workload.long_tokens = 800
     workload.long_share = 0.02
-    workload.rate = get_bound(settings) * load / mean_tokens(workload)
+    workload.rate = bound * load / mean_tokens(workload)
     extra = {"long_tokens": workload.long_tokens // 2}
-    report = run_arms(
-        workload, arms or [], chains, entries, seed, json_path, extra=extra
-    )
+    report = run_arms(workload, options, extra=extra)
     for name, summary in report.items():
         waits = summary["first_token_from_arrival"]
         short, long = waits[SHORT]["p95"], waits[LONG]["p95"]
@@ -268,20 +278,12 @@
 
 @app.command
 def failure(
-    arms: list[str] | None = None,
-    load: float = 0.6,
-    seconds: float = 30.0,
-    chains: int = 5,
-    entries: int = 1,
-    seed: int = 1,
-    json_path: str = "",
+    options: Options | None = None, *, load: float = 0.6, seconds: float = 30.0
 ) -> None:
     """End a runner of each failure domain in the middle of the run."""
-    settings = make_stack_settings(Arm(), chains, entries)
-    workload = make_workload(get_bound(settings), load, seconds)
-    report = run_arms(
-        workload, arms or [], chains, entries, seed, json_path, kill_runners
-    )
+    options = options or Options()
+    workload = make_workload(options.get_bound(), load, seconds)
+    report = run_arms(workload, options, kill_runners)
     for name, summary in report.items():
         seconds_back = get_recovery_seconds(summary, seconds * FAILURE_AT_PART)
         print(f"{name}: back to 95% of goodput after {seconds_back:.0f} s")
