--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -81,3 +81,6 @@
     Given a gateway with a fake model
     When the gateway stops with a bound that a stream outlasts
     Then the raw stream ends with an error event and no end mark
+
+  Scenario: A refused request ends its span of the queue
+    Then a request of a team without a row is refused and its queue span has ended
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -5,8 +5,10 @@
 from behave import given, then, when
 
 from tests.gateways import KEY, MODEL, ORDERS, make_tables, open_bench, parse_answer
+from wigeondrift.errors import ErrorKind, RequestError
 from wigeondrift.settings import HttpSettings, StopSettings
 from wigeondrift.table import LimitRow
+from wigeondrift.tracing import PassingSpan
 
 COMPLETIONS = "/v1/completions"
 CHAT = "/v1/chat/completions"
@@ -414,3 +416,24 @@
         context.answer = await bench.post(COMPLETIONS, STREAM)
 
     run(task, stop=StopSettings(notice=0.05))
+
+
+class EndCounter(PassingSpan):
+    ends = 0
+
+    def end(self):
+        self.ends += 1
+
+
+@then("a request of a team without a row is refused and its queue span has ended")
+def check_queue_span(context):
+    async def task(bench):
+        span = EndCounter("")
+        try:
+            async with bench.gate.admit("stranger", "lm", 1, span):
+                raise AssertionError("it was admitted")
+        except RequestError as error:
+            assert error.kind is ErrorKind.FORBIDDEN
+        assert span.ends == 1
+
+    run(task)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -131,8 +131,9 @@
 class Bench:
     """A running gateway and its stand-ins."""
 
-    def __init__(self, gateway, tables, generator, desk, address):
+    def __init__(self, gateway, gate, tables, generator, desk, address):
         self.gateway = gateway
+        self.gate = gate
         self.tables = tables
         self.generator = generator
         self.desk = desk
@@ -233,5 +234,5 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(timer.run)
         await gateway.start(nursery)
-        yield Bench(gateway, tables, generator, desk, address)
+        yield Bench(gateway, gate, tables, generator, desk, address)
         nursery.cancel_scope.cancel()
--- a/wigeondrift/gate.py
+++ b/wigeondrift/gate.py
@@ -15,6 +15,7 @@
 )
 from wigeondrift.systems.pacing import RefusalPacer
 from wigeondrift.timer import Clock, TimerService
+from wigeondrift.tracing import Span
 
 TICK_SECONDS = 0.02
 FORGET_SECONDS = 5.0
@@ -88,16 +89,21 @@
 
     @contextlib.asynccontextmanager
     async def admit(
-        self, team: str, service: str, tokens: int
+        self, team: str, service: str, tokens: int, span: Span
     ) -> AsyncIterator["Admitted"]:
         """Wait until a request may run; its slot is held inside the context.
 
+        The wait ends ``span``, also when it ends in a refusal.
+
         Raises
         ------
         RequestError
             If it is refused; nothing of it has run.
         """
-        ticket = await self._wait(team, service, tokens)
+        try:
+            ticket = await self._wait(team, service, tokens)
+        finally:
+            span.end()
         admitted = Admitted(ticket.is_long)
         try:
             yield admitted
--- a/wigeondrift/model_api.py
+++ b/wigeondrift/model_api.py
@@ -208,8 +208,8 @@
         """Run one request to its end; the task of a run."""
         model = job.body.model
         queue_span = self._tracer.start("entry.queue", call.traceparent)
-        async with self._gate.admit(call.team, model, job.cost) as admitted:
-            queue_span.end()
+        admission = self._gate.admit(call.team, model, job.cost, queue_span)
+        async with admission as admitted:
             generation_job = GenerationJob(
                 request_id=call.request_id,
                 team=call.team,
--- a/wigeondrift/service_api.py
+++ b/wigeondrift/service_api.py
@@ -92,8 +92,7 @@
             call=service_call,
         )
         queue_span = self._tracer.start("entry.queue", call.traceparent)
-        async with self._gate.admit(call.team, name, 0):
-            queue_span.end()
+        async with self._gate.admit(call.team, name, 0, queue_span):
             span = self._tracer.start("entry.order", call.traceparent)
             try:
                 result = await self._desk.run(job)
