Take out code that nothing calls

Link.report_death and report_clear (the latter named its fact in a form that the quarantine does not read), Routing.estimate_token_seconds, Quarantine.get_news (the agents' DeathLog tells a new process) and ManualClock had no caller; behaviour stays.

--- a/wigeondrift/link.py
+++ b/wigeondrift/link.py
@@ -106,14 +106,6 @@
         now = self._clock.now()
         self._do(self.attachment.report_leaving(instance_id, incarnation, now))
 
-    def report_death(self, fingerprint: str, upstream: str) -> None:
-        """Tell that ``upstream`` died running ``fingerprint``."""
-        self.report_suspects(SuspectNews(((fingerprint, (upstream,)),), (), ()))
-
-    def report_clear(self, fingerprint: str) -> None:
-        """Tell that a request with ``fingerprint`` ran to its end."""
-        self.report_suspects(SuspectNews((), (fingerprint,), ()))
-
     def report_quarantine(self, fingerprint: str) -> None:
         """Tell that ``fingerprint`` is refused from now on."""
         self.report_suspects(SuspectNews((), (), (fingerprint,)))
--- a/wigeondrift/systems/quarantine.py
+++ b/wigeondrift/systems/quarantine.py
@@ -322,17 +322,6 @@
         self._rebuild(now)
         return SuspectNews((), (), guilty)
 
-    def get_news(self, now: float) -> SuspectNews:
-        """Return all facts that count, for a process that starts."""
-        deaths: dict[str, list[str]] = {}
-        for fingerprint, upstream in self._deaths.list_young(now):
-            deaths.setdefault(fingerprint, []).append(upstream)
-        return SuspectNews(
-            tuple((name, tuple(upstreams)) for name, upstreams in deaths.items()),
-            tuple(SEPARATOR.join(fact) for fact in self._cleared.list_young(now)),
-            tuple(fingerprint for fingerprint, _ in self._refused.list_young(now)),
-        )
-
     def _has_settled(self, fingerprint: str, upstream: str, now: float) -> bool:
         return self._deaths.get_age(fingerprint, upstream, now) >= SETTLE_SECONDS
 
--- a/wigeondrift/systems/routing.py
+++ b/wigeondrift/systems/routing.py
@@ -7,7 +7,7 @@
 from wigeondrift.errors import ErrorKind, RequestError
 from wigeondrift.systems.fleet import Cover, Fleet, Group
 from wigeondrift.systems.health import Health
-from wigeondrift.systems.latencies import Latencies, iter_hops
+from wigeondrift.systems.latencies import Latencies
 from wigeondrift.systems.loads import Loads
 from wigeondrift.table import LimitRow, ServiceRow
 from wigeondrift.tables import Tables
@@ -258,25 +258,6 @@
         ]
         self.latencies.learn(runners, reported, shares, seconds)
 
-    def estimate_token_seconds(self, route: Route) -> float:
-        """Return the expected time of one token over a route, in seconds."""
-        total = 0.0
-        runners = []
-        for stage in route.stages:
-            runner = self._tables.instances_by_id.get(stage.instance_id)
-            if runner is None:
-                continue
-            held = runner.end_layer - runner.first_layer
-            reported = self._get_reported(runner.instance_id)
-            share = (stage.end_layer - stage.first_layer) / held
-            total += share * self.latencies.get_stage(runner.instance_id, reported)
-            runners.append(runner)
-        for source, target in iter_hops(runners):
-            total += self.latencies.get_link(
-                source.failure_domain, target.failure_domain
-            )
-        return total
-
     def list_in_domains(self, failure_domains: Collection[str]) -> set[str]:
         """Return the names of all instances in some failure domains."""
         return {
--- a/wigeondrift/timer.py
+++ b/wigeondrift/timer.py
@@ -39,29 +39,6 @@
         return time.time()
 
 
-class ManualClock(Clock):
-    """Clock that its owner moves.
-
-    Parameters
-    ----------
-    start : float
-        First reading in seconds.
-    """
-
-    __slots__ = ("_now",)
-
-    def __init__(self, start: float = 0.0) -> None:
-        self._now = start
-
-    def now(self) -> float:
-        """Return the reading in seconds."""
-        return self._now
-
-    def advance(self, seconds: float) -> None:
-        """Move the reading forward by ``seconds``."""
-        self._now += seconds
-
-
 class Subscription:
     """One periodic callback.
 
