--- a/bench/claims.py
+++ b/bench/claims.py
@@ -17,10 +17,10 @@
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import RequestError
 from wigeondrift.orders import OrderDesk, OrderJob, UpstreamChooser
-from wigeondrift.platform_memory import MemoryStore
 from wigeondrift.service import ServiceCall
 from wigeondrift.service_memory import MemoryPlainService
 from wigeondrift.settings import RequestSettings
+from wigeondrift.store.memory import MemoryStore
 from wigeondrift.table import ServiceKind, ServiceRow
 from wigeondrift.tables import Tables
 from wigeondrift.timer import TrioClock
--- a/bench/control.py
+++ b/bench/control.py
@@ -24,10 +24,10 @@
 from wigeondrift.errors import PlatformError, WigeondriftError
 from wigeondrift.http_client import HttpClient
 from wigeondrift.messages import Hello, InstancesNews, TableNews
-from wigeondrift.platform_core import DownMode, StoreCore
-from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.post import PostOffice
 from wigeondrift.status import ask_status
+from wigeondrift.store.core import DownMode, StoreCore
+from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.systems.control import AgentControl
 from wigeondrift.table import (
     TABLE_KEY,
--- a/bench/control_memory.py
+++ b/bench/control_memory.py
@@ -27,7 +27,7 @@
     import wigeondrift.generation
     import wigeondrift.link
     import wigeondrift.orders
-    import wigeondrift.platform_http
+    import wigeondrift.store.http
 
     sizes = {"entry": read_anonymous()}
     import wigeondrift.loads
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -13,7 +13,7 @@
 
 from wigeondrift.entities import Instance, Role
 from wigeondrift.messages import Demand, DemandNews, serialize_message
-from wigeondrift.platform_core import StoreCore
+from wigeondrift.store.core import StoreCore
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.control import AgentControl
 from wigeondrift.systems.shares import (
--- a/bench/table.py
+++ b/bench/table.py
@@ -18,9 +18,9 @@
 from wigeondrift.editor import TableEditor
 from wigeondrift.edits import CellChange, Edit, apply_edit, diff_tables, get_cells
 from wigeondrift.http_client import HttpClient
-from wigeondrift.platform_core import Faults
-from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.rendering import Printer
+from wigeondrift.store.core import Faults
+from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.systems.editing import Accepted
 from wigeondrift.table import (
     TABLE_BYTES,
--- a/tests/control_plane.py
+++ b/tests/control_plane.py
@@ -13,8 +13,8 @@
 from wigeondrift.errors import PlatformError, WigeondriftError
 from wigeondrift.http_client import HttpClient
 from wigeondrift.link import Link
-from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.status import ask_status
+from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.shares import get_limit
 from wigeondrift.table import (
--- a/tests/features/steps/ctl_steps.py
+++ b/tests/features/steps/ctl_steps.py
@@ -19,7 +19,7 @@
 from wigeondrift.declaration import parse_csv
 from wigeondrift.errors import PlatformUnavailable, SettingsError
 from wigeondrift.http_client import HttpClient
-from wigeondrift.platform_http import HttpPlatformStore
+from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.timer import TrioClock
 
 
--- a/tests/features/steps/edits.py
+++ b/tests/features/steps/edits.py
@@ -12,8 +12,8 @@
 from wigeondrift.editor import TableEditor
 from wigeondrift.edits import CellChange, Edit
 from wigeondrift.errors import TableError
-from wigeondrift.platform_core import DownMode
-from wigeondrift.platform_memory import MemoryStore
+from wigeondrift.store.core import DownMode
+from wigeondrift.store.memory import MemoryStore
 from wigeondrift.systems.editing import Accepted, Conflicted, Unavailable, Unknown
 from wigeondrift.systems.replica import Replica, Verdict
 from wigeondrift.table import (
--- a/tests/features/steps/ordering.py
+++ b/tests/features/steps/ordering.py
@@ -7,8 +7,8 @@
 from tests.order_faults import ChangePlatform, Heal, Settle, SwitchUpstream, TrapEntry
 from tests.order_world import World
 from wigeondrift.errors import Outcome
-from wigeondrift.platform_core import DownMode
 from wigeondrift.service_memory import FaultMode
+from wigeondrift.store.core import DownMode
 
 EXAMPLES = 80
 STEPS = 6
--- a/tests/features/steps/platform_store.py
+++ b/tests/features/steps/platform_store.py
@@ -7,7 +7,7 @@
 from wigeondrift.entities import InstanceState
 from wigeondrift.errors import PlatformUnavailable
 from wigeondrift.http_client import HttpClient
-from wigeondrift.platform_http import HttpPlatformStore
+from wigeondrift.store.http import HttpPlatformStore
 
 
 @then('the platform store in {form} passes the case "{name}"')
--- a/tests/machines/control.py
+++ b/tests/machines/control.py
@@ -15,7 +15,7 @@
 from wigeondrift.entities import Instance, InstanceState, Role
 from wigeondrift.events import Event
 from wigeondrift.messages import SuspectNews
-from wigeondrift.platform_core import DownMode, Faults, StoreCore
+from wigeondrift.store.core import DownMode, Faults, StoreCore
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.control import AgentControl
 from wigeondrift.systems.shares import choose_owner, compute_floor, get_limit
--- a/tests/machines/edits.py
+++ b/tests/machines/edits.py
@@ -23,7 +23,7 @@
     PlatformUnavailable,
     RevisionConflict,
 )
-from wigeondrift.platform_core import DownMode, StoreCore
+from wigeondrift.store.core import DownMode, StoreCore
 from wigeondrift.systems.editing import (
     Accepted,
     Conflicted,
--- a/tests/order_faults.py
+++ b/tests/order_faults.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from tests.order_world import Trap
-from wigeondrift.platform_core import DownMode
 from wigeondrift.service_memory import FaultMode
+from wigeondrift.store.core import DownMode
 
 ENTRIES = 3
 ENTRY = st.integers(0, ENTRIES - 1)
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -13,13 +13,13 @@
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import ErrorKind, RequestError, WigeondriftError
 from wigeondrift.orders import OrderDesk, OrderJob, UpstreamChooser
-from wigeondrift.platform import PlatformStore
-from wigeondrift.platform_core import Faults, StoreCore
-from wigeondrift.platform_memory import MemoryStore
 from wigeondrift.service import KEY_HEADER, PlainService, ServiceCall
 from wigeondrift.service_memory import FaultMode, MemoryPlainService, Switches
 from wigeondrift.settings import RequestSettings
 from wigeondrift.settlement import Settlement, settle_claim
+from wigeondrift.store.contract import PlatformStore
+from wigeondrift.store.core import Faults, StoreCore
+from wigeondrift.store.memory import MemoryStore
 from wigeondrift.table import ServiceKind, ServiceRow
 from wigeondrift.tables import Tables
 from wigeondrift.timer import TrioClock
--- a/tests/platform_cases.py
+++ b/tests/platform_cases.py
@@ -11,9 +11,9 @@
     RevisionConflict,
 )
 from wigeondrift.http_client import HttpClient
-from wigeondrift.platform_core import VALUE_BYTES, DownMode, Faults
-from wigeondrift.platform_http import HttpPlatformStore
-from wigeondrift.platform_memory import MemoryStore
+from wigeondrift.store.core import VALUE_BYTES, DownMode, Faults
+from wigeondrift.store.http import HttpPlatformStore
+from wigeondrift.store.memory import MemoryStore
 from wigeondrift_emulator.platform import PlatformEmulator
 
 LONG_SECONDS = 30.0
--- a/wigeondrift/agent.py
+++ b/wigeondrift/agent.py
@@ -14,10 +14,10 @@
 from wigeondrift.events import Event, configure_logging, log_event
 from wigeondrift.loads import POLL_SECONDS, LoadPoller, choose_polled
 from wigeondrift.messages import Status, StatusRequest
-from wigeondrift.platform import PlatformStore
 from wigeondrift.post import PostOffice
 from wigeondrift.settings import AgentSettings, load_settings
 from wigeondrift.shell import carry_out
+from wigeondrift.store.contract import PlatformStore
 from wigeondrift.systems.actions import Actions
 from wigeondrift.systems.control import AgentControl
 from wigeondrift.timer import Clock, TimerService
--- a/wigeondrift/claims.py
+++ b/wigeondrift/claims.py
@@ -18,7 +18,7 @@
     PlatformUnavailable,
     RevisionConflict,
 )
-from wigeondrift.platform import PlatformStore, Versioned
+from wigeondrift.store.contract import PlatformStore, Versioned
 from wigeondrift.timer import Clock
 
 RETENTION_SECONDS = 86400.0
--- a/wigeondrift/composition.py
+++ b/wigeondrift/composition.py
@@ -19,14 +19,14 @@
 from wigeondrift.metrics import FLUSH_INTERVAL_SECONDS, Metrics, make_metrics
 from wigeondrift.model_api import ModelApi
 from wigeondrift.orders import OrderDesk
-from wigeondrift.platform import PlatformStore
-from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.policy import Policy
 from wigeondrift.request_ids import RequestIds
 from wigeondrift.runs import make_runs
 from wigeondrift.service_api import ServiceApi
 from wigeondrift.service_http import HttpPlainService
 from wigeondrift.settings import AgentSettings, EntrySettings
+from wigeondrift.store.contract import PlatformStore
+from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.control import AgentControl
 from wigeondrift.systems.quarantine import Quarantine
--- a/wigeondrift/ctl_access.py
+++ b/wigeondrift/ctl_access.py
@@ -14,10 +14,10 @@
 )
 from wigeondrift.http_client import HttpClient
 from wigeondrift.order_porcelain import OrderOperator
-from wigeondrift.platform import PlatformStore
-from wigeondrift.platform_http import HttpPlatformStore
 from wigeondrift.porcelain import Operator
 from wigeondrift.settings_rules import check_address
+from wigeondrift.store.contract import PlatformStore
+from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.systems.editing import (
     Accepted,
     Conflicted,
--- a/wigeondrift/editor.py
+++ b/wigeondrift/editor.py
@@ -11,7 +11,7 @@
     PlatformUnavailable,
     RevisionConflict,
 )
-from wigeondrift.platform import PlatformStore
+from wigeondrift.store.contract import PlatformStore
 from wigeondrift.systems.editing import EditResult, EditRun, ReadTable
 from wigeondrift.table import TABLE_KEY, Table
 from wigeondrift.table_check import load_table
--- a/wigeondrift/link.py
+++ b/wigeondrift/link.py
@@ -7,9 +7,9 @@
 from wigeondrift.application import Component
 from wigeondrift.errors import PlatformError
 from wigeondrift.messages import SuspectNews
-from wigeondrift.platform import PlatformStore
 from wigeondrift.post import PostOffice
 from wigeondrift.shell import carry_out
+from wigeondrift.store.contract import PlatformStore
 from wigeondrift.systems.actions import Actions
 from wigeondrift.systems.attachment import Attachment, SuspectListener
 from wigeondrift.table import TABLE_KEY
--- a/wigeondrift/order_porcelain.py
+++ b/wigeondrift/order_porcelain.py
@@ -8,9 +8,9 @@
 from wigeondrift.claim import CLAIM_PREFIX, Claim, ClaimState, make_claim_name
 from wigeondrift.claims import KeyClaimStore
 from wigeondrift.errors import Outcome, UsageError
-from wigeondrift.platform import PlatformStore
 from wigeondrift.porcelain import get_user
 from wigeondrift.settlement import Settlement, list_unsettled, settle_named_claim
+from wigeondrift.store.contract import PlatformStore
 from wigeondrift.timer import TrioClock
 
 DIGEST = re.compile("[0-9a-f]{64}")
--- /dev/null
+++ b/wigeondrift/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its words, formats and calls, no decisions."""
--- a/wigeondrift/settlement.py
+++ b/wigeondrift/settlement.py
@@ -20,7 +20,7 @@
     RevisionConflict,
     WigeondriftError,
 )
-from wigeondrift.platform import PlatformStore
+from wigeondrift.store.contract import PlatformStore
 from wigeondrift.systems.ordering import SETTLE_AFTER_SECONDS
 
 TRIES = 5
--- /dev/null
+++ b/wigeondrift/store/__init__.py
@@ -0,0 +1,1 @@
+"""Key-value store: contract, HTTP client, in-memory form."""
--- a/wigeondrift/platform_calls.py
+++ b/wigeondrift/store/calls.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from wigeondrift.entities import Instance
-from wigeondrift.platform import InstanceList, Versioned
+from wigeondrift.store.contract import InstanceList, Versioned
 
 PATH_PREFIX = "/v1/"
 
--- a/wigeondrift/platform_core.py
+++ b/wigeondrift/store/core.py
@@ -22,7 +22,7 @@
     PlatformUnavailable,
     RevisionConflict,
 )
-from wigeondrift.platform import InstanceList, Versioned
+from wigeondrift.store.contract import InstanceList, Versioned
 
 VALUE_BYTES = 1048576
 KEPT_SECONDS = 120.0
--- a/wigeondrift/platform_http.py
+++ b/wigeondrift/store/http.py
@@ -13,8 +13,7 @@
     TransportError,
 )
 from wigeondrift.http_client import HttpClient
-from wigeondrift.platform import InstanceList, PlatformStore, Versioned
-from wigeondrift.platform_calls import (
+from wigeondrift.store.calls import (
     NAMES_BY_CALL,
     PATH_PREFIX,
     Call,
@@ -32,6 +31,7 @@
     RenewLeaseCall,
     WatchCall,
 )
+from wigeondrift.store.contract import InstanceList, PlatformStore, Versioned
 
 CALL_TIMEOUT_SECONDS = 2.0
 REUSE_SECONDS = 5.0
--- a/wigeondrift/platform_memory.py
+++ b/wigeondrift/store/memory.py
@@ -6,8 +6,8 @@
 
 from wigeondrift.entities import Instance
 from wigeondrift.errors import PlatformUnavailable
-from wigeondrift.platform import InstanceList, PlatformStore, Versioned
-from wigeondrift.platform_core import DownMode, Faults, StoreCore
+from wigeondrift.store.contract import InstanceList, PlatformStore, Versioned
+from wigeondrift.store.core import DownMode, Faults, StoreCore
 from wigeondrift.timer import Clock, TrioClock
 
 CALL_TIMEOUT_SECONDS = 2.0
--- a/wigeondrift/systems/attachment.py
+++ b/wigeondrift/systems/attachment.py
@@ -21,7 +21,7 @@
     TableNews,
     Want,
 )
-from wigeondrift.platform import InstanceList, Versioned
+from wigeondrift.store.contract import InstanceList, Versioned
 from wigeondrift.systems.actions import Actions
 from wigeondrift.systems.deaths import DeathLog
 from wigeondrift.systems.leaving import LeaveMarks, Mark
--- a/wigeondrift/systems/editing.py
+++ b/wigeondrift/systems/editing.py
@@ -16,7 +16,7 @@
     has_change,
 )
 from wigeondrift.errors import TableError
-from wigeondrift.platform import Versioned
+from wigeondrift.store.contract import Versioned
 from wigeondrift.table import Table, serialize_table
 from wigeondrift.table_check import Problem, check_table, load_table
 
--- a/wigeondrift/watcher.py
+++ b/wigeondrift/watcher.py
@@ -7,7 +7,7 @@
 
 from wigeondrift.backoff import Backoff
 from wigeondrift.errors import PlatformError
-from wigeondrift.platform import InstanceList, PlatformStore, Versioned
+from wigeondrift.store.contract import InstanceList, PlatformStore, Versioned
 from wigeondrift.systems.control import PLATFORM_LIST, PLATFORM_TABLE
 from wigeondrift.table import TABLE_KEY
 
--- a/wigeondrift_emulator/network.py
+++ b/wigeondrift_emulator/network.py
@@ -12,7 +12,7 @@
 from wigeondrift.errors import PlatformError
 from wigeondrift.messages import serialize_message
 from wigeondrift.packing import pack
-from wigeondrift.platform_core import StoreCore
+from wigeondrift.store.core import StoreCore
 from wigeondrift.systems.actions import Actions, Notice
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.control import PLATFORM_LIST, PLATFORM_TABLE, AgentControl
--- a/wigeondrift_emulator/platform.py
+++ b/wigeondrift_emulator/platform.py
@@ -1,7 +1,7 @@
 """Emulator of the platform's key-value service and instance list.
 
 The protocol is HTTP/1.1 with JSON bodies; docs/PLATFORM.md holds the whole of it.
-``POST /v1/CALL`` takes one of the calls of ``wigeondrift.platform_calls`` and is
+``POST /v1/CALL`` takes one of the calls of ``wigeondrift.store.calls`` and is
 answered with status 200 and its answer, or with 409, 422 or 429 and a ``Refusal``,
 after which nothing was written. A connection that ends without an answer leaves open
 whether a write took effect.
@@ -9,7 +9,7 @@
 Control, not counted and answered in any outage:
 
 - ``GET /control``: a ``ControlReport`` with counts of calls and the faults in force.
-- ``POST /control``: sets the named fields of ``wigeondrift.platform_core.Faults``.
+- ``POST /control``: sets the named fields of ``wigeondrift.store.core.Faults``.
 - ``POST /control/instances``: an ``InstancesUpdate``.
 
 Each ``--listen`` address is one caller in ``Faults.down_by_caller``, so that a failure
@@ -36,7 +36,7 @@
 )
 from wigeondrift.events import Event, configure_logging, log_event
 from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
-from wigeondrift.platform_calls import (
+from wigeondrift.store.calls import (
     CALLS_BY_NAME,
     PATH_PREFIX,
     STATUSES_BY_REFUSAL,
@@ -58,8 +58,8 @@
     RenewLeaseCall,
     WatchCall,
 )
-from wigeondrift.platform_core import Faults, StoreCore
-from wigeondrift.platform_memory import MemoryStore
+from wigeondrift.store.core import Faults, StoreCore
+from wigeondrift.store.memory import MemoryStore
 
 BODY_BYTES = 2 * 1048576
 CONNECTIONS = 16384
--- a/wigeondrift_emulator/stack.py
+++ b/wigeondrift_emulator/stack.py
@@ -13,8 +13,8 @@
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import TransportError
 from wigeondrift.http_client import HttpClient
-from wigeondrift.platform_calls import InstancesUpdate
-from wigeondrift.platform_http import HttpPlatformStore
+from wigeondrift.store.calls import InstancesUpdate
+from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.table import (
     TABLE_KEY,
     LimitRow,
