--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -217,6 +217,30 @@
         self.found = found
 
 
+class HistoryLost(PlatformError):
+    """The store no longer has the changes that a watch goes on from."""
+
+
+class LeaseEnded(PlatformError):
+    """The store knows no such lease; nothing was written."""
+
+
+class CallerGone(WigeondriftError):
+    """The caller closed its connection before the answer's end."""
+
+
+class ConfigurationError(WigeondriftError):
+    """An operator's configuration that can't be read."""
+
+
+class UpstreamEntryError(WigeondriftError):
+    """An entry of the list of upstreams that names none to use."""
+
+
+class OrderRejected(WigeondriftError):
+    """A runner that did not take an order; nothing was begun."""
+
+
 class TransportError(WigeondriftError):
     """Base of the errors of a connection."""
 
--- a/wigeondrift/events.py
+++ b/wigeondrift/events.py
@@ -2,11 +2,15 @@
 
 import enum
 import logging
+import os
 import sys
+import time
 
 from pythonjsonlogger.json import JsonFormatter
 
 LOGGER_NAME = "wigeondrift"
+# Log volume of one process under load; a line is about 400 bytes.
+LINES_PER_SECOND = 200.0
 
 
 class Event(enum.IntEnum):
@@ -39,6 +43,22 @@
     PEER_LOST = 3203, "A peer agent sends nothing."
     PEER_BACK = 3204, "A peer agent sends again."
     INSTANCE_LEAVING = 3301, "An instance takes no new work."
+    CONFIGURATION_APPLIED = 3501, "A newer configuration is in force."
+    CONFIGURATION_REFUSED = 3502, "A configuration can't be read; the old one stays."
+    UPSTREAM_CHANGED = 3511, "The entry of an upstream changed or was removed."
+    UPSTREAM_GONE = 3512, "An upstream did not come back after an outage."
+    UPSTREAM_UNREADABLE = 3513, "An entry names no upstream to use."
+    UPSTREAM_AVOIDED = 3514, "An upstream failed and is avoided for a while."
+    PEER_UNREADABLE = 3521, "A peer's entry or message can't be read."
+    LEASE_NOT_ENDED = 3522, "A lease could not be ended and lapses by itself."
+    PLANNER_LEADS = 3531, "This router gives the orders to runners."
+    PLANNER_STOPPED = 3532, "This router no longer gives orders to runners."
+    ORDER_GIVEN = 3533, "A runner accepted an order to hold layers."
+    ORDER_FAILED = 3534, "A runner did not take an order or could not be reached."
+    ROUTES_CHANGED = 3541, "The routes over a model's runners were found anew."
+    ATTEMPT_FAILED = 3551, "A request failed at an upstream."
+    RELOADED = 3561, "The settings file was read again."
+    LINES_DROPPED = 3571, "Lines of this log were dropped to keep its volume bounded."
     REQUEST_QUARANTINED = 3401, "A fingerprint is refused since upstreams died of it."
 
 
@@ -77,3 +97,66 @@
     if logger.isEnabledFor(level):
         extra = {"event": int(event), "event_name": event.name.lower(), **fields}
         logger.log(level, event.description, extra=extra)
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines to standard output without waiting, so many a second at most.
+
+    Parameters
+    ----------
+    lines_per_second : float
+        Lines over this rate are dropped and counted.
+    """
+
+    def __init__(self, lines_per_second: float) -> None:
+        super().__init__()
+        self._rate = lines_per_second
+        self._allowed = lines_per_second
+        self._filled_at = time.monotonic()
+        self._dropped = 0
+        self._descriptor = sys.stdout.fileno()
+        self._rest = b""
+        os.set_blocking(self._descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, or count it if there is no room for it."""
+        now = time.monotonic()
+        refill = (now - self._filled_at) * self._rate
+        self._allowed = min(self._rate, self._allowed + refill)
+        self._filled_at = now
+        if self._allowed < 1.0:
+            self._dropped += 1
+            return
+        self._allowed -= 1.0
+        if self._dropped:
+            record.lines_dropped = self._dropped
+        line = self.format(record).encode() + b"\n"
+        try:
+            # A line that was written in part is ended before the next one.
+            data = self._rest + line
+            written = os.write(self._descriptor, data)
+            self._rest = data[written:] if written < len(data) else b""
+            self._dropped = 0
+        except OSError:
+            self._dropped += 1
+
+
+def configure_bounded_logging(level: str, **fields: str) -> logging.Logger:
+    """Send the package's log to standard output, bounded and without waiting.
+
+    Parameters
+    ----------
+    level : str
+        Least level that is written.
+    **fields : str
+        Fields added to each line.
+    """
+    handler = BoundedHandler(LINES_PER_SECOND)
+    handler.setFormatter(
+        JsonFormatter("{asctime}{levelname}{message}", style="{", static_fields=fields)
+    )
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.handlers[:] = [handler]
+    logger.setLevel(level)
+    logger.propagate = False
+    return logger
--- a/wigeondrift/http_client.py
+++ b/wigeondrift/http_client.py
@@ -1,6 +1,10 @@
 """HTTP/1.1 client over trio streams, framed by h11."""
 
 import contextlib
+import math
+import os
+import re
+import socket
 from collections.abc import AsyncIterator
 
 import h11
@@ -15,9 +19,22 @@
 )
 
 READ_SIZE_BYTES = 65536
+BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+# Idle connections are probed, and unacknowledged bytes break a connection, so that a
+# silent peer shows within a few seconds.
+KEEPALIVE_IDLE_SECONDS = 5
+KEEPALIVE_INTERVAL_SECONDS = 2
+KEEPALIVE_PROBES = 2
+USER_TIMEOUT_MS = 3000
+# An idle connection is not used again after this time unless its server says longer.
+IDLE_SECONDS = 4.0
+# Part of a server's stated idle time after which its end may race with a request.
+IDLE_SHARE = 0.6
 
 Headers = list[tuple[str, str]]
 
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+
 
 class ClientResponse:
     """Answer to a client request whose body is read on demand.
@@ -79,11 +96,44 @@
 class ClientChannel:
     """One client connection."""
 
-    __slots__ = ("_connection", "_stream")
+    __slots__ = ("_connection", "_stream", "usable_until")
 
     def __init__(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
         self._connection = h11.Connection(h11.CLIENT)
+        self.usable_until = math.inf
+
+    def note_idle(self, keep_alive: str | None) -> None:
+        """Bound the time in which the idle connection is used again.
+
+        Parameters
+        ----------
+        keep_alive : str or None
+            Header of the last answer, such as ``timeout=5``.
+        """
+        seconds = IDLE_SECONDS
+        stated = KEEP_ALIVE_TIMEOUT.search(keep_alive or "")
+        if stated is not None:
+            seconds = min(seconds, IDLE_SHARE * int(stated.group(1)))
+        self.usable_until = trio.current_time() + seconds
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether an idle connection is open and nothing came on it.
+
+        Bytes that no request asked for belong to no answer.
+        """
+        if self._connection.trailing_data[0]:
+            return False
+        if not isinstance(self._stream, trio.SocketStream):
+            return True
+        try:
+            os.read(self._stream.socket.fileno(), 1)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
 
     @property
     def is_reusable(self) -> bool:
@@ -186,6 +236,7 @@
                 stream = await trio.open_tcp_stream(host, port)
         except (OSError, trio.TooSlowError) as error:
             raise ConnectFailed(f"no connection to {address}") from error
+        _bound_silence(stream)
         return ClientChannel(stream)
 
     @contextlib.asynccontextmanager
@@ -224,11 +275,14 @@
         ConnectionLost
             If the connection broke or stayed silent after bytes were sent.
         """
-        channel = None if fresh else self._take_idle(address)
+        channel = None if fresh else await self._take_idle(address)
         if channel is None:
             channel = await self.connect(address)
-        whole = [("Host", address), ("Content-Length", str(len(body)))]
-        whole.extend(headers or [])
+        whole = list(headers or [])
+        if not any(name.lower() == "host" for name, _ in whole):
+            whole.insert(0, ("Host", address))
+        if body or method not in BODILESS_METHODS:
+            whole.append(("Content-Length", str(len(body))))
         try:
             try:
                 with trio.fail_after(head_timeout):
@@ -240,16 +294,24 @@
         except BaseException:
             await channel.close()
             raise
-        await self._give_back(address, channel)
+        await self._give_back(address, channel, response.header("keep-alive"))
 
-    def _take_idle(self, address: str) -> ClientChannel | None:
+    async def _take_idle(self, address: str) -> ClientChannel | None:
         idle = self._idle_by_address.get(address)
-        return idle.pop() if idle else None
+        while idle:
+            channel = idle.pop()
+            if trio.current_time() < channel.usable_until and channel.is_quiet:
+                return channel
+            await channel.close()
+        return None
 
-    async def _give_back(self, address: str, channel: ClientChannel) -> None:
+    async def _give_back(
+        self, address: str, channel: ClientChannel, keep_alive: str | None
+    ) -> None:
         idle = self._idle_by_address.setdefault(address, [])
         if channel.is_reusable and len(idle) < self._idle_per_address:
             channel.start_next()
+            channel.note_idle(keep_alive)
             idle.append(channel)
         else:
             await channel.close()
@@ -263,3 +325,14 @@
         """Close all idle connections."""
         for address in list(self._idle_by_address):
             await self.forget(address)
+
+
+def _bound_silence(stream: trio.SocketStream) -> None:
+    """Let the kernel break the connection if its peer falls silent."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    stream.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
+    )
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/wigeondrift/http_server.py
+++ b/wigeondrift/http_server.py
@@ -69,17 +69,25 @@
         Header values by lower-case name; the last one of a repeated name.
     body : bytes
         Whole body.
+    headers : list of (str, str)
+        As they came, names in lower case.
     """
 
-    __slots__ = ("body", "headers_by_name", "method", "target")
+    __slots__ = ("body", "headers", "headers_by_name", "method", "target")
 
     def __init__(
-        self, method: str, target: str, headers_by_name: dict[str, str], body: bytes
+        self,
+        method: str,
+        target: str,
+        headers_by_name: dict[str, str],
+        body: bytes,
+        headers: list[tuple[str, str]] | None = None,
     ) -> None:
         self.method = method
         self.target = target
         self.headers_by_name = headers_by_name
         self.body = body
+        self.headers = headers or []
 
     @property
     def path(self) -> str:
@@ -348,6 +356,14 @@
         size += sum(len(name) + len(value) for name, value in head.headers)
         if size > self._limits.header_bytes:
             raise RequestError(ErrorKind.HEADERS_TOO_LARGE, "the headers are too large")
+        names = {name for name, _ in head.headers}
+        if b"content-length" not in names:
+            return
+        if b"transfer-encoding" in names:
+            raise RequestError(ErrorKind.MALFORMED_REQUEST, "the body has two lengths")
+        length = dict(head.headers)[b"content-length"]
+        if int(length) > self._limits.body_bytes:
+            raise RequestError(ErrorKind.REQUEST_TOO_LARGE, "the body is too large")
 
     async def _read_events(
         self, connection: h11.Connection, stream: trio.abc.Stream
@@ -387,12 +403,13 @@
 
 
 def _make_request(head: h11.Request, body: bytes) -> Request:
-    headers_by_name = {
-        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
-    }
+    headers = [
+        (name.decode("ascii"), value.decode("latin-1")) for name, value in head.headers
+    ]
     return Request(
         head.method.decode("ascii"),
         head.target.decode("ascii"),
-        headers_by_name,
+        dict(headers),
         body,
+        headers,
     )
--- a/wigeondrift/metrics.py
+++ b/wigeondrift/metrics.py
@@ -11,6 +11,7 @@
 PREFIX = "wigeondrift"
 TIMINGS_PER_FLUSH = 1000
 DATAGRAM_BYTES = 1400
+TIMING_BUCKETS_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
 
 
 class Metric(enum.Enum):
@@ -129,6 +130,54 @@
         self._timings.clear()
 
 
+class PrometheusMetrics(Metrics):
+    """Sink that keeps counters, gauges and histograms for a text page."""
+
+    __slots__ = ("_collectors_by_metric", "_registry")
+
+    def __init__(self) -> None:
+        # Imported here: the other programs do without it.
+        from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+        self._registry = CollectorRegistry(auto_describe=False)
+        makers_by_kind = {
+            "counter": Counter,
+            "gauge": Gauge,
+            "timing": lambda *args, **named: Histogram(
+                *args, buckets=TIMING_BUCKETS_SECONDS, **named
+            ),
+        }
+        self._collectors_by_metric = {}
+        for metric in Metric:
+            name = f"{PREFIX}_{metric.key.replace('.', '_')}"
+            if metric.kind == "timing":
+                name += "_seconds"
+            maker = makers_by_kind[metric.kind]
+            collector = maker(name, metric.description, registry=self._registry)
+            self._collectors_by_metric[metric] = collector
+
+    def count(self, metric: Metric, amount: int = 1) -> None:
+        """Add ``amount`` to a counter."""
+        self._collectors_by_metric[metric].inc(amount)
+
+    def gauge(self, metric: Metric, value: float) -> None:
+        """Set a gauge."""
+        self._collectors_by_metric[metric].set(value)
+
+    def timing(self, metric: Metric, seconds: float) -> None:
+        """Record a duration given in seconds."""
+        self._collectors_by_metric[metric].observe(seconds)
+
+    async def flush(self, now: float) -> None:
+        """Send nothing: the page is asked for."""
+
+    def render(self) -> bytes:
+        """Return the page."""
+        from prometheus_client import generate_latest
+
+        return generate_latest(self._registry)
+
+
 def make_metrics(address: str) -> Metrics:
     """Return the sink for a settings value; empty means none."""
     return StatsdMetrics(address) if address else NullMetrics()
--- /dev/null
+++ b/wigeondrift/platform/configuration.py
@@ -0,0 +1,208 @@
+"""Decodes the operator's configuration into the router's types."""
+
+import msgspec
+
+from wigeondrift.errors import ConfigurationError
+from wigeondrift.router.entities import (
+    Accelerator,
+    CallerLimits,
+    Configuration,
+    EngineSpec,
+    RequestKind,
+    RouteRule,
+    ServiceSpec,
+    Share,
+)
+
+CONFIGURATION_KEY = "op/config"
+
+MS_PER_SECOND = 1000.0
+TOKENS_PER_CONTEXT_UNIT = 1000.0
+# A deployment that states no limits of its own.
+DEFAULT_HEADER_BYTES = 16384
+DEFAULT_BODY_BYTES = 4194304
+DEFAULT_TIMEOUT_MS = 15000.0
+
+KINDS_BY_WORD = {
+    "safe": RequestKind.SAFE,
+    "unsafe": RequestKind.UNSAFE,
+    "streaming": RequestKind.STREAM,
+}
+
+
+class _WireShare(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _WireRoute(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    # Time within which an answer earns full credit, not an agreement.
+    slo_ms: float = 0.0
+    gap_aim_ms: float = 0.0
+    attempts: int = 1
+    priority: int = 0
+    auth_exempt: bool = False
+    resumable: bool = False
+    service: str = ""
+    split: list[_WireShare] = []
+
+
+class _WireKind(msgspec.Struct):
+    name: str
+    mb: float
+    # Factor on the times of token steps and of their context.
+    pace: float = 1.0
+    # Factor on the time of reading prompts.
+    read_x: float = 1.0
+
+
+class _WireModel(msgspec.Struct):
+    name: str
+    load_s: float = 0.0
+
+
+class _WireDelay(msgspec.Struct):
+    # ``from`` is a keyword.
+    source: str = msgspec.field(name="from")
+    to: str
+    delay_ms: float = 0.0
+
+
+class _WireUsual(msgspec.Struct):
+    prompt: float = 1000.0
+    answer: float = 200.0
+
+
+class _WireEngine(msgspec.Struct):
+    slots: int = 1
+    step_ms: float = 1.0
+    per_seq_ms: float = 0.0
+    # Milliseconds that 1,000 tokens of context add for each writing request.
+    context_per_k: float = 0.0
+    read_per_s: float = 1.0
+    # KV cache of one token over all layers.
+    kv_token_bytes: float = 0.0
+    loads_at_once: int = 1
+    layers: int = 0
+    layer_mb: float = 0.0
+    models: list[_WireModel] = []
+    kinds: list[_WireKind] = []
+    delays: list[_WireDelay] = []
+    usual: _WireUsual = msgspec.field(default_factory=_WireUsual)
+
+
+class _WireService(msgspec.Struct):
+    name: str
+    health_path: str = "/health"
+    # Connections that one upstream takes from all callers together.
+    max_conns: int = 100
+    engine: _WireEngine | None = None
+
+
+class _WireTenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+
+
+class _WireLimits(msgspec.Struct):
+    max_header_bytes: int = DEFAULT_HEADER_BYTES
+    max_body_bytes: int = DEFAULT_BODY_BYTES
+    header_timeout_ms: float = DEFAULT_TIMEOUT_MS
+    idle_timeout_ms: float = DEFAULT_TIMEOUT_MS
+
+
+class _WireConfiguration(msgspec.Struct):
+    version: int
+    routes: list[_WireRoute] = []
+    services: list[_WireService] = []
+    tenants: list[_WireTenant] | None = None
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Return the configuration that a stored value holds.
+
+    Raises
+    ------
+    ConfigurationError
+        If it can't be read.
+    """
+    try:
+        wire = msgspec.json.decode(data, type=_WireConfiguration)
+        routes = [_make_route(route) for route in wire.routes]
+    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+        raise ConfigurationError(f"the configuration can't be read: {error}") from error
+    return Configuration(
+        wire.version,
+        routes,
+        {service.name: _make_service(service) for service in wire.services},
+        {key: team.name for team in wire.tenants or () for key in team.api_keys},
+        wire.tenants is not None,
+        _make_limits(wire.limits),
+    )
+
+
+def _make_route(wire: _WireRoute) -> RouteRule:
+    shares = tuple(Share(share.service, share.weight) for share in wire.split)
+    return RouteRule(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.prefix,
+        kind=KINDS_BY_WORD[wire.kind],
+        timeout=wire.timeout_ms / MS_PER_SECOND,
+        objective=wire.slo_ms / MS_PER_SECOND,
+        event_gap=wire.gap_aim_ms / MS_PER_SECOND,
+        attempts=max(1, wire.attempts),
+        priority=wire.priority,
+        is_open=wire.auth_exempt,
+        is_resumable=wire.resumable,
+        shares=shares or (Share(wire.service, 1.0),),
+    )
+
+
+def _make_limits(wire: _WireLimits) -> CallerLimits:
+    return CallerLimits(
+        wire.max_header_bytes,
+        wire.max_body_bytes,
+        wire.header_timeout_ms / MS_PER_SECOND,
+        wire.idle_timeout_ms / MS_PER_SECOND,
+    )
+
+
+def _make_service(wire: _WireService) -> ServiceSpec:
+    engine = None if wire.engine is None else _make_engine(wire.engine)
+    return ServiceSpec(wire.name, wire.health_path, wire.max_conns, engine)
+
+
+def _make_engine(wire: _WireEngine) -> EngineSpec:
+    delays = {}
+    for delay in wire.delays:
+        seconds = delay.delay_ms / MS_PER_SECOND
+        delays[delay.source, delay.to] = seconds
+        delays[delay.to, delay.source] = seconds
+    return EngineSpec(
+        layers=wire.layers,
+        layer_mb=wire.layer_mb,
+        cache_bytes_per_layer=wire.kv_token_bytes / max(1, wire.layers),
+        slots=wire.slots,
+        step_seconds=wire.step_ms / MS_PER_SECOND,
+        step_seconds_per_request=wire.per_seq_ms / MS_PER_SECOND,
+        step_seconds_per_token=(
+            wire.context_per_k / MS_PER_SECOND / TOKENS_PER_CONTEXT_UNIT
+        ),
+        read_tokens_per_second=wire.read_per_s,
+        load_seconds=max((model.load_s for model in wire.models), default=0.0),
+        loads_at_once=max(1, wire.loads_at_once),
+        usual_prompt=wire.usual.prompt,
+        usual_answer=wire.usual.answer,
+        domain_delays_by_pair=delays,
+        accelerators_by_kind={
+            kind.name: Accelerator(kind.mb, kind.pace, kind.read_x)
+            for kind in wire.kinds
+        },
+    )
--- /dev/null
+++ b/wigeondrift/platform/requests.py
@@ -0,0 +1,133 @@
+"""Headers of callers' requests and upstreams' answers, in both directions."""
+
+from wigeondrift.entities import Route
+from wigeondrift.http_server import Request
+from wigeondrift.router.calls import CallerRequest, Headers, UpstreamHead
+from wigeondrift.router.dialect import Dialect
+
+REQUEST_ID = "wigeondrift-request-id"
+DEADLINE = "wigeondrift-deadline-remaining"
+EXPECT_UPSTREAM = "wigeondrift-expect-instance"
+TEAM = "wigeondrift-tenant"
+# A list of stages, not a count.
+STAGES = "wigeondrift-hop-count"
+TOKEN_COUNTS = "wigeondrift-token-counts"
+LENGTH_HINT = "wigeondrift-length-hint"
+LAST_EVENT_ID = "last-event-id"
+NOT_RUN = "wigeondrift-not-executed"
+SEAL = "wigeondrift-response-seal"
+# Running, waiting and slots, separated by commas.
+LOAD = "wigeondrift-server-load"
+STAGE_AT_FAULT = "at-server"
+URGENCY = "wigeondrift-request-urgency"
+BEARER = "bearer "
+
+READINESS_PATH = "/wigeondrift/readiness"
+
+# Headers of one connection, and those that the router sets itself.
+DROPPED = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+    }
+)
+REPLACED = DROPPED | {
+    "authorization",
+    DEADLINE,
+    EXPECT_UPSTREAM,
+    TEAM,
+    STAGES,
+    URGENCY,
+    LAST_EVENT_ID,
+}
+
+
+class PlatformDialect(Dialect):
+    """Headers of the platform."""
+
+    __slots__ = ()
+
+    def decode_request(self, request: Request, now: float) -> CallerRequest:
+        """Return a caller's request that arrived at the time ``now``, in seconds."""
+        get = request.headers_by_name.get
+        authorization = get("authorization", "")
+        key = ""
+        if authorization[: len(BEARER)].lower() == BEARER:
+            key = authorization[len(BEARER) :].strip()
+        prompt, _, most = get(TOKEN_COUNTS, "").partition(",")
+        remaining_ms = _parse_int(get(DEADLINE, ""))
+        return CallerRequest(
+            request_id=get(REQUEST_ID, ""),
+            method=request.method,
+            target=request.target,
+            path=request.path,
+            host=get("host", "").partition(":")[0].lower(),
+            body=request.body,
+            key=key,
+            arrived=now,
+            patience=None if remaining_ms is None else remaining_ms / 1000.0,
+            prompt_tokens=_parse_int(prompt) or 0,
+            answer_limit=_parse_int(most) or 0,
+            answer_estimate=_parse_int(get(LENGTH_HINT, "")) or 0,
+            last_event_id=_parse_int(get(LAST_EVENT_ID, "")),
+            headers=request.headers,
+        )
+
+    def encode_upstream_headers(
+        self,
+        call: CallerRequest,
+        upstream_id: str,
+        team: str,
+        remaining: float,
+        route: Route | None,
+        last_event_id: int | None,
+    ) -> Headers:
+        """Return the headers with which a request goes to an upstream."""
+        headers = [pair for pair in call.headers if pair[0] not in REPLACED]
+        headers.append((EXPECT_UPSTREAM, upstream_id))
+        if team:
+            headers.append((TEAM, team))
+        if call.patience is not None:
+            headers.append((DEADLINE, str(max(1, int(remaining * 1000)))))
+        if route is not None:
+            headers.append((STAGES, format_route(route)))
+        if last_event_id is not None:
+            headers.append((LAST_EVENT_ID, str(last_event_id)))
+        return headers
+
+    def decode_head(self, status: int, headers: Headers) -> UpstreamHead:
+        """Return the head of an upstream's answer."""
+        values = dict(headers)
+        load = [_parse_int(part) for part in values.get(LOAD, "").split(",")]
+        return UpstreamHead(
+            status=status,
+            headers=[pair for pair in headers if pair[0] not in DROPPED],
+            request_id=values.get(REQUEST_ID, ""),
+            # 421 is given before a request runs, with or without the other header.
+            is_not_run=NOT_RUN in values or status == 421,
+            is_sealed=SEAL in values,
+            running=load[0] if len(load) == 3 else None,
+            waiting=load[1] if len(load) == 3 else None,
+            faulty_address=values.get(STAGE_AT_FAULT, ""),
+        )
+
+
+def format_route(route: Route) -> str:
+    """Return the stages of a route as runners read them."""
+    return ",".join(
+        f"{stage.address}={stage.first_layer}-{stage.end_layer}"
+        for stage in route.stages
+    )
+
+
+def _parse_int(text: str) -> int | None:
+    return int(text) if text.isascii() and text.strip().isdigit() else None
--- /dev/null
+++ b/wigeondrift/platform/settings.py
@@ -0,0 +1,70 @@
+"""Reads the platform's settings file: lines of the form ``a.b=value``."""
+
+from wigeondrift.errors import SettingsError
+from wigeondrift.router.settings import Bounds, RouterSettings
+
+SETTINGS_VARIABLE = "WIGEONDRIFT_CONFIG"
+MS_PER_SECOND = 1000.0
+
+
+def parse_settings(text: str) -> RouterSettings:
+    """Return the settings that the lines hold; unknown fields are left aside.
+
+    Raises
+    ------
+    SettingsError
+        If a needed field is missing or is no number.
+    """
+    values_by_name = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            values_by_name[name.strip()] = value.strip()
+    try:
+        return _make_settings(values_by_name)
+    except KeyError as error:
+        raise SettingsError(f"the settings lack the field {error}") from error
+    except ValueError as error:
+        raise SettingsError(f"the settings hold a bad value: {error}") from error
+
+
+def _make_settings(values_by_name: dict[str, str]) -> RouterSettings:
+    get = values_by_name.get
+    ports = get("internal_ports", "").split(",")
+    return RouterSettings(
+        instance_id=values_by_name["node"],
+        failure_domain=values_by_name["zone"],
+        host=values_by_name["ip"],
+        caller_address=values_by_name["listen.front"],
+        ready_address=values_by_name["listen.ready"],
+        store_address=values_by_name["platform.address"],
+        peer_port=int(ports[0] or 0),
+        heartbeat=float(get("heartbeat_ms", "1200")) / MS_PER_SECOND,
+        least_lease=float(get("platform.ttl_min_ms", "1000")) / MS_PER_SECOND,
+        descriptors=int(get("limits.max_fds", "4096")),
+        bounds=_make_bounds(values_by_name),
+    )
+
+
+def _make_bounds(values_by_name: dict[str, str]) -> Bounds:
+    def seconds(name: str, default: float) -> float:
+        value = values_by_name.get(f"bounds.{name}")
+        return default if value is None else float(value) / MS_PER_SECOND
+
+    def number(name: str, default: float) -> float:
+        return float(values_by_name.get(f"bounds.{name}", default))
+
+    is_strict = values_by_name.get("bounds.revoke_strict") == "true"
+    known = Bounds()
+    return Bounds(
+        drain=seconds("drain_ms", known.drain),
+        grace=number("grace_s", known.grace),
+        stable_window=seconds("stable_window_ms", known.stable_window),
+        key_revocation=(
+            seconds("revoke_ms", known.key_revocation) if is_strict else 0.0
+        ),
+        retry_ratio=number("budget_ratio", known.retry_ratio),
+        retry_window=number("budget_window_s", known.retry_window),
+        retry_slack=number("budget_slack", known.retry_slack),
+        stage_stall=seconds("stall_ms", known.stage_stall),
+    )
--- /dev/null
+++ b/wigeondrift/platform/store.py
@@ -0,0 +1,198 @@
+"""The platform's metadata store over HTTP."""
+
+import base64
+from collections.abc import Sequence
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+import trio
+
+from wigeondrift.errors import (
+    HistoryLost,
+    LeaseEnded,
+    PlatformRefused,
+    PlatformThrottled,
+    PlatformUnavailable,
+    RevisionConflict,
+    TransportError,
+)
+from wigeondrift.http_client import HttpClient
+from wigeondrift.store.revisions import Item, Page, RevisionStore
+
+# Answers take 4 ms; a store that is slowed sixtyfold still answers in time.
+CALL_TIMEOUT_SECONDS = 0.7
+JSON_HEADERS = [("Content-Type", "application/json")]
+STATUS_OK = 200
+
+AnswerType = TypeVar("AnswerType")
+
+
+class _WireItem(msgspec.Struct):
+    key: str
+    revision: int
+    value: str | None = None
+    removed: bool = False
+
+    def decode(self) -> Item:
+        if self.removed or self.value is None:
+            return Item(self.key, None, self.revision)
+        return Item(self.key, base64.b64decode(self.value), self.revision)
+
+
+class _RangeAnswer(msgspec.Struct):
+    items: list[_WireItem]
+    as_of: int
+    # True if another page follows.
+    more_pages: bool = False
+
+
+class _WatchAnswer(msgspec.Struct):
+    events: list[_WireItem]
+    as_of: int
+
+
+class _TxnAnswer(msgspec.Struct):
+    revision: int = 0
+
+
+class _ConflictAnswer(msgspec.Struct):
+    items: list[_WireItem] = []
+
+
+class _LeaseAnswer(msgspec.Struct):
+    ttl_ms: float
+    lease: int = 0
+
+
+class HttpRevisionStore(RevisionStore):
+    """Store reached at an address.
+
+    Parameters
+    ----------
+    client : HttpClient
+    address : str
+        ``host:port`` of the store.
+    """
+
+    __slots__ = ("_address", "_client")
+
+    def __init__(self, client: HttpClient, address: str) -> None:
+        self._client = client
+        self._address = address
+
+    async def list_items(self, prefix: str) -> Page:
+        """Return all items below ``prefix``."""
+        items: list[Item] = []
+        revision = 0
+        query = {"prefix": prefix}
+        while True:
+            target = "/wigeondrift/kv-range?" + urlencode(query)
+            body = await self._ask("GET", target)
+            answer = _decode(body, _RangeAnswer)
+            revision = revision or answer.as_of
+            items.extend(item.decode() for item in answer.items)
+            if not answer.more_pages or not answer.items:
+                return Page(tuple(items), revision)
+            query["after"] = answer.items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait: float) -> Page:
+        """Return the changes after a revision as soon as there is one."""
+        query = {"prefix": prefix, "after": after, "wait_ms": int(wait * 1000)}
+        target = "/wigeondrift/kv-watch?" + urlencode(query)
+        body = await self._ask("GET", target, wait=wait)
+        answer = _decode(body, _WatchAnswer)
+        items = tuple(event.decode() for event in answer.events)
+        return Page(items, answer.as_of)
+
+    async def put(self, key: str, value: bytes, expected: int, lease: int = 0) -> int:
+        """Write ``value`` if the key is at revision ``expected``."""
+        row: dict[str, object] = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+        }
+        if lease:
+            row["lease"] = lease
+        call = {
+            "expect": [{"key": key, "revision": expected}],
+            "puts": [row],
+            "deletes": [],
+        }
+        body = await self._ask("POST", "/wigeondrift/kv-txn", call, key, expected)
+        return _decode(body, _TxnAnswer).revision
+
+    async def delete(self, keys: Sequence[str]) -> None:
+        """Delete keys, whatever their revisions."""
+        call = {"expect": [], "puts": [], "deletes": list(keys)}
+        await self._ask("POST", "/wigeondrift/kv-txn", call)
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Return a new lease that ends after ``seconds``."""
+        call = {"ttl_ms": int(seconds * 1000)}
+        body = await self._ask("POST", "/wigeondrift/kv-lease", call)
+        return _decode(body, _LeaseAnswer).lease
+
+    async def renew_lease(self, lease: int) -> None:
+        """Extend a lease by its full time."""
+        await self._ask("POST", f"/wigeondrift/kv-keep/{lease}")
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; its keys are removed."""
+        await self._ask("DELETE", f"/wigeondrift/kv-lease-end/{lease}")
+
+    async def _ask(
+        self,
+        method: str,
+        target: str,
+        call: object = None,
+        key: str = "",
+        expected: int = 0,
+        wait: float = 0.0,
+    ) -> bytes:
+        timeout = CALL_TIMEOUT_SECONDS + wait
+        data = b"" if call is None else msgspec.json.encode(call)
+        try:
+            with trio.fail_after(timeout):
+                async with self._client.request(
+                    self._address,
+                    method,
+                    target,
+                    JSON_HEADERS if data else None,
+                    data,
+                    head_timeout=timeout,
+                ) as response:
+                    status, body = response.status, await response.read()
+        except (TransportError, trio.TooSlowError) as error:
+            # What broke this connection may have hit the idle ones as well.
+            await self._client.forget(self._address)
+            raise PlatformUnavailable(f"{target}: {error!r}") from error
+        if status != STATUS_OK:
+            raise _make_error(status, target, body, key, expected)
+        return body
+
+
+def _decode(body: bytes, kind: type[AnswerType]) -> AnswerType:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise PlatformUnavailable(f"the answer can't be read: {error}") from error
+
+
+def _make_error(
+    status: int, target: str, body: bytes, key: str, expected: int
+) -> Exception:
+    if status == 412:
+        found = 0
+        for item in _decode(body, _ConflictAnswer).items:
+            if item.key == key and not item.removed:
+                found = item.revision
+        return RevisionConflict(key, expected, found)
+    if status == 410:
+        return HistoryLost(target)
+    if status == 404:
+        return LeaseEnded(target)
+    if status == 429:
+        return PlatformThrottled(target)
+    if status >= 500:
+        return PlatformUnavailable(f"{target}: status {status}")
+    return PlatformRefused(f"{target}: status {status}")
--- /dev/null
+++ b/wigeondrift/platform/upstreams.py
@@ -0,0 +1,189 @@
+"""Decodes what upstreams register and report; gives orders to runners."""
+
+import msgspec
+import trio
+
+from wigeondrift.errors import (
+    OrderRejected,
+    ProtocolViolation,
+    TransportError,
+    UpstreamEntryError,
+)
+from wigeondrift.http_client import HttpClient
+from wigeondrift.router.control import RunnerControl
+from wigeondrift.router.entities import RunnerReport, Upstream
+
+UPSTREAMS_PREFIX = "servers/"
+STATE_READY = "ready"
+STATE_DRAINING = "draining"
+JSON_HEADERS = [("Content-Type", "application/json")]
+# A report needs no slot; a runner that is alive answers within milliseconds.
+CALL_TIMEOUT_SECONDS = 0.6
+STATUSES_ACCEPTED = frozenset({200, 202})
+
+
+class _WireLayers(msgspec.Struct):
+    # ``from`` is a keyword; the range excludes ``to``.
+    first: int = msgspec.field(name="from", default=0)
+    to: int = 0
+    version: int = 0
+
+
+class _WireEntry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    kind: str = ""
+    layers: _WireLayers | None = None
+    # Unix milliseconds of the start, absent in some entries.
+    born: int = 0
+
+
+class _WireReport(msgspec.Struct):
+    seq: int
+    busy: bool = False
+    running: int = 0
+    waiting: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+    # Over 1 means that the runner is slow.
+    pace: float = 1.0
+    layers: _WireLayers | None = None
+    born: int = 0
+    stalled: list[dict[str, str]] = []
+
+
+def decode_upstream(upstream_id: str, data: bytes) -> Upstream:
+    """Return the upstream that an entry of the list describes.
+
+    Raises
+    ------
+    UpstreamEntryError
+        If the entry names no upstream to use.
+    """
+    try:
+        wire = msgspec.json.decode(data, type=_WireEntry)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise UpstreamEntryError(f"{upstream_id}: {error}") from error
+    if wire.state not in (STATE_READY, STATE_DRAINING):
+        raise UpstreamEntryError(f"{upstream_id}: unknown state {wire.state}")
+    host, separator, port = wire.address.rpartition(":")
+    if not (separator and host and port.isdigit()):
+        raise UpstreamEntryError(f"{upstream_id}: bad address {wire.address}")
+    layers = wire.layers or _WireLayers()
+    return Upstream(
+        upstream_id=upstream_id,
+        service=wire.service,
+        address=wire.address,
+        failure_domain=wire.zone,
+        is_leaving=wire.state == STATE_DRAINING,
+        slots=max(1, wire.slots),
+        kind=wire.kind,
+        first_layer=layers.first,
+        end_layer=layers.to,
+        weights_version=layers.version,
+        born_ms=wire.born,
+    )
+
+
+def decode_report(data: bytes) -> RunnerReport:
+    """Return a runner's report.
+
+    Raises
+    ------
+    ProtocolViolation
+        If it can't be read.
+    """
+    try:
+        wire = msgspec.json.decode(data, type=_WireReport)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ProtocolViolation(f"the report can't be read: {error}") from error
+    layers = wire.layers or _WireLayers()
+    return RunnerReport(
+        order_count=wire.seq,
+        is_busy=wire.busy,
+        running=wire.running,
+        waiting=wire.waiting,
+        cache_used=wire.kv_used,
+        cache_total=wire.kv_total,
+        slowdown=wire.pace,
+        first_layer=layers.first,
+        end_layer=layers.to,
+        born_ms=wire.born,
+        stalled_by_request={
+            entry.get("id", ""): entry.get("address", "") for entry in wire.stalled
+        },
+    )
+
+
+class HttpRunnerControl(RunnerControl):
+    """Reports and orders of runners over HTTP.
+
+    Parameters
+    ----------
+    client : HttpClient
+    """
+
+    __slots__ = ("_client",)
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def get_report(self, upstream: Upstream) -> RunnerReport:
+        """Return the runner's report."""
+        status, body = await self._ask(upstream, "GET", "/wigeondrift/report")
+        if status != 200:
+            raise ProtocolViolation(f"the report came with status {status}")
+        return decode_report(body)
+
+    async def place(
+        self, upstream: Upstream, first_layer: int, end_layer: int, order_count: int
+    ) -> None:
+        """Order a runner to hold a range of layers."""
+        order = {
+            "operation": "place",
+            "from": first_layer,
+            "to": end_layer,
+            # Requests on layers given up are waited for, not cut.
+            "mode": "queue",
+            "expect": order_count,
+        }
+        status, body = await self._ask(
+            upstream, "POST", "/wigeondrift/order", msgspec.json.encode(order)
+        )
+        if status not in STATUSES_ACCEPTED:
+            reason = body[:200].decode("latin-1")
+            raise OrderRejected(f"status {status}: {reason}")
+
+    async def repath(
+        self, upstream: Upstream, request_id: str, path: str, order_count: int
+    ) -> None:
+        """Order the first runner of a stream to go on over another path."""
+        order = {
+            "operation": "repath",
+            "id": request_id,
+            "path": path,
+            "expect": order_count,
+        }
+        status, body = await self._ask(
+            upstream, "POST", "/wigeondrift/order", msgspec.json.encode(order)
+        )
+        if status not in STATUSES_ACCEPTED:
+            reason = body[:200].decode("latin-1")
+            raise OrderRejected(f"status {status}: {reason}")
+
+    async def _ask(
+        self, upstream: Upstream, method: str, target: str, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        headers = list(JSON_HEADERS) if body else []
+        headers.append(("Wigeondrift-Expect-Instance", upstream.upstream_id))
+        try:
+            with trio.fail_after(CALL_TIMEOUT_SECONDS):
+                async with self._client.request(
+                    upstream.address, method, target, headers, body
+                ) as response:
+                    return response.status, await response.read()
+        except trio.TooSlowError as error:
+            raise TransportError(f"{upstream.address} stayed silent") from error
--- a/wigeondrift/router/__init__.py
+++ b/wigeondrift/router/__init__.py
@@ -1,1 +1,1 @@
-"""Router that runs on the users' platform: shell around the systems."""
+"""Router for the users' platform: shell around the systems."""
--- /dev/null
+++ b/wigeondrift/router/__main__.py
@@ -0,0 +1,24 @@
+"""Main function of the router on the users' platform."""
+
+import trio
+
+from wigeondrift.errors import SettingsError
+from wigeondrift.router.composition import (
+    compose_router,
+    exit_with,
+    load_settings,
+)
+
+
+def main() -> None:
+    """Run a router until it is told to stop."""
+    try:
+        settings = load_settings()
+    except SettingsError as error:
+        exit_with(error)
+        return
+    trio.run(compose_router(settings).run_until_signalled)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wigeondrift/router/calls.py
@@ -0,0 +1,130 @@
+"""One caller's request and the head of an upstream's answer to it."""
+
+Headers = list[tuple[str, str]]
+
+
+class CallerRequest:
+    """One attempt of a caller, with its whole body.
+
+    Attributes
+    ----------
+    request_id : str
+        Given by the caller, another one for each attempt.
+    method, target, path, host : str
+    body : bytes
+    key : str
+        API key; empty if there is none.
+    arrived : float
+        Time at which its head had been read, in seconds.
+    patience : float or None
+        Time that the caller waits from then, in seconds.
+    prompt_tokens, answer_limit, answer_estimate : int
+        Tokens of a model request; zero if not stated.
+    last_event_id : int or None
+        Event after which the caller resumes a stream.
+    headers : list of (str, str)
+        As they came, names in lower case.
+    """
+
+    __slots__ = (
+        "answer_estimate",
+        "answer_limit",
+        "arrived",
+        "body",
+        "headers",
+        "host",
+        "key",
+        "last_event_id",
+        "method",
+        "path",
+        "patience",
+        "prompt_tokens",
+        "request_id",
+        "target",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        method: str,
+        target: str,
+        path: str,
+        host: str,
+        body: bytes,
+        key: str,
+        arrived: float,
+        patience: float | None,
+        prompt_tokens: int,
+        answer_limit: int,
+        answer_estimate: int,
+        last_event_id: int | None,
+        headers: Headers,
+    ) -> None:
+        self.request_id = request_id
+        self.method = method
+        self.target = target
+        self.path = path
+        self.host = host
+        self.body = body
+        self.key = key
+        self.arrived = arrived
+        self.patience = patience
+        self.prompt_tokens = prompt_tokens
+        self.answer_limit = answer_limit
+        self.answer_estimate = answer_estimate
+        self.last_event_id = last_event_id
+        self.headers = headers
+
+
+class UpstreamHead:
+    """Head of an upstream's answer.
+
+    Attributes
+    ----------
+    status : int
+    headers : list of (str, str)
+        Those that go on to the caller.
+    request_id : str
+        Request that the answer belongs to; empty if not stated.
+    is_not_run : bool
+        Whether the upstream says that it did not run the request.
+    is_sealed : bool
+        Whether the answer bears the upstream's signature.
+    running, waiting : int or None
+        Load that the upstream told.
+    faulty_address : str
+        Stage that made the request fail; empty if not stated.
+    """
+
+    __slots__ = (
+        "faulty_address",
+        "headers",
+        "is_not_run",
+        "is_sealed",
+        "request_id",
+        "running",
+        "status",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        headers: Headers,
+        request_id: str,
+        is_not_run: bool,
+        is_sealed: bool,
+        running: int | None,
+        waiting: int | None,
+        faulty_address: str,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.request_id = request_id
+        self.is_not_run = is_not_run
+        self.is_sealed = is_sealed
+        self.running = running
+        self.waiting = waiting
+        self.faulty_address = faulty_address
--- /dev/null
+++ b/wigeondrift/router/choice.py
@@ -0,0 +1,180 @@
+"""Chooses upstreams for requests: routes over runners, members of plain services."""
+
+import logging
+import random
+from collections.abc import Collection
+
+import trio
+
+from wigeondrift.entities import Route
+from wigeondrift.events import LOGGER_NAME, Event, log_event
+from wigeondrift.router.entities import EngineSpec, ServiceSpec, Upstream
+from wigeondrift.systems.chains import Chain, ChainBook
+from wigeondrift.systems.directory import Directory
+from wigeondrift.systems.health import Health
+from wigeondrift.systems.placement import BYTES_PER_MB
+from wigeondrift.systems.room import RoomLedger
+
+# Cost of an upstream in another failure domain, as part of its slots in use.
+FAR_LOAD = 0.5
+# Time for which an upstream's own word on its load holds, in seconds.
+LOAD_SECONDS = 1.0
+
+
+class Choice:
+    """What is known of upstreams' loads and failures, and the choice by it.
+
+    Parameters
+    ----------
+    directory : Directory
+    failure_domain : str
+        The router's own.
+    rng : random.Random
+    """
+
+    __slots__ = (
+        "_books_by_service",
+        "_directory",
+        "_failure_domain",
+        "_keys_by_service",
+        "_logger",
+        "_rng",
+        "_running_by_id",
+        "_told_by_id",
+        "_totals_by_key",
+        "health",
+        "ledger",
+    )
+
+    def __init__(
+        self, directory: Directory, failure_domain: str, rng: random.Random
+    ) -> None:
+        self._directory = directory
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._books_by_service: dict[str, ChainBook] = {}
+        self._keys_by_service: dict[str, object] = {}
+        self._totals_by_key: dict[tuple[str, int], float] = {}
+        self._running_by_id: dict[str, int] = {}
+        self._told_by_id: dict[str, tuple[float, float]] = {}
+        self._logger = logging.getLogger(LOGGER_NAME)
+        self.health = Health()
+        self.ledger = RoomLedger(self._get_total)
+
+    def _get_total(self, runner: Upstream) -> float:
+        return self._totals_by_key.get((runner.kind, runner.held_layers), 0.0)
+
+    def _note_totals(self, engine: EngineSpec, runners: list[Upstream]) -> None:
+        for runner in runners:
+            kind = engine.accelerators_by_kind.get(runner.kind)
+            if kind is None or engine.cache_bytes_per_layer <= 0.0:
+                continue
+            free = kind.memory_mb - runner.held_layers * engine.layer_mb
+            cells = max(0.0, free) * BYTES_PER_MB / engine.cache_bytes_per_layer
+            self._totals_by_key[runner.kind, runner.held_layers] = cells
+
+    def get_book(self, service: ServiceSpec) -> ChainBook:
+        """Return the routes over the runners that may be used now."""
+        now = trio.current_time()
+        runners = self._directory.list_service(service.name)
+        avoided = frozenset(
+            runner.upstream_id
+            for runner in runners
+            if self.health.is_avoided(runner.upstream_id, now)
+        )
+        key = (self._directory.change_count, avoided, id(service.engine))
+        if key != self._keys_by_service.get(service.name):
+            self._keys_by_service[service.name] = key
+            self._rebuild(service, runners, avoided)
+        return self._books_by_service[service.name]
+
+    def _rebuild(
+        self, service: ServiceSpec, runners: list[Upstream], avoided: frozenset[str]
+    ) -> None:
+        self._note_totals(service.engine, runners)
+        usable = [r for r in runners if r.upstream_id not in avoided]
+        book = ChainBook(service.engine, usable)
+        if not book.chains and avoided:
+            book = ChainBook(service.engine, runners)
+        self._books_by_service[service.name] = book
+        log_event(
+            self._logger,
+            logging.INFO,
+            Event.ROUTES_CHANGED,
+            service=service.name,
+            runners=len(runners),
+            avoided=sorted(avoided),
+            routes=[" ".join(chain.route.instance_ids) for chain in book.chains],
+        )
+
+    def choose_chain(
+        self, service: ServiceSpec, tokens: float, excluded: Collection[str]
+    ) -> Chain | None:
+        """Return a route with room for a request and reserve it; None if none has."""
+        chain = self.get_book(service).choose(
+            tokens, self.ledger, excluded, self._failure_domain
+        )
+        if chain is not None:
+            self.ledger.reserve(chain.route, tokens)
+        return chain
+
+    def release(self, route: Route, tokens: float) -> None:
+        """Give the room of a request back."""
+        self.ledger.release(route, tokens)
+
+    def choose_member(self, service: str, excluded: Collection[str]) -> Upstream | None:
+        """Return the least loaded member of a plain service."""
+        now = trio.current_time()
+        members = [
+            upstream
+            for upstream in self._directory.list_service(service)
+            if upstream.upstream_id not in excluded
+        ]
+        sound = [m for m in members if not self.health.is_avoided(m.upstream_id, now)]
+        candidates = sound or members
+        if not candidates:
+            return None
+        return min(candidates, key=lambda m: self._weigh_member(m, now))
+
+    def _weigh_member(self, member: Upstream, now: float) -> tuple[float, float]:
+        load = float(self._running_by_id.get(member.upstream_id, 0))
+        told = self._told_by_id.get(member.upstream_id)
+        if told is not None and now - told[0] < LOAD_SECONDS:
+            load = max(load, told[1])
+        load /= member.slots
+        if member.failure_domain != self._failure_domain:
+            load += FAR_LOAD
+        return (load, self._rng.random())
+
+    def note_start(self, upstream_id: str) -> None:
+        """Count a call that was sent to a member of a plain service."""
+        running = self._running_by_id.get(upstream_id, 0)
+        self._running_by_id[upstream_id] = running + 1
+
+    def note_end(self, upstream_id: str) -> None:
+        """Count the end of a call."""
+        left = self._running_by_id.pop(upstream_id, 1) - 1
+        if left > 0:
+            self._running_by_id[upstream_id] = left
+
+    def note_load(self, upstream_id: str, requests: int) -> None:
+        """Take the load that an upstream told with an answer."""
+        self._told_by_id[upstream_id] = (trio.current_time(), float(requests))
+
+    def note_failure(self, upstream_ids: Collection[str], reason: str) -> None:
+        """Avoid upstreams for a while."""
+        now = trio.current_time()
+        for upstream_id in upstream_ids:
+            if not self.health.is_avoided(upstream_id, now):
+                self.health.note_failure(upstream_id, now)
+                log_event(
+                    self._logger,
+                    logging.INFO,
+                    Event.UPSTREAM_AVOIDED,
+                    upstream=upstream_id,
+                    reason=reason,
+                )
+
+    def find_stage(self, address: str) -> str | None:
+        """Return the id of the upstream at an address."""
+        return self._directory.find_address(address)
--- /dev/null
+++ b/wigeondrift/router/entities.py
@@ -0,0 +1,265 @@
+"""Types of the router: what the operator configured and what upstreams report."""
+
+import enum
+
+import msgspec
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated of a route's requests."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+class Share(msgspec.Struct, frozen=True):
+    """One service of a route and its weight among them."""
+
+    service: str
+    weight: float
+
+
+class RouteRule(msgspec.Struct, frozen=True):
+    """One configured route.
+
+    Attributes
+    ----------
+    name, host, prefix : str
+        The longest prefix of the host's routes that begins a path selects it.
+    kind : RequestKind
+    timeout : float
+        Longest time until the final answer, in seconds.
+    objective : float
+        Time within which an answer earns its full credit, in seconds.
+    event_gap : float
+        Longest pause between two events of a stream that is on time, in seconds.
+    attempts : int
+        Upstreams that one request may be sent to.
+    priority : int
+        Rank, 0 the highest.
+    is_open : bool
+        Whether requests need no key.
+    is_resumable : bool
+        Whether a stream may go on at another upstream.
+    shares : tuple of Share
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    timeout: float
+    objective: float
+    event_gap: float
+    attempts: int
+    priority: int
+    is_open: bool
+    is_resumable: bool
+    shares: tuple[Share, ...]
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RequestKind.STREAM:
+            return self.is_resumable
+        return self.kind is RequestKind.SAFE
+
+
+class Accelerator(msgspec.Struct, frozen=True):
+    """One kind of accelerator.
+
+    Attributes
+    ----------
+    memory_mb : float
+    step_factor, read_factor : float
+        Times of token steps and of reading prompts, as multiples of the engine's.
+    """
+
+    memory_mb: float
+    step_factor: float
+    read_factor: float
+
+
+class EngineSpec(msgspec.Struct, frozen=True):
+    """Engine of a model's runners; times hold for all layers and factor 1.
+
+    Attributes
+    ----------
+    layers : int
+        Layers of the model; zero if each runner holds all.
+    layer_mb : float
+    cache_bytes_per_layer : float
+        KV cache of one token in one layer, in bytes.
+    slots : int
+        Requests that a runner takes at once as the first of a route.
+    step_seconds : float
+        Fixed time of one token step.
+    step_seconds_per_request : float
+        Time that each writing request adds to a step.
+    step_seconds_per_token : float
+        Time that each token of context of a writing request adds to a step.
+    read_tokens_per_second : float
+    load_seconds : float
+        Time to load all layers.
+    loads_at_once : int
+        Loads beyond which each takes proportionally longer.
+    usual_prompt, usual_answer : float
+        Mean tokens of a request.
+    domain_delays_by_pair : dict of (str, str) to float
+        One-way delay between two failure domains, in seconds.
+    accelerators_by_kind : dict of str to Accelerator
+    """
+
+    layers: int
+    layer_mb: float
+    cache_bytes_per_layer: float
+    slots: int
+    step_seconds: float
+    step_seconds_per_request: float
+    step_seconds_per_token: float
+    read_tokens_per_second: float
+    load_seconds: float
+    loads_at_once: int
+    usual_prompt: float
+    usual_answer: float
+    domain_delays_by_pair: dict[tuple[str, str], float]
+    accelerators_by_kind: dict[str, Accelerator]
+
+
+class ServiceSpec(msgspec.Struct, frozen=True):
+    """One configured service; ``engine`` is None for a plain one."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: EngineSpec | None
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """What a caller may send and how long it may take, in bytes and seconds."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout: float
+    idle_timeout: float
+
+
+class Configuration:
+    """One version of the operator's configuration.
+
+    Attributes
+    ----------
+    version : int
+    routes_by_host : dict of str to list of RouteRule
+        Longest prefix first.
+    services_by_name : dict of str to ServiceSpec
+    teams_by_key : dict of str to str
+        Names of teams by API key.
+    needs_keys : bool
+        Whether requests need a key.
+    limits : CallerLimits
+    """
+
+    __slots__ = (
+        "limits",
+        "needs_keys",
+        "routes_by_host",
+        "services_by_name",
+        "teams_by_key",
+        "version",
+    )
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[RouteRule],
+        services_by_name: dict[str, ServiceSpec],
+        teams_by_key: dict[str, str],
+        needs_keys: bool,
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.routes_by_host: dict[str, list[RouteRule]] = {}
+        for rule in sorted(routes, key=lambda rule: -len(rule.prefix)):
+            self.routes_by_host.setdefault(rule.host, []).append(rule)
+        self.services_by_name = services_by_name
+        self.teams_by_key = teams_by_key
+        self.needs_keys = needs_keys
+        self.limits = limits
+
+    def find_route(self, host: str, path: str) -> RouteRule | None:
+        """Return the route with the longest prefix that begins ``path``."""
+        for rule in self.routes_by_host.get(host, ()):
+            if path.startswith(rule.prefix):
+                return rule
+        return None
+
+
+class Upstream(msgspec.Struct, frozen=True):
+    """One upstream as the platform's list has it.
+
+    Attributes
+    ----------
+    upstream_id : str
+    service, address, failure_domain : str
+    is_leaving : bool
+    slots : int
+    kind : str
+        Kind of accelerator; empty for a plain service.
+    first_layer, end_layer : int
+        Range of layers that a runner holds, the end excluded.
+    weights_version : int
+    born_ms : int
+        Start of this incarnation, milliseconds since the epoch.
+    """
+
+    upstream_id: str
+    service: str
+    address: str
+    failure_domain: str
+    is_leaving: bool
+    slots: int
+    kind: str = ""
+    first_layer: int = 0
+    end_layer: int = 0
+    weights_version: int = 0
+    born_ms: int = 0
+
+    @property
+    def held_layers(self) -> int:
+        """Number of layers held."""
+        return self.end_layer - self.first_layer
+
+
+class RunnerReport(msgspec.Struct, frozen=True):
+    """What a runner says of itself, some hundred milliseconds after the fact.
+
+    Attributes
+    ----------
+    order_count : int
+        Orders accepted since its start; the guard of the next order.
+    is_busy : bool
+        Whether an order is in progress.
+    running, waiting : int
+    cache_used, cache_total : int
+        KV cache, in tokens times layers.
+    slowdown : float
+        Factor on its usual times; over 1 means slow.
+    first_layer, end_layer : int
+    born_ms : int
+    stalled_by_request : dict of str to str
+        Address of the stage that holds up a request, by request id.
+    """
+
+    order_count: int
+    is_busy: bool
+    running: int
+    waiting: int
+    cache_used: int
+    cache_total: int
+    slowdown: float
+    first_layer: int
+    end_layer: int
+    born_ms: int
+    stalled_by_request: dict[str, str]
--- /dev/null
+++ b/wigeondrift/router/event_stream.py
@@ -0,0 +1,62 @@
+"""Cuts a stream of server-sent events at event ends and checks their ids."""
+
+import re
+
+from wigeondrift.errors import ProtocolViolation
+
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)")
+MOST_PENDING_BYTES = 1048576
+
+
+class EventBuffer:
+    """Passes whole events on and holds back what is not complete.
+
+    Parameters
+    ----------
+    last_id : int or None
+        Event after which the stream goes on.
+
+    Attributes
+    ----------
+    last_id : int or None
+        Of the last whole event.
+    """
+
+    __slots__ = ("_pending", "last_id")
+
+    def __init__(self, last_id: int | None = None) -> None:
+        self._pending = b""
+        self.last_id = last_id
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._pending)
+
+    def feed(self, data: bytes) -> bytes:
+        """Take what arrived; return the events that are whole now.
+
+        Raises
+        ------
+        ProtocolViolation
+            If an id does not grow.
+        """
+        whole = self._pending + data
+        end = 0
+        for match in EVENT_END.finditer(whole):
+            end = match.end()
+        self._pending = whole[end:]
+        if len(self._pending) > MOST_PENDING_BYTES:
+            raise ProtocolViolation("an event is too large")
+        events = whole[:end]
+        for text in EVENT_ID.findall(events):
+            number = int(text)
+            if self.last_id is not None and number <= self.last_id:
+                raise ProtocolViolation("an event came twice or out of order")
+            self.last_id = number
+        return events
+
+    def restart(self) -> None:
+        """Drop the event that was cut; another run goes on after the last one."""
+        self._pending = b""
--- /dev/null
+++ b/wigeondrift/router/listeners.py
@@ -0,0 +1,211 @@
+"""Listening sockets of a router: callers, the balancer's questions, metrics."""
+
+import logging
+
+import trio
+
+from wigeondrift.address import parse_address
+from wigeondrift.application import Component
+from wigeondrift.events import LOGGER_NAME, Event, log_event
+from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
+from wigeondrift.metrics import PrometheusMetrics
+from wigeondrift.router.forwarding import Forwarder
+from wigeondrift.router.replica import Replica
+
+# Time for the balancer to notice that the router is no longer ready: two of its
+# questions a second apart, and the connections on their way.
+NOTICE_SECONDS = 2.6
+# Part of the time to stop after which connections are cut.
+GRACE_SHARE = 0.93
+LOOK_SECONDS = 0.1
+BACKLOG = 1024
+SMALL_CONNECTIONS = 64
+METRICS_PATH = "/metrics"
+
+
+class Readiness:
+    """Whether the router wants new connections.
+
+    Parameters
+    ----------
+    replica : Replica
+    has_upstreams : callable
+        Whether there is any upstream to send requests to.
+    """
+
+    __slots__ = ("_has_upstreams", "_replica", "stopping")
+
+    def __init__(self, replica: Replica, has_upstreams) -> None:
+        self._replica = replica
+        self._has_upstreams = has_upstreams
+        self.stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be served."""
+        replica = self._replica
+        return (
+            not self.stopping
+            and replica.configuration is not None
+            and replica.is_current
+            and self._has_upstreams()
+        )
+
+
+class CallerListener(Component):
+    """Serves callers.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    forwarder : Forwarder
+    replica : Replica
+    readiness : Readiness
+    grace : float
+        Time between the request to stop and the kill, in seconds.
+    connections : int
+        Most connections at once.
+    """
+
+    __slots__ = (
+        "_address",
+        "_forwarder",
+        "_grace",
+        "_limits",
+        "_listeners",
+        "_logger",
+        "_readiness",
+        "_replica",
+        "_server",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        forwarder: Forwarder,
+        replica: Replica,
+        readiness: Readiness,
+        grace: float,
+        connections: int,
+    ) -> None:
+        self._address = address
+        self._forwarder = forwarder
+        self._replica = replica
+        self._readiness = readiness
+        self._grace = grace
+        self._limits = HttpLimits(connections=connections)
+        self._server = HttpServer(forwarder.handle, self._limits)
+        self._listeners: list[trio.SocketListener] = []
+        self._logger = logging.getLogger(LOGGER_NAME)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen in ``nursery``."""
+        host, port = parse_address(self._address)
+        self._replica.subscribe(self._take_limits)
+        self._listeners = await trio.open_tcp_listeners(
+            port, host=host, backlog=BACKLOG
+        )
+        nursery.start_soon(
+            trio.serve_listeners, self._server.serve_stream, self._listeners
+        )
+        log_event(self._logger, logging.INFO, Event.STARTED, address=self._address)
+
+    def _take_limits(self) -> None:
+        configuration = self._replica.configuration
+        if configuration is None:
+            return
+        limits = configuration.limits
+        self._limits.header_bytes = limits.header_bytes
+        self._limits.body_bytes = limits.body_bytes
+        self._limits.read_timeout = limits.header_timeout
+        self._limits.idle_timeout = limits.idle_timeout
+
+    async def stop(self) -> None:
+        """Tell the balancer, then end connections as they become idle."""
+        started_at = trio.current_time()
+        self._readiness.stopping = True
+        log_event(
+            self._logger,
+            logging.INFO,
+            Event.STOP_REQUESTED,
+            running=self._forwarder.running,
+        )
+        await trio.sleep(min(NOTICE_SECONDS, GRACE_SHARE * self._grace / 2))
+        self._server.stop_keep_alive()
+        ends_at = started_at + GRACE_SHARE * self._grace
+        while self._forwarder.running and trio.current_time() < ends_at:
+            await trio.sleep(LOOK_SECONDS)
+        log_event(
+            self._logger,
+            logging.INFO,
+            Event.STOPPED,
+            running=self._forwarder.running,
+            seconds=round(trio.current_time() - started_at, 3),
+        )
+
+
+class ReadyListener(Component):
+    """Answers the balancer's questions.
+
+    Parameters
+    ----------
+    address : str
+    path : str
+        Path of the question.
+    readiness : Readiness
+    """
+
+    __slots__ = ("_address", "_path", "_readiness", "_server")
+
+    def __init__(self, address: str, path: str, readiness: Readiness) -> None:
+        self._address = address
+        self._path = path
+        self._readiness = readiness
+        self._server = HttpServer(
+            self._answer, HttpLimits(connections=SMALL_CONNECTIONS)
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen in ``nursery``."""
+        host, port = parse_address(self._address)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        nursery.start_soon(trio.serve_listeners, self._server.serve_stream, listeners)
+
+    async def _answer(self, exchange: Exchange) -> None:
+        status = 404
+        if exchange.request.path == self._path:
+            status = 200 if self._readiness.is_ready else 503
+        await exchange.respond(status, [("Content-Type", "text/plain")])
+
+
+class MetricsListener(Component):
+    """Serves the metrics as text.
+
+    Parameters
+    ----------
+    address : str
+    metrics : PrometheusMetrics
+    """
+
+    __slots__ = ("_address", "_metrics", "_server")
+
+    def __init__(self, address: str, metrics: PrometheusMetrics) -> None:
+        self._address = address
+        self._metrics = metrics
+        self._server = HttpServer(
+            self._answer, HttpLimits(connections=SMALL_CONNECTIONS)
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen in ``nursery``."""
+        host, port = parse_address(self._address)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        nursery.start_soon(trio.serve_listeners, self._server.serve_stream, listeners)
+
+    async def _answer(self, exchange: Exchange) -> None:
+        if exchange.request.path != METRICS_PATH:
+            await exchange.respond(404, [])
+            return
+        headers = [("Content-Type", "text/plain; version=0.0.4")]
+        await exchange.respond(200, headers, self._metrics.render())
--- /dev/null
+++ b/wigeondrift/router/membership.py
@@ -0,0 +1,127 @@
+"""Registers the router in the store and knows its peers; leases of both kinds."""
+
+import logging
+
+import msgspec
+import trio
+
+from wigeondrift.application import Component
+from wigeondrift.errors import LeaseEnded, PlatformError, RevisionConflict
+from wigeondrift.events import LOGGER_NAME, Event, log_event
+from wigeondrift.router.replica import OWN_PREFIX, Replica
+from wigeondrift.store.revisions import RevisionStore
+
+ROUTERS_PREFIX = OWN_PREFIX + "routers/"
+# Registrations outlive short outages; a router that left is forgotten after this time,
+# in seconds.
+LEASE_SECONDS = 10.0
+RENEW_SECONDS = 3.0
+RETRY_SECONDS = 1.0
+
+
+class RouterEntry(msgspec.Struct):
+    """A registered router.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port`` where it takes messages of its peers.
+    failure_domain : str
+    """
+
+    address: str
+    failure_domain: str
+
+
+class Membership(Component):
+    """Keeps the own entry and reads those of the peers.
+
+    Parameters
+    ----------
+    store : RevisionStore
+    replica : Replica
+    instance_id : str
+    entry : RouterEntry
+    """
+
+    __slots__ = ("_entry", "_instance_id", "_lease", "_logger", "_replica", "_store")
+
+    def __init__(
+        self,
+        store: RevisionStore,
+        replica: Replica,
+        instance_id: str,
+        entry: RouterEntry,
+    ) -> None:
+        self._store = store
+        self._replica = replica
+        self._instance_id = instance_id
+        self._entry = entry
+        self._lease = 0
+        self._logger = logging.getLogger(LOGGER_NAME)
+
+    def list_peers(self) -> dict[str, RouterEntry]:
+        """Return the other routers by their instance."""
+        peers = {}
+        for key, item in self._replica.own_items_by_key.items():
+            name = key.removeprefix(ROUTERS_PREFIX)
+            if name == key or name == self._instance_id or item.value is None:
+                continue
+            try:
+                peers[name] = msgspec.json.decode(item.value, type=RouterEntry)
+            except msgspec.MsgspecError as error:
+                log_event(
+                    self._logger,
+                    logging.WARNING,
+                    Event.PEER_UNREADABLE,
+                    peer=name,
+                    reason=str(error),
+                )
+        return peers
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Register in ``nursery``."""
+        nursery.start_soon(self._run)
+
+    async def stop(self) -> None:
+        """Take the own entry away."""
+        if self._lease:
+            try:
+                await self._store.end_lease(self._lease)
+            except PlatformError as error:
+                # The entry lapses by itself.
+                log_event(
+                    self._logger,
+                    logging.INFO,
+                    Event.LEASE_NOT_ENDED,
+                    reason=str(error),
+                )
+
+    async def _run(self) -> None:
+        key = ROUTERS_PREFIX + self._instance_id
+        value = msgspec.json.encode(self._entry)
+        while True:
+            try:
+                if not self._lease:
+                    lease = await self._store.grant_lease(LEASE_SECONDS)
+                    await self._register(key, value, lease)
+                    self._lease = lease
+                else:
+                    await self._store.renew_lease(self._lease)
+                await trio.sleep(RENEW_SECONDS)
+            except LeaseEnded:
+                self._lease = 0
+            except PlatformError:
+                # The replica logs that the store is lost.
+                await trio.sleep(RETRY_SECONDS)
+
+    async def _register(self, key: str, value: bytes, lease: int) -> None:
+        known = self._replica.own_items_by_key.get(key)
+        expected = known.revision if known is not None else 0
+        for _ in range(2):
+            try:
+                await self._store.put(key, value, expected, lease)
+                return
+            except RevisionConflict as conflict:
+                # An entry of the former incarnation.
+                expected = conflict.found
--- /dev/null
+++ b/wigeondrift/router/replica.py
@@ -0,0 +1,291 @@
+"""Keeps configuration, upstreams and routers as the platform's store has them."""
+
+import logging
+import time
+from collections.abc import Callable
+
+import trio
+
+from wigeondrift.application import Component
+from wigeondrift.errors import (
+    ConfigurationError,
+    HistoryLost,
+    PlatformError,
+    UpstreamEntryError,
+)
+from wigeondrift.events import LOGGER_NAME, Event, log_event
+from wigeondrift.router.entities import Configuration, Upstream
+from wigeondrift.store.revisions import Item, RevisionStore
+from wigeondrift.systems.directory import Directory
+from wigeondrift.systems.freshness import Freshness
+
+# Pause after a failed call, in seconds: short beside the bound on keys.
+RETRY_SECONDS = 0.25
+EXPIRE_SECONDS = 0.1
+
+OWN_PREFIX = "wigeondrift/"
+
+
+def get_elapsed() -> float:
+    """Return seconds that also count the time of a suspended machine."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class StoreLayout:
+    """Where the platform keeps what, and how to read it.
+
+    Parameters
+    ----------
+    configuration_key, upstreams_prefix : str
+    decode_configuration, decode_upstream : callable
+    """
+
+    __slots__ = (
+        "configuration_key",
+        "decode_configuration",
+        "decode_upstream",
+        "upstreams_prefix",
+    )
+
+    def __init__(
+        self,
+        configuration_key: str,
+        upstreams_prefix: str,
+        decode_configuration: Callable[[bytes], Configuration],
+        decode_upstream: Callable[[str, bytes], Upstream],
+    ) -> None:
+        self.configuration_key = configuration_key
+        self.upstreams_prefix = upstreams_prefix
+        self.decode_configuration = decode_configuration
+        self.decode_upstream = decode_upstream
+
+
+class Replica(Component):
+    """Watches the store.
+
+    Parameters
+    ----------
+    store : RevisionStore
+    layout : StoreLayout
+    directory : Directory
+    freshness : Freshness
+    get_time : callable, optional
+        Clock that counts suspension, in seconds.
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        In force; None until one has been read.
+    own_items_by_key : dict of str to Item
+        Keys that routers wrote.
+    """
+
+    __slots__ = (
+        "_directory",
+        "_freshness",
+        "_get_time",
+        "_is_lost",
+        "_layout",
+        "_logger",
+        "_revision",
+        "_store",
+        "_subscribers",
+        "_unreadable_by_id",
+        "configuration",
+        "own_items_by_key",
+    )
+
+    def __init__(
+        self,
+        store: RevisionStore,
+        layout: StoreLayout,
+        directory: Directory,
+        freshness: Freshness,
+        get_time: Callable[[], float] = get_elapsed,
+    ) -> None:
+        self._store = store
+        self._layout = layout
+        self._directory = directory
+        self._freshness = freshness
+        self._get_time = get_time
+        self._logger = logging.getLogger(LOGGER_NAME)
+        self._revision = 0
+        self._is_lost = False
+        self._subscribers: list[Callable[[], None]] = []
+        self._unreadable_by_id: dict[str, bytes] = {}
+        self.configuration: Configuration | None = None
+        self.own_items_by_key: dict[str, Item] = {}
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` after each change of what is known."""
+        self._subscribers.append(callback)
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the configuration was confirmed recently enough for keys."""
+        return self._freshness.is_current(self._get_time())
+
+    @property
+    def age(self) -> float | None:
+        """Age of the last confirmation in seconds."""
+        return self._freshness.get_age(self._get_time())
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Watch the store in ``nursery``."""
+        nursery.start_soon(self._run)
+
+    async def expire(self, now: float) -> None:
+        """Drop upstreams that did not come back; a subscriber of the timer."""
+        for upstream_id in self._directory.expire(self._get_time()):
+            log_event(
+                self._logger, logging.INFO, Event.UPSTREAM_GONE, upstream=upstream_id
+            )
+            self._notify()
+
+    async def _run(self) -> None:
+        needs_all = True
+        while True:
+            try:
+                if needs_all:
+                    await self._read_all()
+                    needs_all = False
+                else:
+                    await self._watch_once()
+            except HistoryLost:
+                needs_all = True
+            except PlatformError as error:
+                self._note_lost(error)
+                await trio.sleep(RETRY_SECONDS)
+
+    async def _read_all(self) -> None:
+        asked_at = self._get_time()
+        first = await self._store.list_items(self._layout.configuration_key)
+        upstreams = await self._store.list_items(self._layout.upstreams_prefix)
+        own = await self._store.list_items(OWN_PREFIX)
+        self._note_answer()
+        for item in first.items:
+            self._apply_configuration(item)
+        now = self._get_time()
+        decoded = [self._decode(item) for item in upstreams.items]
+        self._directory.replace_all([one for one in decoded if one is not None], now)
+        self.own_items_by_key = {item.key: item for item in own.items}
+        self._revision = first.revision
+        if self.configuration is not None:
+            self._freshness.confirm(asked_at)
+        self._notify()
+
+    async def _watch_once(self) -> None:
+        asked_at = self._get_time()
+        # After a failure the first answer should come at once.
+        wait = 0.0 if self._is_lost else self._freshness.watch_seconds
+        page = await self._store.watch("", self._revision, wait)
+        self._note_answer()
+        for item in page.items:
+            self._apply(item)
+        self._revision = max(self._revision, page.revision)
+        if self.configuration is not None:
+            self._freshness.confirm(asked_at)
+        if page.items:
+            self._notify()
+
+    def _apply(self, item: Item) -> None:
+        layout = self._layout
+        if item.key == layout.configuration_key:
+            self._apply_configuration(item)
+        elif item.key.startswith(layout.upstreams_prefix):
+            self._apply_upstream(item)
+        elif item.key.startswith(OWN_PREFIX):
+            if item.value is None:
+                self.own_items_by_key.pop(item.key, None)
+            else:
+                self.own_items_by_key[item.key] = item
+
+    def _apply_configuration(self, item: Item) -> None:
+        if item.key != self._layout.configuration_key or item.value is None:
+            return
+        try:
+            configuration = self._layout.decode_configuration(item.value)
+        except ConfigurationError as error:
+            log_event(
+                self._logger,
+                logging.ERROR,
+                Event.CONFIGURATION_REFUSED,
+                revision=item.revision,
+                reason=str(error),
+            )
+            return
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        log_event(
+            self._logger,
+            logging.INFO,
+            Event.CONFIGURATION_APPLIED,
+            version=configuration.version,
+            revision=item.revision,
+            routes=sum(map(len, configuration.routes_by_host.values())),
+            keys=len(configuration.teams_by_key),
+        )
+
+    def _apply_upstream(self, item: Item) -> None:
+        upstream_id = item.key.removeprefix(self._layout.upstreams_prefix)
+        upstream = None if item.value is None else self._decode(item)
+        now = self._get_time()
+        if upstream is None:
+            self._directory.remove(upstream_id, now)
+        else:
+            self._directory.put(upstream)
+        log_event(
+            self._logger,
+            logging.INFO,
+            Event.UPSTREAM_CHANGED,
+            upstream=upstream_id,
+            revision=item.revision,
+            listed=upstream is not None,
+            leaving=upstream is not None and upstream.is_leaving,
+            layers=None
+            if upstream is None
+            else f"{upstream.first_layer}-{upstream.end_layer}",
+            settling=self._directory.is_settling(now),
+        )
+
+    def _decode(self, item: Item) -> Upstream | None:
+        upstream_id = item.key.removeprefix(self._layout.upstreams_prefix)
+        try:
+            upstream = self._layout.decode_upstream(upstream_id, item.value or b"")
+        except UpstreamEntryError as error:
+            if self._unreadable_by_id.get(upstream_id) != item.value:
+                self._unreadable_by_id[upstream_id] = item.value or b""
+                log_event(
+                    self._logger,
+                    logging.WARNING,
+                    Event.UPSTREAM_UNREADABLE,
+                    upstream=upstream_id,
+                    revision=item.revision,
+                    reason=str(error),
+                )
+            return None
+        self._unreadable_by_id.pop(upstream_id, None)
+        return upstream
+
+    def _note_answer(self) -> None:
+        self._directory.note_answer(self._get_time())
+        if self._is_lost:
+            self._is_lost = False
+            log_event(self._logger, logging.INFO, Event.PLATFORM_BACK, age=self.age)
+
+    def _note_lost(self, error: PlatformError) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            log_event(
+                self._logger,
+                logging.WARNING,
+                Event.PLATFORM_LOST,
+                reason=str(error),
+                age=self.age,
+            )
+
+    def _notify(self) -> None:
+        for callback in self._subscribers:
+            callback()
