--- a/wigeondrift/application.py
+++ b/wigeondrift/application.py
@@ -2,7 +2,7 @@
 
 import abc
 import signal
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import trio
 
@@ -70,10 +70,20 @@
                 await component.stop()
         self.bound_reached = scope.cancelled_caught
 
-    async def run_until_signalled(self) -> None:
-        """Run; the first SIGTERM or SIGINT is a planned stop, the second ends it."""
+    async def run_until_signalled(
+        self, reload: Callable[[], None] | None = None
+    ) -> None:
+        """Run; the first SIGTERM or SIGINT is a planned stop, the second ends it.
+
+        Parameters
+        ----------
+        reload : callable, optional
+            Called at each SIGHUP, which ends the process if it is absent.
+        """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._take_signals)
+            if reload is not None:
+                nursery.start_soon(_call_at_hangup, reload)
             await self.run()
             nursery.cancel_scope.cancel()
 
@@ -85,3 +95,9 @@
                         self._bound_scope.cancel()
                 else:
                     self.stop_requested.set()
+
+
+async def _call_at_hangup(reload: Callable[[], None]) -> None:
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            reload()
--- a/wigeondrift/platform/store.py
+++ b/wigeondrift/platform/store.py
@@ -81,6 +81,10 @@
         self._client = client
         self._address = address
 
+    def move(self, address: str) -> None:
+        """Go on at another address."""
+        self._address = address
+
     async def list_items(self, prefix: str) -> Page:
         """Return all items below ``prefix``."""
         items: list[Item] = []
--- a/wigeondrift/router/__main__.py
+++ b/wigeondrift/router/__main__.py
@@ -17,7 +17,8 @@
     except SettingsError as error:
         exit_with(error)
         return
-    trio.run(compose_router(settings).run_until_signalled)
+    application, reloader = compose_router(settings, load_settings)
+    trio.run(application.run_until_signalled, reloader.reload)
 
 
 if __name__ == "__main__":
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -3,6 +3,7 @@
 import os
 import random
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 from wigeondrift.application import Application
@@ -30,6 +31,8 @@
 from wigeondrift.router.membership import Membership, RouterEntry
 from wigeondrift.router.peers import PeerExchange
 from wigeondrift.router.planner import Planner
+from wigeondrift.router.reload import LOOK_SECONDS as RELOAD_SECONDS
+from wigeondrift.router.reload import Reloader
 from wigeondrift.router.replica import (
     EXPIRE_SECONDS,
     Replica,
@@ -49,8 +52,17 @@
 CONNECT_SECONDS = 0.5
 
 
-def compose_router(settings: RouterSettings) -> Application:
-    """Wire one router."""
+def compose_router(
+    settings: RouterSettings, load: Callable[[], RouterSettings]
+) -> tuple[Application, Reloader]:
+    """Wire one router.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+    load : callable
+        Reads the settings again.
+    """
     configure_bounded_logging("INFO", instance_id=settings.instance_id)
     timer = TimerService(TrioClock())
     metrics = PrometheusMetrics()
@@ -63,7 +75,8 @@
     layout = StoreLayout(
         CONFIGURATION_KEY, UPSTREAMS_PREFIX, decode_configuration, decode_upstream
     )
-    replica = Replica(store, layout, directory, Freshness(bounds.key_revocation))
+    freshness = Freshness(bounds.key_revocation)
+    replica = Replica(store, layout, directory, freshness)
     choice = Choice(directory, settings.failure_domain, random.Random())
     waiting = WaitingRoom(choice)
     entry = RouterEntry(
@@ -94,6 +107,11 @@
         rng=random.Random(),
     )
     readiness = Readiness(replica, lambda: bool(directory.upstreams_by_id))
+    reloader = Reloader(settings, load)
+    reloader.subscribe(lambda changed: store.move(changed.store_address))
+    reloader.subscribe(lambda changed: freshness.rebound(changed.bounds.key_revocation))
+    reloader.subscribe(lambda changed: forwarder.rebound(changed.bounds))
+    timer.subscribe("settings", RELOAD_SECONDS, reloader.look)
     timer.subscribe("expire", EXPIRE_SECONDS, replica.expire)
     timer.subscribe("waiting", LOOK_SECONDS, waiting.look)
     components = [
@@ -113,7 +131,7 @@
             max(64, settings.descriptors - RESERVED_DESCRIPTORS),
         ),
     ]
-    return Application(components, bounds.grace)
+    return Application(components, bounds.grace), reloader
 
 
 def load_settings() -> RouterSettings:
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -216,6 +216,15 @@
         self._logger = logging.getLogger(LOGGER_NAME)
         self.running = 0
 
+    def rebound(self, bounds: Bounds) -> None:
+        """Take other bounds; the budgets of repeats go on with them."""
+        if bounds != self._bounds:
+            self._bounds = bounds
+            for budget in self._budgets_by_service.values():
+                budget.rebound(
+                    bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+                )
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         now = trio.current_time()
--- /dev/null
+++ b/wigeondrift/router/reload.py
@@ -0,0 +1,72 @@
+"""Takes changes of the settings file over while the router runs."""
+
+import logging
+from collections.abc import Callable
+
+from wigeondrift.errors import SettingsError
+from wigeondrift.events import LOGGER_NAME, Event, log_event
+from wigeondrift.router.settings import RouterSettings
+
+# The file may change without a signal, in seconds.
+LOOK_SECONDS = 1.0
+
+
+class Reloader:
+    """Reads the settings again and tells subscribers of changes.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        In force.
+    load : callable
+        Returns the settings as the file has them; raises ``SettingsError``.
+    """
+
+    __slots__ = ("_failure", "_load", "_logger", "_subscribers", "settings")
+
+    def __init__(
+        self, settings: RouterSettings, load: Callable[[], RouterSettings]
+    ) -> None:
+        self.settings = settings
+        self._load = load
+        self._failure = ""
+        self._subscribers: list[Callable[[RouterSettings], None]] = []
+        self._logger = logging.getLogger(LOGGER_NAME)
+
+    def subscribe(self, callback: Callable[[RouterSettings], None]) -> None:
+        """Call ``callback`` with the settings after each change."""
+        self._subscribers.append(callback)
+
+    async def look(self, now: float) -> None:
+        """Take a change that came without a signal; a subscriber of the timer."""
+        self._take(is_signalled=False)
+
+    def reload(self) -> None:
+        """Read the settings again because of a signal."""
+        self._take(is_signalled=True)
+
+    def _take(self, is_signalled: bool) -> None:
+        try:
+            settings = self._load()
+        except SettingsError as error:
+            if is_signalled or str(error) != self._failure:
+                self._failure = str(error)
+                log_event(
+                    self._logger,
+                    logging.ERROR,
+                    Event.SETTINGS_REFUSED,
+                    reason=str(error),
+                )
+            return
+        self._failure = ""
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        if is_signalled or changed:
+            log_event(self._logger, logging.INFO, Event.RELOADED, changed=changed)
+        if changed:
+            self.settings = settings
+            for callback in self._subscribers:
+                callback(settings)
--- a/wigeondrift/systems/freshness.py
+++ b/wigeondrift/systems/freshness.py
@@ -35,6 +35,10 @@
             return LONGEST_WATCH_SECONDS
         return min(LONGEST_WATCH_SECONDS, WATCH_SHARE * self._bound)
 
+    def rebound(self, bound: float) -> None:
+        """Take another bound, in seconds."""
+        self._bound = bound
+
     def confirm(self, asked_at: float) -> None:
         """Note that all changes until ``asked_at`` are in force."""
         if self._confirmed_at is None or asked_at > self._confirmed_at:
--- a/wigeondrift/systems/repeats.py
+++ b/wigeondrift/systems/repeats.py
@@ -35,6 +35,12 @@
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def rebound(self, ratio: float, slack: float, window: float) -> None:
+        """Take other bounds; what was counted stays."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+
     def note_request(self, now: float) -> None:
         """Count a request taken from a caller."""
         self._requests.append(now)
