--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -108,6 +108,10 @@
         Time of the final answer at the latest, in seconds.
     events : EventBuffer
         Events passed on.
+    room_seconds : float
+        Time spent waiting for room.
+    longest_gap : float or None
+        Longest pause between two events, in seconds.
     """
 
     __slots__ = (
@@ -116,7 +120,9 @@
         "ends_at",
         "events",
         "excluded",
+        "longest_gap",
         "may_have_run",
+        "room_seconds",
         "rule",
         "service",
         "started_at",
@@ -139,6 +145,8 @@
         self.may_have_run = False
         self.started_at: float | None = None
         self.upstreams: list[str] = []
+        self.room_seconds = 0.0
+        self.longest_gap: float | None = None
 
     @property
     def tokens(self) -> float:
@@ -272,6 +280,8 @@
                 first_seconds=_round(
                     journey.started_at and journey.started_at - call.arrived
                 ),
+                room_seconds=round(journey.room_seconds, 3),
+                longest_gap=_round(journey.longest_gap),
                 waiting=len(self._waiting),
             )
         log_event(self._logger, logging.INFO, Event.REQUEST_DONE, **fields)
@@ -424,9 +434,11 @@
         if journey.may_have_run:
             # A stream that broke goes on within the caller's patience.
             wait_until = trio.current_time() + STREAM_SILENCE_SECONDS
+        asked_at = trio.current_time()
         chain = await self._waiting.acquire(
             journey.service, tokens, journey.excluded, on_time_until, wait_until
         )
+        journey.room_seconds += trio.current_time() - asked_at
         if chain is None:
             if journey.may_have_run:
                 raise RequestError(ErrorKind.UPSTREAM_LOST, "no room to go on")
@@ -626,7 +638,11 @@
         events = journey.events
         events.restart()
         async for data in response.iter_data():
-            progress.last_at = trio.current_time()
+            now = trio.current_time()
+            if progress.has_events:
+                gap = now - progress.last_at
+                journey.longest_gap = max(gap, journey.longest_gap or 0.0)
+            progress.last_at = now
             whole = events.feed(data)
             if not whole:
                 continue
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -22,6 +22,9 @@
 # Pause after a failed call, in seconds: short beside the bound on keys.
 RETRY_SECONDS = 0.25
 EXPIRE_SECONDS = 0.1
+# Pause after changes, so that those which come in a row are read by one call: each is
+# counted. Short beside the bounds on configuration and on leaving upstreams (2 s).
+BATCH_SECONDS = 0.5
 
 OWN_PREFIX = "wigeondrift/"
 
@@ -187,6 +190,7 @@
             self._freshness.confirm(asked_at)
         if page.items:
             self._notify()
+            await trio.sleep(BATCH_SECONDS)
 
     def _apply(self, item: Item) -> None:
         layout = self._layout
