Choose routes by the time to the first event; refuse what comes late to a stopping instance

The cost of a route now counts prompts that wait to be read.

The listener now closes after the balancer's notice and what still comes is refused as not run.

Scenarios over stand-ins of the store and the upstreams in virtual time.

--- /dev/null
+++ b/tests/router_world.py
@@ -0,0 +1,243 @@
+"""One router over stand-ins of the users' platform, in memory and virtual time."""
+
+import random
+
+import h11
+import msgspec
+import trio
+from trio.testing import MockClock, memory_stream_pair
+
+from wigeondrift.http_server import HttpServer
+from wigeondrift.metrics import NullMetrics
+from wigeondrift.router.composition import RouterParts
+from wigeondrift.router.settings import Bounds, RouterSettings
+from wigeondrift_emulator.memory_network import MemoryClient, MemoryNetwork
+from wigeondrift_emulator.model_server import ModelServer
+from wigeondrift_emulator.revision_server import RevisionServer
+
+STORE = "10.0.0.1:80"
+HOST = "shop.example"
+KEY = "counter-key"
+TEAM = "counters"
+ENGINE = {
+    "slots": 4,
+    "kv_token_bytes": 80_000_000,
+    "step_ms": 1.0,
+    "per_seq_ms": 0.01,
+    "context_per_k": 0.02,
+    "read_per_s": 100000.0,
+    "loads_at_once": 5,
+    "layers": 80,
+    "layer_mb": 100.0,
+    "models": [{"name": "m", "load_s": 14.0}],
+    "usual": {"prompt": 10, "answer": 5},
+    "kinds": [
+        {"name": "large", "mb": 12000.0, "pace": 2.0, "read_x": 3.0},
+        {"name": "small", "mb": 5000.0, "pace": 8.0, "read_x": 6.0},
+    ],
+    "delays": [{"from": "east", "to": "west", "delay_ms": 0.5}],
+}
+
+
+def make_route(name, kind, service, **more):
+    route = {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 4000,
+        "slo_ms": 500,
+        "attempts": 2 if kind != "unsafe" else 1,
+        "service": service,
+        "resumable": kind == "streaming",
+        "gap_aim_ms": 200,
+    }
+    return {**route, **more}
+
+
+def make_configuration(version=1, keys=(KEY,), **more):
+    configuration = {
+        "version": version,
+        "routes": [
+            make_route("draft", "streaming", "model"),
+            make_route("order", "unsafe", "desk"),
+            make_route("status", "safe", "desk"),
+        ],
+        "services": [
+            {"name": "model", "health_path": "/health", "engine": ENGINE},
+            {"name": "desk", "health_path": "/health"},
+        ],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 10000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": TEAM, "api_keys": list(keys)}],
+    }
+    return {**configuration, **more}
+
+
+class Answer:
+    """What a caller got: ``status`` is 0 if the connection ended without one."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = b""
+        self.is_whole = False
+        self.seconds = 0.0
+
+    @property
+    def event_ids(self):
+        lines = self.body.decode().splitlines()
+        return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+class RouterWorld:
+    """Runs a scenario against one router."""
+
+    def __init__(self, settings=None):
+        self.store = RevisionServer()
+        self.servers_by_id = {}
+        self.entries_by_id = {}
+        self.settings = settings or RouterSettings(
+            instance_id="router-1",
+            failure_domain="east",
+            host="10.0.0.9",
+            caller_address="10.0.0.9:80",
+            ready_address="10.0.0.9:81",
+            store_address=STORE,
+            bounds=Bounds(retry_slack=100.0),
+        )
+        self.put_configuration()
+
+    def put_configuration(self, **named):
+        data = msgspec.json.encode(make_configuration(**named))
+        self.store.write("op/config", data)
+
+    def add_upstream(self, upstream_id, service, zone="east", kind="", held=(0, 0)):
+        address = f"10.1.0.{len(self.servers_by_id) + 1}:80"
+        server = ModelServer(upstream_id)
+        server.held = held
+        self.servers_by_id[upstream_id] = server
+        entry = {
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "state": "ready",
+            "slots": 4,
+            "born": 1,
+            "seq": 1,
+        }
+        if kind:
+            entry["kind"] = kind
+            entry["layers"] = {"from": held[0], "to": held[1], "version": 1}
+        self.entries_by_id[upstream_id] = entry
+        self.write_entry(upstream_id)
+
+    def write_entry(self, upstream_id, **changes):
+        entry = self.entries_by_id[upstream_id]
+        entry.update(changes)
+        self.store.write(f"servers/{upstream_id}", msgspec.json.encode(entry))
+
+    def address_of(self, upstream_id):
+        return self.entries_by_id[upstream_id]["address"]
+
+    def run(self, scenario):
+        """Run a coroutine function that takes the world."""
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                self.network = MemoryNetwork(nursery)
+                self.network.listen(STORE, self.store.handle)
+                for upstream_id, server in self.servers_by_id.items():
+                    address = self.address_of(upstream_id)
+                    self.network.listen(address, server.handle)
+                self.nursery = nursery
+                self.parts = RouterParts(
+                    self.settings,
+                    MemoryClient(self.network),
+                    MemoryClient(self.network),
+                    NullMetrics(),
+                    random.Random(1),
+                )
+                self.parts.replica._get_time = trio.current_time
+                await self.parts.replica.start(nursery)
+                nursery.start_soon(self._keep_time)
+                await trio.sleep(0.1)
+                await scenario(self)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    async def _keep_time(self):
+        while True:
+            await self.parts.replica.expire(trio.current_time())
+            await self.parts.waiting.look(trio.current_time())
+            await trio.sleep(0.05)
+
+    async def call(self, path, method="POST", leave_after=None, headers=(), **named):
+        """Send one request on a connection of its own and read its answer."""
+        answer = Answer()
+        with trio.move_on_after(leave_after or 60.0):
+            await self._call(answer, path, method, headers, **named)
+        return answer
+
+    async def _call(
+        self, answer, path, method, headers, key=KEY, patience=3.0, body=b"body"
+    ):
+        ours, theirs = memory_stream_pair()
+        server = HttpServer(self.parts.forwarder.handle)
+        self.nursery.start_soon(server.serve_stream, theirs)
+        started_at = trio.current_time()
+        whole = [
+            ("Host", HOST),
+            ("Wigeondrift-Request-Id", f"r{self._count()}"),
+            ("Wigeondrift-Deadline-Remaining", str(int(patience * 1000))),
+            *headers,
+        ]
+        if key:
+            whole.append(("Authorization", f"Bearer {key}"))
+        if path.startswith("/draft"):
+            whole.append(("Wigeondrift-Token-Counts", "10,5"))
+        if method != "GET":
+            whole.append(("Content-Length", str(len(body))))
+        connection = h11.Connection(h11.CLIENT)
+        data = connection.send(h11.Request(method=method, target=path, headers=whole))
+        if method != "GET":
+            data += connection.send(h11.Data(data=body))
+        data += connection.send(h11.EndOfMessage())
+        async with ours:
+            await ours.send_all(data)
+            await _read(answer, connection, ours)
+        answer.seconds = trio.current_time() - started_at
+
+    def _count(self):
+        self._calls = getattr(self, "_calls", 0) + 1
+        return self._calls
+
+
+async def _read(answer, connection, stream):
+    while True:
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError:
+            return
+        if event is h11.NEED_DATA:
+            try:
+                connection.receive_data(await stream.receive_some(65536))
+            except trio.BrokenResourceError:
+                return
+        elif isinstance(event, h11.Response):
+            answer.status = event.status_code
+            answer.headers = {
+                name.decode(): value.decode() for name, value in event.headers
+            }
+        elif isinstance(event, h11.Data):
+            answer.body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            answer.is_whole = True
+            return
+        else:
+            return
--- a/wigeondrift/http_server.py
+++ b/wigeondrift/http_server.py
@@ -106,7 +106,14 @@
     A write to a peer that is gone raises ``ConnectionLost``.
     """
 
-    __slots__ = ("_connection", "_limits", "_stream", "request", "started")
+    __slots__ = (
+        "_connection",
+        "_is_last",
+        "_limits",
+        "_stream",
+        "request",
+        "started",
+    )
 
     def __init__(
         self,
@@ -114,9 +121,11 @@
         connection: h11.Connection,
         stream: trio.abc.Stream,
         limits: HttpLimits,
+        is_last: Callable[[], bool] = lambda: False,
     ) -> None:
         self.request = request
         self.started = False
+        self._is_last = is_last
         self._connection = connection
         self._stream = stream
         self._limits = limits
@@ -125,10 +134,8 @@
         self, status: int, headers: Iterable[tuple[str, str]], body: bytes = b""
     ) -> None:
         """Send a whole answer in one write."""
-        head = h11.Response(
-            status_code=status,
-            headers=[*headers, ("Content-Length", str(len(body)))],
-        )
+        framing = [("Content-Length", str(len(body))), *self._list_closing()]
+        head = h11.Response(status_code=status, headers=[*headers, *framing])
         self.started = True
         data = self._connection.send(head)
         if body:
@@ -140,15 +147,17 @@
         self, status: int, headers: Iterable[tuple[str, str]], data: bytes = b""
     ) -> None:
         """Send the head of an answer whose body follows, with its first part."""
-        head = h11.Response(
-            status_code=status, headers=[*headers, ("Transfer-Encoding", "chunked")]
-        )
+        framing = [("Transfer-Encoding", "chunked"), *self._list_closing()]
+        head = h11.Response(status_code=status, headers=[*headers, *framing])
         self.started = True
         frames = self._connection.send(head)
         if data:
             frames += self._connection.send(h11.Data(data=data))
         await self._write(frames)
 
+    def _list_closing(self) -> list[tuple[str, str]]:
+        return [("Connection", "close")] if self._is_last() else []
+
     async def send(self, data: bytes) -> None:
         """Send one part of the body."""
         await self._write(self._connection.send(h11.Data(data=data)))
@@ -249,6 +258,7 @@
         "_handler",
         "_limits",
         "_on_error",
+        "_leaving",
         "_open",
         "_stopping",
         "idle_scopes",
@@ -264,11 +274,17 @@
         self._limits = limits or HttpLimits()
         self._on_error = on_error
         self._open = 0
+        self._leaving = False
         self._stopping = False
         self.idle_scopes: set[trio.CancelScope] = set()
 
+    def announce_close(self) -> None:
+        """Tell each peer with its next answer that the connection ends."""
+        self._leaving = True
+
     def stop_keep_alive(self) -> None:
         """Close idle connections now and the others after their answer."""
+        self._leaving = True
         self._stopping = True
         for scope in list(self.idle_scopes):
             scope.cancel()
@@ -298,7 +314,9 @@
             request = await self._read_request(connection, stream)
             if request is None:
                 return
-            exchange = Exchange(request, connection, stream, limits)
+            exchange = Exchange(
+                request, connection, stream, limits, lambda: self._leaving
+            )
             await self._handler(exchange)
             reusable = (
                 connection.our_state is h11.DONE and connection.their_state is h11.DONE
--- a/wigeondrift/platform/configuration.py
+++ b/wigeondrift/platform/configuration.py
@@ -85,6 +85,9 @@
     # Milliseconds that 1,000 tokens of context add for each writing request.
     context_per_k: float = 0.0
     read_per_s: float = 1.0
+    chunk: float = 512.0
+    # Token steps of a pass, which an event carries.
+    stride: int = 1
     # KV cache of one token over all layers.
     kv_token_bytes: float = 0.0
     loads_at_once: int = 1
@@ -196,6 +199,8 @@
             wire.context_per_k / MS_PER_SECOND / TOKENS_PER_CONTEXT_UNIT
         ),
         read_tokens_per_second=wire.read_per_s,
+        chunk_tokens=max(1.0, wire.chunk),
+        steps_per_event=max(1, wire.stride),
         load_seconds=max((model.load_s for model in wire.models), default=0.0),
         loads_at_once=max(1, wire.loads_at_once),
         usual_prompt=wire.usual.prompt,
--- a/wigeondrift/router/choice.py
+++ b/wigeondrift/router/choice.py
@@ -6,10 +6,9 @@
 
 import trio
 
-from wigeondrift.entities import Route
 from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.router.entities import EngineSpec, ServiceSpec, Upstream
-from wigeondrift.systems.chains import Chain, ChainBook
+from wigeondrift.systems.chains import Chain, ChainBook, RouteDemand
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.health import Health
 from wigeondrift.systems.placement import BYTES_PER_MB
@@ -21,6 +20,34 @@
 LOAD_SECONDS = 1.0
 
 
+class Reservation:
+    """Room of one request on a route.
+
+    Attributes
+    ----------
+    chain : Chain
+    """
+
+    __slots__ = ("_demand", "_ledger", "_unread", "chain")
+
+    def __init__(self, chain: Chain, demand: RouteDemand, ledger: RoomLedger) -> None:
+        self.chain = chain
+        self._demand = demand
+        self._ledger = ledger
+        self._unread = demand.prompt
+        ledger.reserve(chain.route, demand.tokens, demand.prompt)
+
+    def note_read(self) -> None:
+        """Note that the prompt has been read: the first event came."""
+        if self._unread:
+            self._ledger.note_read(self.chain.route, self._unread)
+            self._unread = 0.0
+
+    def release(self) -> None:
+        """Give the room back."""
+        self._ledger.release(self.chain.route, self._demand.tokens, self._unread)
+
+
 class Choice:
     """What is known of upstreams' loads and failures, and the choice by it.
 
@@ -108,19 +135,15 @@
         )
 
     def choose_chain(
-        self, service: ServiceSpec, tokens: float, excluded: Collection[str]
-    ) -> Chain | None:
-        """Return a route with room for a request and reserve it; None if none has."""
+        self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
+    ) -> Reservation | None:
+        """Reserve a route with room for a request; None if none has."""
         chain = self.get_book(service).choose(
-            tokens, self.ledger, excluded, self._failure_domain
+            demand, self.ledger, excluded, self._failure_domain
         )
-        if chain is not None:
-            self.ledger.reserve(chain.route, tokens)
-        return chain
-
-    def release(self, route: Route, tokens: float) -> None:
-        """Give the room of a request back."""
-        self.ledger.release(route, tokens)
+        if chain is None:
+            return None
+        return Reservation(chain, demand, self.ledger)
 
     def choose_member(self, service: str, excluded: Collection[str]) -> Upstream | None:
         """Return the least loaded member of a plain service."""
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -10,7 +10,7 @@
 from wigeondrift.errors import SettingsError
 from wigeondrift.events import configure_bounded_logging
 from wigeondrift.http_client import HttpClient
-from wigeondrift.metrics import PrometheusMetrics
+from wigeondrift.metrics import Metrics, PrometheusMetrics
 from wigeondrift.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from wigeondrift.platform.requests import READINESS_PATH, PlatformDialect
 from wigeondrift.platform.settings import SETTINGS_VARIABLE, parse_settings
@@ -46,12 +46,94 @@
 
 # Descriptors kept for connections to upstreams, the store and the files of a process.
 RESERVED_DESCRIPTORS = 1000
+LEAST_CONNECTIONS = 64
 METRICS_PORT = 9464
 IDLE_CONNECTIONS = 32
 # A runner or the store answers a connection within milliseconds.
 CONNECT_SECONDS = 0.5
 
 
+class RouterParts:
+    """The parts of a router that need no socket of their own.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+    client, store_client : HttpClient
+        Reach upstreams and the store.
+    metrics : Metrics
+    rng : random.Random
+    """
+
+    __slots__ = (
+        "choice",
+        "directory",
+        "forwarder",
+        "freshness",
+        "membership",
+        "planner",
+        "readiness",
+        "replica",
+        "store",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        client: HttpClient,
+        store_client: HttpClient,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        bounds = settings.bounds
+        self.store = HttpRevisionStore(store_client, settings.store_address)
+        self.directory = Directory(settings.heartbeat)
+        self.freshness = Freshness(bounds.key_revocation)
+        layout = StoreLayout(
+            CONFIGURATION_KEY, UPSTREAMS_PREFIX, decode_configuration, decode_upstream
+        )
+        self.replica = Replica(self.store, layout, self.directory, self.freshness)
+        self.choice = Choice(self.directory, settings.failure_domain, rng)
+        self.waiting = WaitingRoom(self.choice)
+        entry = RouterEntry(
+            f"{settings.host}:{settings.peer_port}", settings.failure_domain
+        )
+        self.membership = Membership(
+            self.store, self.replica, settings.instance_id, entry
+        )
+        control = HttpRunnerControl(client)
+        self.planner = Planner(
+            self.store, self.replica, self.directory, control, settings.instance_id
+        )
+        self.forwarder = Forwarder(
+            replica=self.replica,
+            choice=self.choice,
+            waiting=self.waiting,
+            membership=self.membership,
+            client=client,
+            control=control,
+            dialect=PlatformDialect(),
+            bounds=bounds,
+            metrics=metrics,
+            rng=rng,
+        )
+        self.readiness = Readiness(
+            self.replica, lambda: bool(self.directory.upstreams_by_id)
+        )
+
+    def subscribe(self, timer: TimerService, reloader: Reloader) -> None:
+        """Subscribe the periodic parts and those that follow the settings."""
+        timer.subscribe("settings", RELOAD_SECONDS, reloader.look)
+        timer.subscribe("expire", EXPIRE_SECONDS, self.replica.expire)
+        timer.subscribe("waiting", LOOK_SECONDS, self.waiting.look)
+        reloader.subscribe(lambda settings: self.store.move(settings.store_address))
+        reloader.subscribe(
+            lambda settings: self.freshness.rebound(settings.bounds.key_revocation)
+        )
+        reloader.subscribe(lambda settings: self.forwarder.rebound(settings.bounds))
+
+
 def compose_router(
     settings: RouterSettings, load: Callable[[], RouterSettings]
 ) -> tuple[Application, Reloader]:
@@ -66,72 +148,41 @@
     configure_bounded_logging("INFO", instance_id=settings.instance_id)
     timer = TimerService(TrioClock())
     metrics = PrometheusMetrics()
-    bounds = settings.bounds
-    store = HttpRevisionStore(
-        HttpClient(CONNECT_SECONDS, IDLE_CONNECTIONS), settings.store_address
-    )
-    client = HttpClient(CONNECT_SECONDS, IDLE_CONNECTIONS)
-    directory = Directory(settings.heartbeat)
-    layout = StoreLayout(
-        CONFIGURATION_KEY, UPSTREAMS_PREFIX, decode_configuration, decode_upstream
+    parts = RouterParts(
+        settings,
+        HttpClient(CONNECT_SECONDS, IDLE_CONNECTIONS),
+        HttpClient(CONNECT_SECONDS, IDLE_CONNECTIONS),
+        metrics,
+        random.Random(),
     )
-    freshness = Freshness(bounds.key_revocation)
-    replica = Replica(store, layout, directory, freshness)
-    choice = Choice(directory, settings.failure_domain, random.Random())
-    waiting = WaitingRoom(choice)
-    entry = RouterEntry(
-        f"{settings.host}:{settings.peer_port}", settings.failure_domain
-    )
-    membership = Membership(store, replica, settings.instance_id, entry)
+    reloader = Reloader(settings, load)
+    parts.subscribe(timer, reloader)
     peers = PeerExchange(
-        choice.ledger,
-        membership,
+        parts.choice.ledger,
+        parts.membership,
         settings.instance_id,
         settings.failure_domain,
         settings.host,
         settings.peer_port,
     )
-    control = HttpRunnerControl(client)
-    planner = Planner(store, replica, directory, control, settings.instance_id)
-    forwarder = Forwarder(
-        replica=replica,
-        directory=directory,
-        choice=choice,
-        waiting=waiting,
-        membership=membership,
-        client=client,
-        control=control,
-        dialect=PlatformDialect(),
-        bounds=bounds,
-        metrics=metrics,
-        rng=random.Random(),
-    )
-    readiness = Readiness(replica, lambda: bool(directory.upstreams_by_id))
-    reloader = Reloader(settings, load)
-    reloader.subscribe(lambda changed: store.move(changed.store_address))
-    reloader.subscribe(lambda changed: freshness.rebound(changed.bounds.key_revocation))
-    reloader.subscribe(lambda changed: forwarder.rebound(changed.bounds))
-    timer.subscribe("settings", RELOAD_SECONDS, reloader.look)
-    timer.subscribe("expire", EXPIRE_SECONDS, replica.expire)
-    timer.subscribe("waiting", LOOK_SECONDS, waiting.look)
     components = [
-        ReadyListener(settings.ready_address, READINESS_PATH, readiness),
+        ReadyListener(settings.ready_address, READINESS_PATH, parts.readiness),
         MetricsListener(f"{settings.host}:{METRICS_PORT}", metrics),
-        replica,
-        membership,
+        parts.replica,
+        parts.membership,
         peers,
-        planner,
+        parts.planner,
         timer,
         CallerListener(
             settings.caller_address,
-            forwarder,
-            replica,
-            readiness,
-            bounds.grace,
-            max(64, settings.descriptors - RESERVED_DESCRIPTORS),
+            parts.forwarder,
+            parts.replica,
+            parts.readiness,
+            settings.bounds.grace,
+            max(LEAST_CONNECTIONS, settings.descriptors - RESERVED_DESCRIPTORS),
         ),
     ]
-    return Application(components, bounds.grace), reloader
+    return Application(components, settings.bounds.grace), reloader
 
 
 def load_settings() -> RouterSettings:
--- a/wigeondrift/router/entities.py
+++ b/wigeondrift/router/entities.py
@@ -100,6 +100,10 @@
     step_seconds_per_token : float
         Time that each token of context of a writing request adds to a step.
     read_tokens_per_second : float
+    chunk_tokens : float
+        Prompt tokens read in one step at most.
+    steps_per_event : int
+        Token steps between two events of a stream.
     load_seconds : float
         Time to load all layers.
     loads_at_once : int
@@ -119,6 +123,8 @@
     step_seconds_per_request: float
     step_seconds_per_token: float
     read_tokens_per_second: float
+    chunk_tokens: float
+    steps_per_event: int
     load_seconds: float
     loads_at_once: int
     usual_prompt: float
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -21,7 +21,7 @@
 from wigeondrift.http_server import Exchange
 from wigeondrift.metrics import Metric, Metrics
 from wigeondrift.router.calls import CallerRequest, UpstreamHead
-from wigeondrift.router.choice import Choice
+from wigeondrift.router.choice import Choice, Reservation
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.dialect import Dialect
 from wigeondrift.router.entities import (
@@ -35,8 +35,7 @@
 from wigeondrift.router.replica import Replica
 from wigeondrift.router.settings import Bounds
 from wigeondrift.router.waiting import WaitingRoom
-from wigeondrift.systems.chains import Chain
-from wigeondrift.systems.directory import Directory
+from wigeondrift.systems.chains import RouteDemand
 from wigeondrift.systems.repeats import RepeatBudget
 
 # Part of a stream's objective that it may wait for room: the rest is for reading the
@@ -149,14 +148,15 @@
         self.longest_gap: float | None = None
 
     @property
-    def tokens(self) -> float:
-        """Tokens that the request is expected to hold at its end."""
+    def demand(self) -> RouteDemand:
+        """What the request is expected to need of a route."""
         call = self.call
         engine = self.service.engine
         answer = float(call.answer_estimate or engine.usual_answer)
         if call.answer_limit:
             answer = min(answer, float(call.answer_limit))
-        return (call.prompt_tokens or engine.usual_prompt) + answer
+        prompt = float(call.prompt_tokens or engine.usual_prompt)
+        return RouteDemand(prompt + answer, prompt, self.rule.event_gap)
 
 
 class Forwarder:
@@ -165,7 +165,6 @@
     Parameters
     ----------
     replica : Replica
-    directory : Directory
     choice : Choice
     waiting : WaitingRoom
     membership : Membership
@@ -175,6 +174,13 @@
     bounds : Bounds
     metrics : Metrics
     rng : random.Random
+
+    Attributes
+    ----------
+    is_closed : bool
+        Whether new requests are refused.
+    running : int
+        Requests in progress.
     """
 
     __slots__ = (
@@ -184,13 +190,13 @@
         "_client",
         "_control",
         "_dialect",
-        "_directory",
         "_logger",
         "_membership",
         "_metrics",
         "_replica",
         "_rng",
         "_waiting",
+        "is_closed",
         "running",
     )
 
@@ -198,7 +204,6 @@
         self,
         *,
         replica: Replica,
-        directory: Directory,
         choice: Choice,
         waiting: WaitingRoom,
         membership: Membership,
@@ -210,7 +215,6 @@
         rng: random.Random,
     ) -> None:
         self._replica = replica
-        self._directory = directory
         self._choice = choice
         self._waiting = waiting
         self._membership = membership
@@ -222,6 +226,7 @@
         self._rng = rng
         self._budgets_by_service: dict[str, RepeatBudget] = {}
         self._logger = logging.getLogger(LOGGER_NAME)
+        self.is_closed = False
         self.running = 0
 
     def rebound(self, bounds: Bounds) -> None:
@@ -288,6 +293,8 @@
 
     def _admit(self, call: CallerRequest) -> Journey:
         """Find out where a request may go."""
+        if self.is_closed:
+            raise RequestError(ErrorKind.STOPPING, "this instance is stopping")
         replica = self._replica
         configuration = replica.configuration
         if configuration is None:
@@ -428,32 +435,32 @@
 
     async def _try_chain(self, exchange: Exchange, journey: Journey) -> None:
         rule, call = journey.rule, journey.call
-        tokens = journey.tokens
         on_time_until = call.arrived + rule.objective
         wait_until = call.arrived + ROOM_WAIT_SHARE * rule.objective
         if journey.may_have_run:
             # A stream that broke goes on within the caller's patience.
             wait_until = trio.current_time() + STREAM_SILENCE_SECONDS
         asked_at = trio.current_time()
-        chain = await self._waiting.acquire(
-            journey.service, tokens, journey.excluded, on_time_until, wait_until
+        reservation = await self._waiting.acquire(
+            journey.service, journey.demand, journey.excluded, on_time_until, wait_until
         )
         journey.room_seconds += trio.current_time() - asked_at
-        if chain is None:
+        if reservation is None:
             if journey.may_have_run:
                 raise RequestError(ErrorKind.UPSTREAM_LOST, "no room to go on")
             raise RequestError(ErrorKind.QUEUE_TIMEOUT, "no room came free in time")
         try:
-            await self._call(exchange, journey, chain.runners[0], chain)
+            head = reservation.chain.runners[0]
+            await self._call(exchange, journey, head, reservation)
         finally:
-            self._waiting.release(chain, tokens)
+            self._waiting.release(reservation)
 
     async def _call(
         self,
         exchange: Exchange,
         journey: Journey,
         upstream: Upstream,
-        chain: Chain | None,
+        reservation: Reservation | None,
     ) -> None:
         """Send the request to one upstream and pass its answer on."""
         journey.upstreams.append(upstream.upstream_id)
@@ -463,9 +470,9 @@
         journey.may_have_run = True
         try:
             if journey.rule.kind is RequestKind.STREAM:
-                await self._call_guarded(exchange, journey, upstream, chain)
+                await self._call_guarded(exchange, journey, upstream, reservation)
             else:
-                await self._send(exchange, journey, upstream, chain, Progress())
+                await self._send(exchange, journey, upstream, reservation, Progress())
         except ConnectFailed as error:
             journey.attempts -= 1
             journey.may_have_run = had_run
@@ -487,7 +494,7 @@
         exchange: Exchange,
         journey: Journey,
         upstream: Upstream,
-        chain: Chain | None,
+        reservation: Reservation | None,
     ) -> None:
         """Send a request for a stream and end it when its runners fall silent."""
         progress = Progress()
@@ -497,7 +504,7 @@
                 self._guard, journey, upstream, progress, nursery.cancel_scope
             )
             try:
-                await self._send(exchange, journey, upstream, chain, progress)
+                await self._send(exchange, journey, upstream, reservation, progress)
                 progress.ended = True
             except WigeondriftError as error:
                 progress.ended = True
@@ -558,7 +565,7 @@
         exchange: Exchange,
         journey: Journey,
         upstream: Upstream,
-        chain: Chain | None,
+        reservation: Reservation | None,
         progress: "Progress",
     ) -> None:
         call, rule = journey.call, journey.rule
@@ -568,7 +575,7 @@
             upstream.upstream_id,
             journey.team,
             journey.ends_at - now,
-            None if chain is None else chain.route,
+            None if reservation is None else reservation.chain.route,
             journey.events.last_id,
         )
         patience = journey.ends_at - now
@@ -591,7 +598,9 @@
                 load = head.running + (head.waiting or 0)
                 self._choice.note_load(upstream.upstream_id, load)
             if rule.kind is RequestKind.STREAM and head.status == STATUS_OK:
-                await self._pass_stream(exchange, journey, response, head, progress)
+                await self._pass_stream(
+                    exchange, journey, response, head, progress, reservation
+                )
             else:
                 await self._pass_whole(exchange, journey, upstream, response, head)
 
@@ -632,6 +641,7 @@
         response: ClientResponse,
         head: UpstreamHead,
         progress: "Progress",
+        reservation: Reservation | None,
     ) -> None:
         if not head.is_sealed:
             raise ConnectionLost("the answer bears no signature")
@@ -646,6 +656,8 @@
             whole = events.feed(data)
             if not whole:
                 continue
+            if reservation is not None and not progress.has_events:
+                reservation.note_read()
             progress.has_events = True
             if exchange.started:
                 await _write(exchange.send(whole))
--- a/wigeondrift/router/listeners.py
+++ b/wigeondrift/router/listeners.py
@@ -1,5 +1,6 @@
 """Listening sockets of a router: callers, the balancer's questions, metrics."""
 
+import contextlib
 import logging
 
 import trio
@@ -106,11 +107,16 @@
         self._listeners = await trio.open_tcp_listeners(
             port, host=host, backlog=BACKLOG
         )
-        nursery.start_soon(
-            trio.serve_listeners, self._server.serve_stream, self._listeners
-        )
+        nursery.start_soon(self._serve, nursery)
         log_event(self._logger, logging.INFO, Event.STARTED, address=self._address)
 
+    async def _serve(self, nursery: trio.Nursery) -> None:
+        # Connections outlive the listener, which closes first at a planned stop.
+        with contextlib.suppress(trio.ClosedResourceError):
+            await trio.serve_listeners(
+                self._server.serve_stream, self._listeners, handler_nursery=nursery
+            )
+
     def _take_limits(self) -> None:
         configuration = self._replica.configuration
         if configuration is None:
@@ -131,7 +137,12 @@
             Event.STOP_REQUESTED,
             running=self._forwarder.running,
         )
+        self._server.announce_close()
         await trio.sleep(min(NOTICE_SECONDS, GRACE_SHARE * self._grace / 2))
+        # What comes now could not end within the time to stop.
+        self._forwarder.is_closed = True
+        for listener in self._listeners:
+            await listener.aclose()
         self._server.stop_keep_alive()
         ends_at = started_at + GRACE_SHARE * self._grace
         while self._forwarder.running and trio.current_time() < ends_at:
--- a/wigeondrift/router/waiting.py
+++ b/wigeondrift/router/waiting.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from wigeondrift.router.choice import Choice
+from wigeondrift.router.choice import Choice, Reservation
 from wigeondrift.router.entities import ServiceSpec
-from wigeondrift.systems.chains import Chain
+from wigeondrift.systems.chains import RouteDemand
 
 # Room that peers give back shows with their next message, in seconds.
 LOOK_SECONDS = 0.05
@@ -21,28 +21,35 @@
     Attributes
     ----------
     service : ServiceSpec
-    tokens : float
+    demand : RouteDemand
     excluded : collection of str
     on_time_until : float
         Time until which it still earns its full credit, in seconds.
-    chain : Chain or None
-        Reserved for it.
+    reservation : Reservation or None
+        Room that was handed to it.
     """
 
-    __slots__ = ("chain", "event", "excluded", "on_time_until", "service", "tokens")
+    __slots__ = (
+        "demand",
+        "event",
+        "excluded",
+        "on_time_until",
+        "reservation",
+        "service",
+    )
 
     def __init__(
         self,
         service: ServiceSpec,
-        tokens: float,
+        demand: RouteDemand,
         excluded: Collection[str],
         on_time_until: float,
     ) -> None:
         self.service = service
-        self.tokens = tokens
+        self.demand = demand
         self.excluded = excluded
         self.on_time_until = on_time_until
-        self.chain: Chain | None = None
+        self.reservation: Reservation | None = None
         self.event = trio.Event()
 
 
@@ -66,33 +73,33 @@
     async def acquire(
         self,
         service: ServiceSpec,
-        tokens: float,
+        demand: RouteDemand,
         excluded: Collection[str],
         on_time_until: float,
         wait_until: float,
-    ) -> Chain | None:
+    ) -> Reservation | None:
         """Return a reserved route, or None if none had room in time."""
         if not self._waiters:
-            chain = self._choice.choose_chain(service, tokens, excluded)
-            if chain is not None or trio.current_time() >= wait_until:
-                return chain
-        waiter = Waiter(service, tokens, excluded, on_time_until)
+            reservation = self._choice.choose_chain(service, demand, excluded)
+            if reservation is not None or trio.current_time() >= wait_until:
+                return reservation
+        waiter = Waiter(service, demand, excluded, on_time_until)
         self._waiters.append(waiter)
         try:
             with trio.move_on_at(wait_until):
                 await waiter.event.wait()
         except trio.Cancelled:
-            if waiter.chain is not None:
-                self.release(waiter.chain, tokens)
+            if waiter.reservation is not None:
+                self.release(waiter.reservation)
             raise
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
-        return waiter.chain
+        return waiter.reservation
 
-    def release(self, chain: Chain, tokens: float) -> None:
+    def release(self, reservation: Reservation) -> None:
         """Give a route's room back and hand it on."""
-        self._choice.release(chain.route, tokens)
+        reservation.release()
         self.serve()
 
     def serve(self) -> None:
@@ -105,10 +112,10 @@
         )
         failures = 0
         for waiter in order:
-            waiter.chain = self._choice.choose_chain(
-                waiter.service, waiter.tokens, waiter.excluded
+            waiter.reservation = self._choice.choose_chain(
+                waiter.service, waiter.demand, waiter.excluded
             )
-            if waiter.chain is not None:
+            if waiter.reservation is not None:
                 self._waiters.remove(waiter)
                 waiter.event.set()
                 continue
--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -1,15 +1,16 @@
 """Choice of a route over runners that each hold a range of layers.
 
 Answers the load of many concurrent requests over runners of mixed speed: routes that
-share no runner are found when the holdings change; each request takes the one that is
-cheapest by its time for a token, among those with KV cache for it at every stage.
+share no runner are found when the holdings change. Each request takes the one on which
+its first event is expected soonest, by the prompts that wait to be read there, among
+those with KV cache for it at every stage.
 """
 
 from collections.abc import Callable, Iterable
 
 from wigeondrift.entities import Route, Stage
 from wigeondrift.router.entities import EngineSpec, Upstream
-from wigeondrift.systems.room import RoomLedger
+from wigeondrift.systems.room import RoomLedger, Usage
 
 # Time of a token on its way from one runner to another, besides the domains' delay.
 HOP_SECONDS = 0.0003
@@ -25,9 +26,40 @@
 OVERLAPPING_ROUTES = 3
 OVERLAP_FACTOR = 4.0
 
+# A first runner in another failure domain: events take that way to the caller.
+FAR_HEAD_SECONDS = 0.005
+# Part of a stream's length that counts beside its first event: it holds room.
+STREAM_WEIGHT = 0.03
+# Part of the longest pause that a route's steps may take; the rest is for prompts that
+# are read between them.
+GAP_SHARE = 0.7
+# Cost of a route whose events would come too slowly.
+LATE_SECONDS = 2.0
+
 StageCost = Callable[[Upstream, int], float]
 
 
+class RouteDemand:
+    """What a request needs of a route.
+
+    Attributes
+    ----------
+    tokens : float
+        Prompt and expected answer.
+    prompt : float
+        Tokens to read before the first event.
+    event_gap : float
+        Longest pause between events that is on time, in seconds; zero for any.
+    """
+
+    __slots__ = ("event_gap", "prompt", "tokens")
+
+    def __init__(self, tokens: float, prompt: float, event_gap: float = 0.0) -> None:
+        self.tokens = tokens
+        self.prompt = prompt
+        self.event_gap = event_gap
+
+
 class Chain:
     """One route and its runners, kept until the holdings change."""
 
@@ -236,19 +268,29 @@
         )
         return factor * seconds * layers / engine.layers
 
+    def _chunk_seconds(self, runner: Upstream, layers: int, used: Usage) -> float:
+        """Return the time of one step that also reads a chunk of prompts."""
+        engine = self._engine
+        kind = engine.accelerators_by_kind.get(runner.kind)
+        factor = 1.0 if kind is None else kind.read_factor
+        reading = factor * engine.chunk_tokens / engine.read_tokens_per_second
+        share = layers / engine.layers
+        tokens = used.cells / max(1, layers)
+        step = self._stage_seconds(runner, layers, used.requests, tokens)
+        return step + reading * share
+
     def choose(
         self,
-        tokens: float,
+        demand: RouteDemand,
         ledger: RoomLedger,
         excluded: Iterable[str],
         failure_domain: str,
     ) -> Chain | None:
-        """Return the cheapest route with room for a request, None if none has.
+        """Return the best route with room for a request, None if none has.
 
         Parameters
         ----------
-        tokens : float
-            Prompt and expected answer.
+        demand : RouteDemand
         ledger : RoomLedger
             What is in use and how much there is.
         excluded : iterable of str
@@ -261,29 +303,48 @@
         for chain in self.chains:
             if not barred.isdisjoint(chain.route.instance_ids):
                 continue
-            cost = self._weigh(chain, tokens, ledger)
+            cost = self._weigh(chain, demand, ledger)
             if cost is None:
                 continue
             if chain.runners[0].failure_domain != failure_domain:
-                cost += CROSSING_SECONDS
+                cost += FAR_HEAD_SECONDS
             if best is None or cost < best_cost:
                 best, best_cost = chain, cost
         return best
 
-    def _weigh(self, chain: Chain, tokens: float, ledger: RoomLedger) -> float | None:
-        seconds = chain.crossings * CROSSING_SECONDS
+    def _weigh(
+        self, chain: Chain, demand: RouteDemand, ledger: RoomLedger
+    ) -> float | None:
+        """Return the expected time to the first event and part of the rest."""
+        engine = self._engine
+        step_seconds = 0.0
+        own_seconds = 0.0
+        queue_seconds = 0.0
         fullest = 0.0
+        own_chunks = max(1.0, demand.prompt / engine.chunk_tokens)
         for stage, runner in zip(chain.route.stages, chain.runners, strict=True):
             layers = stage.end_layer - stage.first_layer
             total = ledger.get_total(runner)
             used = ledger.get_used(runner.upstream_id)
-            if used.cells + tokens * layers > total * ROOM_SHARE:
+            if used.cells + demand.tokens * layers > total * ROOM_SHARE:
                 return None
             fullest = max(fullest, used.cells / total)
-            seconds += HOP_SECONDS + self._stage_seconds(
-                runner, layers, used.requests, used.cells / max(1, layers)
+            tokens = used.cells / max(1, layers)
+            step_seconds += HOP_SECONDS + self._stage_seconds(
+                runner, layers, used.requests + 1, tokens
             )
+            chunk_seconds = self._chunk_seconds(runner, layers, used)
+            own_seconds += HOP_SECONDS + own_chunks * chunk_seconds
+            ahead = used.reading / engine.chunk_tokens
+            queue_seconds = max(queue_seconds, ahead * chunk_seconds)
         head = chain.runners[0]
-        if ledger.get_heads(head.upstream_id) >= head.slots:
+        if ledger.get_used(head.upstream_id).heads >= head.slots:
             return None
-        return seconds / (1.0 - min(MOST_LOAD, fullest))
+        step_seconds += chain.crossings * CROSSING_SECONDS
+        cost = own_seconds + queue_seconds
+        cost += STREAM_WEIGHT * step_seconds * engine.usual_answer
+        cost /= 1.0 - min(MOST_LOAD, fullest)
+        event_seconds = step_seconds * engine.steps_per_event
+        if demand.event_gap and event_seconds > GAP_SHARE * demand.event_gap:
+            cost += LATE_SECONDS
+        return cost
--- a/wigeondrift/systems/room.py
+++ b/wigeondrift/systems/room.py
@@ -13,10 +13,32 @@
 
 
 class Usage(NamedTuple):
-    """Cells and requests in use at one runner."""
+    """What requests use of one runner.
 
-    cells: float
-    requests: int
+    Attributes
+    ----------
+    cells : float
+        Tokens times layers.
+    requests : int
+    heads : int
+        Requests with the runner as their first stage.
+    reading : float
+        Prompt tokens that are still to be read.
+    """
+
+    cells: float = 0.0
+    requests: int = 0
+    heads: int = 0
+    reading: float = 0.0
+
+    def add(self, other: "Usage", sign: int = 1) -> "Usage":
+        """Return the sum, or the difference if ``sign`` is -1."""
+        return Usage(
+            self.cells + sign * other.cells,
+            self.requests + sign * other.requests,
+            self.heads + sign * other.heads,
+            self.reading + sign * other.reading,
+        )
 
 
 class PeerUsage(msgspec.Struct, array_like=True):
@@ -26,17 +48,16 @@
     ----------
     instance_id : str
     sequence : int
-        Grows with each message of one incarnation.
-    usage_by_id : dict of str to (float, int, int)
-        Cells, requests, and requests with the runner as their first stage.
+        Grows with each message, also over restarts.
+    usage_by_id : dict of str to Usage
     """
 
     instance_id: str
     sequence: int
-    usage_by_id: dict[str, tuple[float, int, int]]
+    usage_by_id: dict[str, Usage]
 
 
-_NOTHING = (0.0, 0, 0)
+_NOTHING = Usage()
 
 
 class RoomLedger:
@@ -52,46 +73,57 @@
 
     def __init__(self, get_total) -> None:
         self._get_total = get_total
-        self._own_by_id: dict[str, tuple[float, int, int]] = {}
+        self._own_by_id: dict[str, Usage] = {}
         self._peers_by_id: dict[str, tuple[float, PeerUsage]] = {}
-        self._summed_by_id: dict[str, tuple[float, int, int]] = {}
+        self._summed_by_id: dict[str, Usage] = {}
 
     def get_total(self, runner: Upstream) -> float:
         """Return the cells that a runner has beside its weights."""
         return self._get_total(runner)
 
     def get_used(self, upstream_id: str) -> Usage:
-        """Return the cells and requests in use at a runner."""
-        cells, requests, _ = self._own_by_id.get(upstream_id, _NOTHING)
-        more_cells, more_requests, _ = self._summed_by_id.get(upstream_id, _NOTHING)
-        return Usage(cells + more_cells, requests + more_requests)
-
-    def get_heads(self, upstream_id: str) -> int:
-        """Return the requests with a runner as their first stage."""
-        own = self._own_by_id.get(upstream_id, _NOTHING)[2]
-        return own + self._summed_by_id.get(upstream_id, _NOTHING)[2]
+        """Return what is in use at a runner."""
+        own = self._own_by_id.get(upstream_id, _NOTHING)
+        peers = self._summed_by_id.get(upstream_id)
+        return own if peers is None else own.add(peers)
+
+    def reserve(self, route: Route, tokens: float, prompt: float = 0.0) -> None:
+        """Note that a request runs over a route.
+
+        Parameters
+        ----------
+        route : Route
+        tokens : float
+            Prompt and expected answer.
+        prompt : float
+            Tokens to read before the first one is written.
+        """
+        for index, stage in enumerate(route.stages):
+            layers = stage.end_layer - stage.first_layer
+            added = Usage(tokens * layers, 1, int(index == 0), prompt)
+            self._change(stage.instance_id, added, 1)
 
-    def reserve(self, route: Route, tokens: float) -> None:
-        """Note that a request runs over a route."""
-        self._add(route, tokens, 1)
+    def note_read(self, route: Route, prompt: float) -> None:
+        """Note that the prompt of a request has been read."""
+        for stage in route.stages:
+            self._change(stage.instance_id, Usage(reading=prompt), -1)
 
-    def release(self, route: Route, tokens: float) -> None:
-        """Note that a request no longer runs over a route."""
-        self._add(route, tokens, -1)
+    def release(self, route: Route, tokens: float, prompt: float = 0.0) -> None:
+        """Note that a request no longer runs over a route.
 
-    def _add(self, route: Route, tokens: float, sign: int) -> None:
+        ``prompt`` is what had not been noted as read.
+        """
         for index, stage in enumerate(route.stages):
-            cells, requests, heads = self._own_by_id.get(stage.instance_id, _NOTHING)
             layers = stage.end_layer - stage.first_layer
-            left = (
-                cells + sign * tokens * layers,
-                requests + sign,
-                heads + (sign if index == 0 else 0),
-            )
-            if left[1] > 0:
-                self._own_by_id[stage.instance_id] = left
-            else:
-                self._own_by_id.pop(stage.instance_id, None)
+            added = Usage(tokens * layers, 1, int(index == 0), prompt)
+            self._change(stage.instance_id, added, -1)
+
+    def _change(self, upstream_id: str, amount: Usage, sign: int) -> None:
+        left = self._own_by_id.get(upstream_id, _NOTHING).add(amount, sign)
+        if left.requests > 0:
+            self._own_by_id[upstream_id] = left
+        else:
+            self._own_by_id.pop(upstream_id, None)
 
     def describe_own(self, instance_id: str, sequence: int) -> PeerUsage:
         """Return the message that tells peers of the own reservations."""
@@ -119,13 +151,9 @@
             self._sum_peers(now)
 
     def _sum_peers(self, now: float) -> None:
-        summed: dict[str, tuple[float, int, int]] = {}
-        for _, usage in self._peers_by_id.values():
-            for upstream_id, (cells, requests, heads) in usage.usage_by_id.items():
+        summed: dict[str, Usage] = {}
+        for _, message in self._peers_by_id.values():
+            for upstream_id, usage in message.usage_by_id.items():
                 known = summed.get(upstream_id, _NOTHING)
-                summed[upstream_id] = (
-                    known[0] + cells,
-                    known[1] + requests,
-                    known[2] + heads,
-                )
+                summed[upstream_id] = known.add(usage)
         self._summed_by_id = summed
--- /dev/null
+++ b/wigeondrift_emulator/memory_network.py
@@ -0,0 +1,89 @@
+"""HTTP servers that are reached over memory streams, in virtual time."""
+
+import trio
+from trio.testing import memory_stream_pair
+
+from wigeondrift.errors import ConnectFailed
+from wigeondrift.http_client import ClientChannel, HttpClient
+from wigeondrift.http_server import Handler, HttpServer
+
+
+class MemoryNetwork:
+    """Servers by address, and what is wrong with the way to them.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Runs the connections.
+
+    Attributes
+    ----------
+    silent : set of str
+        Addresses that take connections and say nothing.
+    connects_by_address : dict of str to int
+        Connections made so far.
+    """
+
+    __slots__ = (
+        "_nursery",
+        "_servers_by_address",
+        "_streams_by_address",
+        "connects_by_address",
+        "silent",
+    )
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self._servers_by_address: dict[str, HttpServer] = {}
+        self._streams_by_address: dict[str, list[trio.abc.Stream]] = {}
+        self.silent: set[str] = set()
+        self.connects_by_address: dict[str, int] = {}
+
+    def listen(self, address: str, handler: Handler) -> None:
+        """Serve an address."""
+        self._servers_by_address[address] = HttpServer(handler)
+
+    async def crash(self, address: str) -> None:
+        """End a server and its connections."""
+        self._servers_by_address.pop(address, None)
+        for stream in self._streams_by_address.pop(address, ()):
+            await trio.aclose_forcefully(stream)
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        """Return a new connection.
+
+        Raises
+        ------
+        ConnectFailed
+            If nothing listens there.
+        """
+        await trio.lowlevel.checkpoint()
+        server = self._servers_by_address.get(address)
+        if server is None:
+            raise ConnectFailed(f"no connection to {address}")
+        known = self.connects_by_address.get(address, 0)
+        self.connects_by_address[address] = known + 1
+        ours, theirs = memory_stream_pair()
+        if address not in self.silent:
+            self._streams_by_address.setdefault(address, []).append(theirs)
+            self._nursery.start_soon(server.serve_stream, theirs)
+        return ours
+
+
+class MemoryClient(HttpClient):
+    """Client on a memory network.
+
+    Parameters
+    ----------
+    network : MemoryNetwork
+    """
+
+    __slots__ = ("_network",)
+
+    def __init__(self, network: MemoryNetwork) -> None:
+        super().__init__()
+        self._network = network
+
+    async def connect(self, address: str) -> ClientChannel:
+        """Return a new connection."""
+        return ClientChannel(await self._network.connect(address))
