--- a/tests/features/steps/router_steps.py
+++ b/tests/features/steps/router_steps.py
@@ -66,6 +66,9 @@
 @given('every first stage has the fault "{fault}"')
 def break_first_stages(context, fault):
     set_fault(context, FIRST_STAGES, fault)
+    for name in FIRST_STAGES:
+        # More than two attempts bring before the fault.
+        context.world.servers_by_id[name].events = 20
 
 
 @given('every member has the fault "{fault}"')
--- a/wigeondrift/systems/placement.py
+++ b/wigeondrift/systems/placement.py
@@ -78,11 +78,15 @@
                 domain = runner.failure_domain
                 runners_by_domain.setdefault(domain, []).append(runner)
         changes: dict[str, Range] = {}
-        for members in runners_by_domain.values():
-            self._plan_domain(members, planned, changes)
         everyone = [r for members in runners_by_domain.values() for r in members]
-        if not self._has_copy(everyone, planned):
-            self._plan_across(everyone, planned, changes)
+        former = None
+        # A copy made across domains may leave one that a domain can complete.
+        while former != planned:
+            former = dict(planned)
+            for members in runners_by_domain.values():
+                self._plan_domain(members, planned, changes)
+            if not self._has_copy(everyone, planned):
+                self._plan_across(everyone, planned, changes)
         return changes
 
     def _rank(self, runner: Upstream) -> tuple[float, str]:
@@ -96,9 +100,9 @@
         changes: dict[str, Range],
     ) -> None:
         free = [runner for runner in members if runner.upstream_id not in planned]
-        holds_any = len(free) < len(members)
-        if holds_any:
-            self._fill_gaps(members, free, planned, changes)
+        if len(free) < len(members):
+            self._complete(members, free, planned, changes)
+        if self._has_copy(members, planned):
             self._strengthen(members, free, planned, changes)
         while free:
             team = self._take_team(free, COPY_MEMORY_FACTOR)
@@ -108,6 +112,23 @@
                 return
             self._assign(team, (0, self._engine.layers), planned, changes)
 
+    def _complete(
+        self,
+        members: list[Upstream],
+        free: list[Upstream],
+        planned: dict[str, Range],
+        changes: dict[str, Range],
+    ) -> None:
+        """Fill the gaps of a domain's copy, or leave it if some would stay."""
+        left = list(free)
+        tried = dict(planned)
+        orders: dict[str, Range] = {}
+        self._fill_gaps(members, left, tried, orders)
+        if self._has_copy(members, tried):
+            free[:] = left
+            planned.update(tried)
+            changes.update(orders)
+
     def _plan_across(
         self,
         everyone: list[Upstream],
@@ -133,7 +154,7 @@
             if memory >= needed:
                 team = free[:count]
                 if self._split(team, self._engine.layers) is None:
-                    return None
+                    continue
                 del free[:count]
                 return team
         return None
