--- a/tests/features/steps/placement_steps.py
+++ b/tests/features/steps/placement_steps.py
@@ -1,10 +1,8 @@
 import random
 
-import msgspec
 from behave import given, then, when
 
-from tests.router_world import make_configuration
-from wigeondrift.platform.configuration import decode_configuration
+from tests.router_world import make_engine
 from wigeondrift.router.entities import Upstream
 from wigeondrift.systems.placement import Placement
 
@@ -12,11 +10,6 @@
 DOMAINS = ("east", "west", "north")
 
 
-def make_engine():
-    data = msgspec.json.encode(make_configuration())
-    return decode_configuration(data).services_by_name["model"].engine
-
-
 def make_runner(name, domain, kind, first=0, end=0):
     return Upstream(
         name, "model", f"10.1.0.1:{len(name)}", domain, False, 4, kind, first, end, 1
--- /dev/null
+++ b/tests/features/steps/router_decisions_steps.py
@@ -0,0 +1,390 @@
+import random
+import re
+
+import msgspec
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from tests.router_world import make_engine
+from wigeondrift.entities import Route, Stage
+from wigeondrift.errors import (
+    ConfigurationError,
+    ProtocolViolation,
+    SettingsError,
+    UpstreamEntryError,
+)
+from wigeondrift.platform.configuration import decode_configuration
+from wigeondrift.platform.settings import parse_settings
+from wigeondrift.platform.upstreams import decode_report, decode_upstream
+from wigeondrift.router.entities import Upstream
+from wigeondrift.router.event_stream import EventBuffer
+from wigeondrift.router.replica import BATCH_SECONDS
+from wigeondrift.systems.chains import ChainBook, RouteDemand
+from wigeondrift.systems.directory import Directory
+from wigeondrift.systems.freshness import Freshness
+from wigeondrift.systems.placement import Placement
+from wigeondrift.systems.repeats import RepeatBudget
+from wigeondrift.systems.room import PeerUsage, RoomLedger, Usage
+
+HEARTBEAT = 1.2
+PROMPT = 400.0
+SETTINGS = """\
+node=front-1
+zone=east
+ip=10.1.0.1
+listen.front=10.1.0.1:80
+listen.ready=10.1.0.1:81
+internal_ports=7000,7010
+platform.address=10.9.0.1:80
+bounds.revoke_strict=true
+bounds.revoke_ms=5000
+"""
+
+
+def make_plain(name):
+    return Upstream(name, "desk", "10.1.0.1:80", "east", False, 4)
+
+
+@given('a directory with the upstreams "{names}"')
+def make_directory(context, names):
+    context.now = 100.0
+    context.directory = Directory(HEARTBEAT)
+    context.directory.note_answer(context.now)
+    context.directory.replace_all(map(make_plain, names.split()), context.now)
+
+
+@when("the store answers every second for {seconds:d} seconds")
+def answer(context, seconds):
+    for _ in range(seconds):
+        context.now += 1.0
+        context.directory.note_answer(context.now)
+
+
+@when("the store is silent for {seconds:d} seconds and answers again")
+def be_silent(context, seconds):
+    context.now += seconds
+    context.directory.note_answer(context.now)
+
+
+@when('"{name}" is removed')
+def remove(context, name):
+    context.directory.remove(name, context.now)
+
+
+@when('"{name}" is put back')
+def put_back(context, name):
+    context.directory.put(make_plain(name))
+
+
+@when("{seconds:f} seconds pass")
+def pass_time(context, seconds):
+    context.now += seconds
+    context.directory.expire(context.now)
+
+
+@then('the directory holds "{names}"')
+def check_directory(context, names):
+    assert sorted(context.directory.upstreams_by_id) == names.split()
+
+
+@then("the budgets of {count:d} routers keep together to what all may repeat")
+def check_budgets(context, count):
+    rng = random.Random(7)
+    for _ in range(50):
+        ratio, slack, window = 0.2, 198.0, 10.0
+        budgets = [RepeatBudget(ratio, slack, window) for _ in range(count)]
+        shares = [rng.random() ** 3 for _ in budgets]
+        requests, repeats = [], []
+        now = 0.0
+        while now < 30.0:
+            now += rng.expovariate(80.0)
+            budget = rng.choices(budgets, shares)[0]
+            budget.note_request(now)
+            requests.append(now)
+            while rng.random() < 0.7 and budget.take(count - 1, now):
+                repeats.append(now)
+            if rng.random() < 0.002:
+                # A router starts again and has forgotten its repeats.
+                budgets[budgets.index(budget)] = RepeatBudget(ratio, slack, window)
+        for end in repeats:
+            made = sum(1 for at in repeats if end - window < at <= end)
+            taken = sum(1 for at in requests if end - window < at <= end)
+            assert made <= ratio * taken + slack, (made, taken)
+
+
+@given("a bound of {seconds:d} seconds on keys taken away")
+def make_freshness(context, seconds):
+    context.bound = seconds
+    context.freshness = Freshness(float(seconds))
+
+
+@when("it was confirmed by a question sent {age:f} seconds ago")
+def confirm(context, age):
+    context.freshness.confirm(100.0 - age)
+
+
+@then("keys are trusted")
+def check_trusted(context):
+    assert context.freshness.is_current(100.0)
+
+
+@then("keys are not trusted")
+def check_not_trusted(context):
+    assert not context.freshness.is_current(100.0)
+
+
+@then("two watches and a pause between them end before keys are not trusted")
+def check_watches(context):
+    freshness = context.freshness
+    freshness.confirm(0.0)
+    for delay in (0.0, 0.1, 0.3, 0.7):
+        watch = freshness.get_watch_seconds(delay) + delay
+        assert freshness.is_current(2 * watch + BATCH_SECONDS), delay
+
+
+def make_events(count):
+    return [b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(count)]
+
+
+@then("random cuts of a stream of {count:d} events give the same events")
+def check_cuts(context, count):
+    whole = b"".join(make_events(count))
+
+    @settings(max_examples=200, derandomize=True, database=None, deadline=None)
+    @for_all(st.lists(st.integers(0, len(whole)), max_size=30))
+    def check(cuts):
+        buffer = EventBuffer()
+        passed = b""
+        places = [0, *sorted(cuts), len(whole)]
+        for first, end in zip(places, places[1:], strict=False):
+            part = buffer.feed(whole[first:end])
+            assert not part or part.endswith(b"\n\n")
+            passed += part
+        assert passed == whole
+        assert buffer.last_id == count - 1
+        assert not buffer.has_pending
+
+    check()
+
+
+@then("a stream that repeats an event is refused")
+def check_repeat(context):
+    first, second = make_events(2)
+    for data in (first + first, first + second + first):
+        try:
+            EventBuffer().feed(data)
+        except ProtocolViolation:
+            continue
+        raise AssertionError(data)
+
+
+@given('two routes of which "fast" is cheaper')
+def make_routes(context):
+    context.runners_by_route = {
+        "fast": [make_holder("f1", "large", 0, 40), make_holder("f2", "large", 40, 80)],
+        "slow": [make_holder("s1", "small", 0, 40), make_holder("s2", "small", 40, 80)],
+    }
+    context.engine = make_engine()
+    runners = [r for group in context.runners_by_route.values() for r in group]
+    context.book = ChainBook(context.engine, runners)
+    placement = Placement(context.engine)
+    context.ledger = RoomLedger(
+        lambda r: placement.get_room(r, r.held_layers) * r.held_layers
+    )
+    check_choice(context, "fast")
+
+
+def make_holder(name, kind, first, end, version=1):
+    return Upstream(
+        name, "model", f"10.2.0.{len(name)}:80", "east", False, 40, kind, first, end,
+        version,
+    )  # fmt: skip
+
+
+def make_route(context, name):
+    return Route(
+        "",
+        tuple(
+            Stage(r.upstream_id, r.address, r.first_layer, r.end_layer)
+            for r in context.runners_by_route[name]
+        ),
+    )
+
+
+@when('{count:d} prompts wait on "{name}"')
+def wait_prompts(context, count, name):
+    context.waiting = (make_route(context, name), count)
+    for _ in range(count):
+        context.ledger.reserve(context.waiting[0], 1.0, PROMPT)
+
+
+@when("they have been read")
+def read_prompts(context):
+    route, count = context.waiting
+    for _ in range(count):
+        context.ledger.note_read(route, PROMPT)
+
+
+@when('the cache of "{name}" is full')
+def fill_cache(context, name):
+    context.ledger.reserve(make_route(context, name), 1e6)
+
+
+@when('a peer tells that it fills the cache of "{name}"')
+def hear_peer(context, name):
+    usage_by_id = {
+        runner.upstream_id: Usage(1e9, 1, 0, 0.0)
+        for runner in context.runners_by_route[name]
+    }
+    context.ledger.apply_peer(PeerUsage("peer", 5, usage_by_id), 100.0)
+
+
+@when("the peer is silent for {seconds:d} seconds")
+def forget_peer(context, seconds):
+    context.ledger.forget_silent(100.0 + seconds)
+
+
+def choose(context):
+    demand = RouteDemand(20.0, PROMPT, 0.2)
+    chain = context.book.choose(demand, context.ledger, (), "east")
+    return None if chain is None else set(chain.route.instance_ids)
+
+
+@then('the next request takes "{name}"')
+def check_choice(context, name):
+    wanted = {runner.upstream_id for runner in context.runners_by_route[name]}
+    assert choose(context) == wanted, choose(context)
+
+
+@then("the next request takes none")
+def check_no_choice(context):
+    assert choose(context) is None
+
+
+def parse_runners(text, versions=(1, 1, 1, 1)):
+    runners = []
+    for word, version in zip(text.split(), versions, strict=False):
+        name, first, end = re.fullmatch(r"(\w+):(\d+)-(\d+)", word).groups()
+        runners.append(make_holder(name, "large", int(first), int(end), version))
+    return runners
+
+
+@given('runners "{text}" without "{name}"')
+def make_without(context, text, name):
+    runners = [r for r in parse_runners(text) if r.upstream_id != name]
+    context.book = ChainBook(make_engine(), runners)
+
+
+@given('runners "{text}" with weights of different versions')
+def make_versions(context, text):
+    context.book = ChainBook(make_engine(), parse_runners(text, (1, 2)))
+
+
+@then('there is a route over "{one}" or "{other}"')
+def check_either(context, one, other):
+    found = [" ".join(chain.route.instance_ids) for chain in context.book.chains]
+    assert one in found or other in found, found
+    for chain in context.book.chains:
+        at = 0
+        for stage in chain.route.stages:
+            assert stage.first_layer == at < stage.end_layer
+            at = stage.end_layer
+        assert at == 80
+
+
+@then("the book has no route")
+def check_none(context):
+    assert context.book.chains == []
+
+
+FIELD_NAMES = st.sampled_from(
+    [
+        "service",
+        "address",
+        "zone",
+        "state",
+        "slots",
+        "kind",
+        "layers",
+        "from",
+        "to",
+        "version",
+        "born",
+        "seq",
+        "busy",
+        "running",
+        "kv_used",
+        "pace",
+        "stalled",
+        "id",
+        "routes",
+        "name",
+        "host",
+        "prefix",
+        "timeout_ms",
+        "services",
+        "engine",
+        "tenants",
+        "api_keys",
+        "limits",
+        "split",
+    ]
+)
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda children: (
+        st.lists(children, max_size=3)
+        | st.dictionaries(FIELD_NAMES, children, max_size=6)
+    ),
+    max_leaves=12,
+)
+
+
+@then("{count:d} random documents are decoded or refused as unreadable")
+def check_documents(context, count):
+    documents = st.binary(max_size=60) | JSON_VALUES.map(msgspec.json.encode)
+
+    @settings(max_examples=count, derandomize=True, database=None, deadline=None)
+    @for_all(documents)
+    def check(data):
+        for decode, error in (
+            (lambda data: decode_upstream("i-1", data), UpstreamEntryError),
+            (decode_report, ProtocolViolation),
+            (decode_configuration, ConfigurationError),
+        ):
+            try:
+                decode(data)
+            except error:
+                continue
+
+    check()
+
+
+@then("settings with unknown fields load")
+def check_settings(context):
+    parsed = parse_settings(SETTINGS + "new.field=1\nno separator\n")
+    assert parsed.instance_id == "front-1"
+    assert parsed.peer_port == 7000
+    assert parsed.bounds.key_revocation == 5.0
+
+
+@then("settings without the address of the store are refused by name")
+def check_missing(context):
+    try:
+        parse_settings(SETTINGS.replace("platform.address", "other"))
+    except SettingsError as error:
+        assert "platform.address" in str(error)
+    else:
+        raise AssertionError("accepted")
+
+
+@then("settings with a bad number are refused")
+def check_bad_number(context):
+    try:
+        parse_settings(SETTINGS.replace("5000", "soon"))
+    except SettingsError as error:
+        assert "soon" in str(error)
+    else:
+        raise AssertionError("accepted")
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -9,6 +9,7 @@
 
 from wigeondrift.http_server import HttpServer
 from wigeondrift.metrics import NullMetrics
+from wigeondrift.platform.configuration import decode_configuration
 from wigeondrift.router.composition import RouterParts
 from wigeondrift.router.settings import Bounds, RouterSettings
 from wigeondrift_emulator.memory_network import MemoryClient, MemoryNetwork
@@ -78,6 +79,11 @@
     return {**configuration, **more}
 
 
+def make_engine():
+    data = msgspec.json.encode(make_configuration())
+    return decode_configuration(data).services_by_name["model"].engine
+
+
 class Answer:
     """What a caller got: ``status`` is 0 if the connection ended without one."""
 
--- a/wigeondrift/platform/settings.py
+++ b/wigeondrift/platform/settings.py
@@ -7,9 +7,15 @@
 MS_PER_SECOND = 1000.0
 
 
-def parse_settings(text: str) -> RouterSettings:
+def parse_settings(text: str, path: str = "settings") -> RouterSettings:
     """Return the settings that the lines hold; unknown fields are left aside.
 
+    Parameters
+    ----------
+    text : str
+    path : str
+        File that holds them, for the error.
+
     Raises
     ------
     SettingsError
@@ -23,9 +29,9 @@
     try:
         return _make_settings(values_by_name)
     except KeyError as error:
-        raise SettingsError(f"the settings lack the field {error}") from error
+        raise SettingsError(path, error.args[0], "the field is missing") from error
     except ValueError as error:
-        raise SettingsError(f"the settings hold a bad value: {error}") from error
+        raise SettingsError(path, "$", f"bad value: {error}") from error
 
 
 def _make_settings(values_by_name: dict[str, str]) -> RouterSettings:
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -195,12 +195,12 @@
     """
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
-        raise SettingsError(f"the variable {SETTINGS_VARIABLE} is not set")
+        raise SettingsError("", SETTINGS_VARIABLE, "the variable is not set")
     try:
         text = Path(path).read_text()
     except OSError as error:
-        raise SettingsError(f"the settings can't be read: {error}") from error
-    return parse_settings(text)
+        raise SettingsError(path, "$", error.strerror or "unreadable") from error
+    return parse_settings(text, path)
 
 
 def exit_with(error: SettingsError) -> None:
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -84,6 +84,7 @@
     """
 
     __slots__ = (
+        "_delay",
         "_directory",
         "_freshness",
         "_get_time",
@@ -114,6 +115,7 @@
         self._logger = logging.getLogger(LOGGER_NAME)
         self._revision = 0
         self._is_lost = False
+        self._delay = 0.0
         self._subscribers: list[Callable[[], None]] = []
         self._unreadable_by_id: dict[str, bytes] = {}
         self.configuration: Configuration | None = None
@@ -180,8 +182,11 @@
     async def _watch_once(self) -> None:
         asked_at = self._get_time()
         # After a failure the first answer should come at once.
-        wait = 0.0 if self._is_lost else self._freshness.watch_seconds
+        wait = 0.0
+        if not self._is_lost:
+            wait = self._freshness.get_watch_seconds(self._delay)
         page = await self._store.watch("", self._revision, wait)
+        self._delay = max(0.0, self._get_time() - asked_at - wait)
         self._note_answer()
         for item in page.items:
             self._apply(item)
--- a/wigeondrift/systems/freshness.py
+++ b/wigeondrift/systems/freshness.py
@@ -1,12 +1,14 @@
 """How old the configuration in force may be before requests with keys are refused."""
 
-# Share of the bound at which a router stops serving; the rest covers clocks and the
-# time between the check and the send.
-SAFE_SHARE = 0.85
-# Waits of a watch are this share of the bound, so that two fit in a row.
-WATCH_SHARE = 0.3
-# Wait of a watch where no bound is set, in seconds.
+# Share of the bound at which a router stops serving: the request was sent before it was
+# checked, so that only the clocks' drift is to be covered.
+SAFE_SHARE = 0.96
+# Two watches fit into the bound with this much to spare, in seconds: for the pause
+# after changes and for a call that is answered slowly.
+SPARE_SECONDS = 0.7
+# Bounds on the wait of a watch, in seconds.
 LONGEST_WATCH_SECONDS = 5.0
+SHORTEST_WATCH_SECONDS = 0.3
 
 
 class Freshness:
@@ -28,12 +30,21 @@
         self._bound = bound
         self._confirmed_at: float | None = None
 
-    @property
-    def watch_seconds(self) -> float:
-        """Wait of a watch that confirms often enough."""
+    def get_watch_seconds(self, delay: float) -> float:
+        """Return the wait of a watch that confirms often enough.
+
+        A watch confirms what held when it was asked for, so the confirmation is up to
+        two watches old before the next one comes.
+
+        Parameters
+        ----------
+        delay : float
+            Time that the store lately took beyond the wait, in seconds.
+        """
         if self._bound <= 0.0:
             return LONGEST_WATCH_SECONDS
-        return min(LONGEST_WATCH_SECONDS, WATCH_SHARE * self._bound)
+        wait = (SAFE_SHARE * self._bound - SPARE_SECONDS) / 2.0 - delay
+        return min(LONGEST_WATCH_SECONDS, max(SHORTEST_WATCH_SECONDS, wait))
 
     def rebound(self, bound: float) -> None:
         """Take another bound, in seconds."""
