--- a/tests/features/router.feature
+++ b/tests/features/router.feature
@@ -165,3 +165,10 @@
   Scenario: Requests without a route or with another one's bytes stay apart
     When 6 callers ask for drafts at once
     Then each gets its own events 0 to 5
+
+  Scenario: A planned stop cuts no stream and takes no connection after its notice
+    Given the router listens on a socket and is told to stop while a stream runs
+    Then the stream came whole
+    And its connection was closed after the answer
+    And a later connection was not taken
+    And the router ended by itself
--- a/tests/features/steps/router_steps.py
+++ b/tests/features/steps/router_steps.py
@@ -4,8 +4,12 @@
 import trio
 from behave import given, then, when
 
-from tests.router_world import KEY, TEAM, RouterWorld
+from tests.processes import free_address
+from tests.router_world import KEY, TEAM, Answer, RouterWorld
+from wigeondrift.address import parse_address
+from wigeondrift.application import Application
 from wigeondrift.entities import Route, Stage
+from wigeondrift.router.listeners import CallerListener
 
 MEMBERS = ("d1", "d2")
 FIRST_COPY = ("a1", "a2")
@@ -421,3 +425,80 @@
             assert KEY not in str(msgspec.json.encode(request.headers))
 
     run_to_here(context, check)
+
+
+@given("the router listens on a socket and is told to stop while a stream runs")
+def stop_while_streaming(context):
+    # Sockets need the real clock; nothing here is measured against it.
+    world = context.world
+    world.servers_by_id["a1"].events = 30
+    address = free_address()
+
+    async def stop(world):
+        listener = CallerListener(
+            address,
+            world.parts.forwarder,
+            world.parts.replica,
+            world.parts.readiness,
+            grace=8.0,
+            connections=10,
+            notice=0.1,
+        )
+        application = Application([listener], 8.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(application.run)
+            await trio.sleep(0.1)
+            host, port = parse_address(address)
+            stream = await trio.open_tcp_stream(host, port)
+            nursery.start_soon(ask_over, world, context, stream)
+            while not world.servers_by_id["a1"].served:
+                await trio.sleep(0.01)
+            application.stop_requested.set()
+            await trio.sleep(0.3)
+            try:
+                await trio.open_tcp_stream(host, port)
+            except OSError:
+                context.was_refused = True
+        context.has_ended = True
+
+    context.steps.append(stop)
+    context.play = play_in_real_time
+
+
+async def ask_over(world, context, stream):
+    answer = Answer()
+    context.answers.append(answer)
+    await world.talk(answer, stream, "/draft/1", "POST", awaits_close=True)
+
+
+def play_in_real_time(context):
+    context.world.clock = None
+    play(context)
+
+
+@then("the stream came whole")
+def check_stream_whole(context):
+    def check(world):
+        assert context.answers[-1].event_ids == list(range(30))
+        assert context.answers[-1].is_whole
+
+    run_to_here(context, check)
+
+
+@then("its connection was closed after the answer")
+def check_closing(context):
+    def check(world):
+        # The head went out before the stop; what counts is the end of the connection.
+        assert context.answers[-1].is_closed
+
+    run_to_here(context, check)
+
+
+@then("a later connection was not taken")
+def check_refused(context):
+    run_to_here(context, lambda world: check_true(context.was_refused))
+
+
+@then("the router ended by itself")
+def check_ended(context):
+    run_to_here(context, lambda world: check_true(context.has_ended))
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -92,7 +92,9 @@
         self.headers = {}
         self.body = b""
         self.is_whole = False
+        self.is_closed = False
         self.seconds = 0.0
+        self.ended_at = 0.0
 
     @property
     def event_ids(self):
@@ -104,6 +106,7 @@
     """Runs a scenario against one router."""
 
     def __init__(self, settings=None):
+        self.clock = MockClock(autojump_threshold=0)
         self.store = RevisionServer()
         self.servers_by_id = {}
         self.entries_by_id = {}
@@ -175,7 +178,7 @@
                 await scenario(self)
                 nursery.cancel_scope.cancel()
 
-        trio.run(main, clock=MockClock(autojump_threshold=0))
+        trio.run(main, clock=self.clock)
 
     async def _keep_time(self):
         while True:
@@ -196,6 +199,21 @@
         ours, theirs = memory_stream_pair()
         server = HttpServer(self.parts.forwarder.handle)
         self.nursery.start_soon(server.serve_stream, theirs)
+        await self.talk(answer, ours, path, method, headers, key, patience, body)
+
+    async def talk(
+        self,
+        answer,
+        stream,
+        path,
+        method,
+        headers=(),
+        key=KEY,
+        patience=3.0,
+        body=b"body",
+        awaits_close=False,
+    ):
+        """Send one request on a connection and read its answer."""
         started_at = trio.current_time()
         whole = [
             ("Host", HOST),
@@ -214,16 +232,28 @@
         if method != "GET":
             data += connection.send(h11.Data(data=body))
         data += connection.send(h11.EndOfMessage())
-        async with ours:
-            await ours.send_all(data)
-            await _read(answer, connection, ours)
-        answer.seconds = trio.current_time() - started_at
+        async with stream:
+            await stream.send_all(data)
+            await _read(answer, connection, stream)
+            if awaits_close:
+                answer.is_closed = await _is_closed(stream)
+            answer.seconds = answer.ended_at - started_at
 
     def _count(self):
         self._calls = getattr(self, "_calls", 0) + 1
         return self._calls
 
 
+async def _is_closed(stream):
+    """Whether the peer closes an idle connection."""
+    with trio.move_on_after(1.0):
+        try:
+            return not await stream.receive_some(1)
+        except trio.BrokenResourceError:
+            return True
+    return False
+
+
 async def _read(answer, connection, stream):
     while True:
         try:
@@ -244,6 +274,7 @@
             answer.body += event.data
         elif isinstance(event, h11.EndOfMessage):
             answer.is_whole = True
+            answer.ended_at = trio.current_time()
             return
         else:
             return
--- a/wigeondrift/router/listeners.py
+++ b/wigeondrift/router/listeners.py
@@ -1,6 +1,5 @@
 """Listening sockets of a router: callers, the balancer's questions, metrics."""
 
-import contextlib
 import logging
 
 import trio
@@ -67,15 +66,19 @@
         Time between the request to stop and the kill, in seconds.
     connections : int
         Most connections at once.
+    notice : float
+        Time in which the balancer learns of a stop, in seconds.
     """
 
     __slots__ = (
+        "_accepting",
         "_address",
         "_forwarder",
         "_grace",
         "_limits",
         "_listeners",
         "_logger",
+        "_notice",
         "_readiness",
         "_replica",
         "_server",
@@ -89,7 +92,10 @@
         readiness: Readiness,
         grace: float,
         connections: int,
+        notice: float = NOTICE_SECONDS,
     ) -> None:
+        self._accepting = trio.CancelScope()
+        self._notice = notice
         self._address = address
         self._forwarder = forwarder
         self._replica = replica
@@ -112,7 +118,7 @@
 
     async def _serve(self, nursery: trio.Nursery) -> None:
         # Connections outlive the listener, which closes first at a planned stop.
-        with contextlib.suppress(trio.ClosedResourceError):
+        with self._accepting:
             await trio.serve_listeners(
                 self._server.serve_stream, self._listeners, handler_nursery=nursery
             )
@@ -138,11 +144,10 @@
             running=self._forwarder.running,
         )
         self._server.announce_close()
-        await trio.sleep(min(NOTICE_SECONDS, GRACE_SHARE * self._grace / 2))
+        await trio.sleep(min(self._notice, GRACE_SHARE * self._grace / 2))
         # What comes now could not end within the time to stop.
         self._forwarder.is_closed = True
-        for listener in self._listeners:
-            await listener.aclose()
+        self._accepting.cancel()
         self._server.stop_keep_alive()
         ends_at = started_at + GRACE_SHARE * self._grace
         while self._forwarder.running and trio.current_time() < ends_at:
