Share usage between failure domains; wait as long as callers do; probe avoided runners

A reservation counts half the answer, a stream waits 0.6 of its caller's patience, and one that can't have room in that time is refused at once.

Ruled out: the reading rate itself (expected times hold once usage is known).

--- a/tests/features/steps/router_steps.py
+++ b/tests/features/steps/router_steps.py
@@ -118,6 +118,57 @@
     context.steps.append(fill)
 
 
+@given("the runners have room again after {seconds:f} seconds")
+def free_runners(context, seconds):
+    async def free(world):
+        async def release():
+            await trio.sleep(seconds)
+            stages = tuple(
+                Stage(name, world.address_of(name), 0, 40)
+                for name in FIRST_COPY + SECOND_COPY
+            )
+            ledger = world.parts.choice.ledger
+            ledger.release(Route("", stages), 1e6)
+            # Room for one request at a time on the first copy, none on the other.
+            room = 1.7 * 12.5 * 40
+            ledger._get_total = lambda runner: room if runner.kind == "large" else 1.0
+
+        world.nursery.start_soon(release)
+
+    context.steps.append(free)
+
+
+@when("a caller asks for a draft and another one {seconds:f} seconds later")
+def ask_two(context, seconds):
+    async def ask(world):
+        context.ends = []
+
+        async def one(name, pause):
+            await trio.sleep(pause)
+            context.answers.append(await world.call("/draft/1"))
+            context.ends.append(name)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(one, "first", 0.0)
+            nursery.start_soon(one, "second", seconds)
+
+    later(context, ask)
+
+
+@then("the second caller's answer began first")
+def check_order(context):
+    run_to_here(context, lambda world: check_true(context.ends[0] == "second"))
+
+
+@then("all but the first {count:d} answers came at once")
+def check_at_once(context, count):
+    def check(world):
+        seconds = sorted(answer.seconds for answer in context.answers)
+        assert all(wait < 0.01 for wait in seconds[:-count]), seconds
+
+    run_to_here(context, check)
+
+
 def later(context, action):
     """Queue an action; the checks run all that is queued in one world."""
     context.steps.append(action)
--- a/wigeondrift/router/choice.py
+++ b/wigeondrift/router/choice.py
@@ -8,7 +8,7 @@
 
 from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.router.entities import EngineSpec, ServiceSpec, Upstream
-from wigeondrift.systems.chains import Chain, ChainBook, RouteDemand
+from wigeondrift.systems.chains import ChainBook, Offer, RouteDemand
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.health import Health
 from wigeondrift.systems.placement import BYTES_PER_MB
@@ -26,16 +26,19 @@
     Attributes
     ----------
     chain : Chain
+    first_seconds : float
+        Expected time to the first event.
     """
 
-    __slots__ = ("_demand", "_ledger", "_unread", "chain")
+    __slots__ = ("_demand", "_ledger", "_unread", "chain", "first_seconds")
 
-    def __init__(self, chain: Chain, demand: RouteDemand, ledger: RoomLedger) -> None:
-        self.chain = chain
+    def __init__(self, offer: Offer, demand: RouteDemand, ledger: RoomLedger) -> None:
+        self.chain = offer.chain
+        self.first_seconds = offer.first_seconds
         self._demand = demand
         self._ledger = ledger
         self._unread = demand.prompt
-        ledger.reserve(chain.route, demand.tokens, demand.prompt)
+        ledger.reserve(self.chain.route, demand.tokens, demand.prompt)
 
     def note_read(self) -> None:
         """Note that the prompt has been read: the first event came."""
@@ -138,12 +141,10 @@
         self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
     ) -> Reservation | None:
         """Reserve a route with room for a request; None if none has."""
-        chain = self.get_book(service).choose(
+        offer = self.get_book(service).choose(
             demand, self.ledger, excluded, self._failure_domain
         )
-        if chain is None:
-            return None
-        return Reservation(chain, demand, self.ledger)
+        return None if offer is None else Reservation(offer, demand, self.ledger)
 
     def choose_member(self, service: str, excluded: Collection[str]) -> Upstream | None:
         """Return the least loaded member of a plain service."""
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -31,6 +31,7 @@
 from wigeondrift.router.membership import Membership, RouterEntry
 from wigeondrift.router.peers import PeerExchange
 from wigeondrift.router.planner import Planner
+from wigeondrift.router.probing import Prober
 from wigeondrift.router.reload import LOOK_SECONDS as RELOAD_SECONDS
 from wigeondrift.router.reload import Reloader
 from wigeondrift.router.replica import (
@@ -72,6 +73,7 @@
         "freshness",
         "membership",
         "planner",
+        "prober",
         "readiness",
         "replica",
         "store",
@@ -106,6 +108,7 @@
         self.planner = Planner(
             self.store, self.replica, self.directory, control, settings.instance_id
         )
+        self.prober = Prober(self.replica, self.directory, self.choice, control)
         self.forwarder = Forwarder(
             replica=self.replica,
             choice=self.choice,
@@ -172,6 +175,7 @@
         parts.membership,
         peers,
         parts.planner,
+        parts.prober,
         timer,
         CallerListener(
             settings.caller_address,
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -38,9 +38,16 @@
 from wigeondrift.systems.chains import RouteDemand
 from wigeondrift.systems.repeats import RepeatBudget
 
-# Part of a stream's objective that it may wait for room: the rest is for reading the
-# prompt.
+# Callers leave a stream that brings nothing for this long, or for these multiples of
+# its objective or its longest pause if they are longer (the platform's pages).
+PATIENCE_SECONDS = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
+# Part of that patience that a stream may wait for room: late is better than refused,
+# and the rest is for reading the prompt.
 ROOM_WAIT_SHARE = 0.6
+# Part of an answer that a request holds on average while it runs.
+MEAN_ANSWER_SHARE = 0.5
 # Silence of a stream after which its runners are asked, in seconds: several times the
 # usual pause, and well below the two seconds after which callers leave.
 STREAM_SILENCE_SECONDS = 0.6
@@ -107,6 +114,8 @@
         Time of the final answer at the latest, in seconds.
     events : EventBuffer
         Events passed on.
+    expected_first : float or None
+        Time to the first event that the last route was expected to take, in seconds.
     room_seconds : float
         Time spent waiting for room.
     longest_gap : float or None
@@ -119,6 +128,7 @@
         "ends_at",
         "events",
         "excluded",
+        "expected_first",
         "longest_gap",
         "may_have_run",
         "room_seconds",
@@ -145,18 +155,20 @@
         self.started_at: float | None = None
         self.upstreams: list[str] = []
         self.room_seconds = 0.0
+        self.expected_first: float | None = None
         self.longest_gap: float | None = None
 
     @property
     def demand(self) -> RouteDemand:
-        """What the request is expected to need of a route."""
+        """What the request is expected to need of a route, on average."""
         call = self.call
         engine = self.service.engine
         answer = float(call.answer_estimate or engine.usual_answer)
         if call.answer_limit:
             answer = min(answer, float(call.answer_limit))
         prompt = float(call.prompt_tokens or engine.usual_prompt)
-        return RouteDemand(prompt + answer, prompt, self.rule.event_gap)
+        tokens = prompt + MEAN_ANSWER_SHARE * answer
+        return RouteDemand(tokens, prompt, self.rule.event_gap)
 
 
 class Forwarder:
@@ -286,6 +298,7 @@
                     journey.started_at and journey.started_at - call.arrived
                 ),
                 room_seconds=round(journey.room_seconds, 3),
+                expected_first=_round(journey.expected_first),
                 longest_gap=_round(journey.longest_gap),
                 waiting=len(self._waiting),
             )
@@ -347,7 +360,8 @@
             raise ConnectionLost(error.reason) from error
         headers = [("Content-Type", "text/plain")]
         if error.status in PROMISES:
-            seconds = RETRY_AFTER_SECONDS + RETRY_AFTER_SPREAD * self._rng.random()
+            seconds = max(RETRY_AFTER_SECONDS, self._waiting.estimate_wait())
+            seconds += RETRY_AFTER_SPREAD * self._rng.random()
             headers.append(("Retry-After", f"{seconds:.2f}"))
         await exchange.respond(error.status, headers, error.reason.encode())
 
@@ -436,7 +450,7 @@
     async def _try_chain(self, exchange: Exchange, journey: Journey) -> None:
         rule, call = journey.rule, journey.call
         on_time_until = call.arrived + rule.objective
-        wait_until = call.arrived + ROOM_WAIT_SHARE * rule.objective
+        wait_until = call.arrived + ROOM_WAIT_SHARE * get_patience(rule)
         if journey.may_have_run:
             # A stream that broke goes on within the caller's patience.
             wait_until = trio.current_time() + STREAM_SILENCE_SECONDS
@@ -451,6 +465,7 @@
             raise RequestError(ErrorKind.QUEUE_TIMEOUT, "no room came free in time")
         try:
             head = reservation.chain.runners[0]
+            journey.expected_first = reservation.first_seconds
             await self._call(exchange, journey, head, reservation)
         finally:
             self._waiting.release(reservation)
@@ -674,6 +689,15 @@
         await _write(exchange.finish())
 
 
+def get_patience(rule: RouteRule) -> float:
+    """Return the silence after which callers leave a stream, in seconds."""
+    return max(
+        PATIENCE_SECONDS,
+        PATIENCE_OBJECTIVES * rule.objective,
+        PATIENCE_GAPS * rule.event_gap,
+    )
+
+
 class Progress:
     """How far one attempt of a stream has come.
 
--- a/wigeondrift/router/membership.py
+++ b/wigeondrift/router/membership.py
@@ -44,7 +44,15 @@
     entry : RouterEntry
     """
 
-    __slots__ = ("_entry", "_instance_id", "_lease", "_logger", "_replica", "_store")
+    __slots__ = (
+        "_entry",
+        "_instance_id",
+        "_lease",
+        "_logger",
+        "_peers_by_id",
+        "_replica",
+        "_store",
+    )
 
     def __init__(
         self,
@@ -58,10 +66,15 @@
         self._instance_id = instance_id
         self._entry = entry
         self._lease = 0
+        self._peers_by_id: dict[str, RouterEntry] = {}
         self._logger = logging.getLogger(LOGGER_NAME)
+        replica.subscribe(self._read_peers)
 
     def list_peers(self) -> dict[str, RouterEntry]:
         """Return the other routers by their instance."""
+        return self._peers_by_id
+
+    def _read_peers(self) -> None:
         peers = {}
         for key, item in self._replica.own_items_by_key.items():
             name = key.removeprefix(ROUTERS_PREFIX)
@@ -77,7 +90,7 @@
                     peer=name,
                     reason=str(error),
                 )
-        return peers
+        self._peers_by_id = peers
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Register in ``nursery``."""
--- /dev/null
+++ b/wigeondrift/router/probing.py
@@ -0,0 +1,82 @@
+"""Asks avoided runners whether they work again before requests go there."""
+
+import trio
+
+from wigeondrift.application import Component
+from wigeondrift.errors import TransportError
+from wigeondrift.router.choice import Choice
+from wigeondrift.router.control import RunnerControl
+from wigeondrift.router.entities import RunnerReport, Upstream
+from wigeondrift.router.replica import Replica
+from wigeondrift.systems.directory import Directory
+
+# Pause between two questions to one runner, in seconds: each is counted.
+PROBE_SECONDS = 0.5
+
+
+class Prober(Component):
+    """Lets avoided runners back in when they answer.
+
+    Parameters
+    ----------
+    replica : Replica
+    directory : Directory
+    choice : Choice
+    control : RunnerControl
+    """
+
+    __slots__ = ("_choice", "_control", "_directory", "_replica")
+
+    def __init__(
+        self,
+        replica: Replica,
+        directory: Directory,
+        choice: Choice,
+        control: RunnerControl,
+    ) -> None:
+        self._replica = replica
+        self._directory = directory
+        self._choice = choice
+        self._control = control
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Ask in ``nursery``."""
+        nursery.start_soon(self._run)
+
+    async def _run(self) -> None:
+        while True:
+            await trio.sleep(PROBE_SECONDS)
+            async with trio.open_nursery() as nursery:
+                for runner in self._list_avoided():
+                    nursery.start_soon(self._probe, runner)
+
+    def _list_avoided(self) -> list[Upstream]:
+        configuration = self._replica.configuration
+        if configuration is None:
+            return []
+        health = self._choice.health
+        now = trio.current_time()
+        return [
+            runner
+            for service in configuration.services_by_name.values()
+            if service.engine is not None
+            for runner in self._directory.list_service(service.name)
+            if health.is_avoided(runner.upstream_id, now)
+        ]
+
+    async def _probe(self, runner: Upstream) -> None:
+        health = self._choice.health
+        try:
+            report = await self._control.get_report(runner)
+        except TransportError:
+            # That it is avoided was logged; this only prolongs it.
+            health.prolong(runner.upstream_id, trio.current_time(), 2 * PROBE_SECONDS)
+            return
+        if not _is_as_listed(runner, report):
+            health.prolong(runner.upstream_id, trio.current_time(), 2 * PROBE_SECONDS)
+
+
+def _is_as_listed(runner: Upstream, report: RunnerReport) -> bool:
+    """Whether a runner holds what the list says; one that started again does not."""
+    listed = (runner.first_layer, runner.end_layer)
+    return (report.first_layer, report.end_layer) == listed
--- a/wigeondrift/router/waiting.py
+++ b/wigeondrift/router/waiting.py
@@ -1,5 +1,6 @@
 """Requests that wait for room on a route of their model."""
 
+from collections import deque
 from collections.abc import Collection
 
 import trio
@@ -10,6 +11,10 @@
 
 # Room that peers give back shows with their next message, in seconds.
 LOOK_SECONDS = 0.05
+# Time over which the rate of room handed out is counted, in seconds.
+RATE_SECONDS = 2.0
+# Assumed while nothing is handed out, so that a few requests wait for the first room.
+LEAST_HANDED = 4
 # Waiting requests that are tried when room comes free, before the rest is left for
 # the next time.
 TRIES = 8
@@ -61,12 +66,21 @@
     choice : Choice
     """
 
-    __slots__ = ("_choice", "_waiters")
+    __slots__ = ("_choice", "_handed_at", "_waiters")
 
     def __init__(self, choice: Choice) -> None:
         self._choice = choice
+        self._handed_at: deque[float] = deque()
         self._waiters: list[Waiter] = []
 
+    def estimate_wait(self) -> float:
+        """Return the time in which all that wait now will have room, in seconds."""
+        now = trio.current_time()
+        while self._handed_at and now - self._handed_at[0] > RATE_SECONDS:
+            self._handed_at.popleft()
+        rate = max(LEAST_HANDED, len(self._handed_at)) / RATE_SECONDS
+        return len(self._waiters) / rate
+
     def __len__(self) -> int:
         return len(self._waiters)
 
@@ -78,11 +92,18 @@
         on_time_until: float,
         wait_until: float,
     ) -> Reservation | None:
-        """Return a reserved route, or None if none had room in time."""
+        """Return a reserved route, or None if none had room in time.
+
+        Returns None at once if the queue is too long for room to come in time.
+        """
+        now = trio.current_time()
         if not self._waiters:
             reservation = self._choice.choose_chain(service, demand, excluded)
-            if reservation is not None or trio.current_time() >= wait_until:
+            if reservation is not None:
+                self._handed_at.append(now)
                 return reservation
+        if now + self.estimate_wait() >= wait_until:
+            return None
         waiter = Waiter(service, demand, excluded, on_time_until)
         self._waiters.append(waiter)
         try:
@@ -117,6 +138,7 @@
             )
             if waiter.reservation is not None:
                 self._waiters.remove(waiter)
+                self._handed_at.append(now)
                 waiter.event.set()
                 continue
             failures += 1
--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -75,6 +75,26 @@
         )
 
 
+class Offer:
+    """A route that has room for a request.
+
+    Attributes
+    ----------
+    chain : Chain
+    cost : float
+        By which routes are compared, in seconds.
+    first_seconds : float
+        Expected time to the first event.
+    """
+
+    __slots__ = ("chain", "cost", "first_seconds")
+
+    def __init__(self, chain: Chain, cost: float, first_seconds: float) -> None:
+        self.chain = chain
+        self.cost = cost
+        self.first_seconds = first_seconds
+
+
 class _Path:
     __slots__ = ("cost", "first_layer", "previous", "runner")
 
@@ -285,7 +305,7 @@
         ledger: RoomLedger,
         excluded: Iterable[str],
         failure_domain: str,
-    ) -> Chain | None:
+    ) -> Offer | None:
         """Return the best route with room for a request, None if none has.
 
         Parameters
@@ -299,23 +319,23 @@
             The caller's side, from which the first runner is reached.
         """
         barred = set(excluded)
-        best, best_cost = None, 0.0
+        best = None
         for chain in self.chains:
             if not barred.isdisjoint(chain.route.instance_ids):
                 continue
-            cost = self._weigh(chain, demand, ledger)
-            if cost is None:
+            offer = self._weigh(chain, demand, ledger)
+            if offer is None:
                 continue
             if chain.runners[0].failure_domain != failure_domain:
-                cost += FAR_HEAD_SECONDS
-            if best is None or cost < best_cost:
-                best, best_cost = chain, cost
+                offer.cost += FAR_HEAD_SECONDS
+            if best is None or offer.cost < best.cost:
+                best = offer
         return best
 
     def _weigh(
         self, chain: Chain, demand: RouteDemand, ledger: RoomLedger
-    ) -> float | None:
-        """Return the expected time to the first event and part of the rest."""
+    ) -> Offer | None:
+        """Return what a route offers, None if a runner has no room."""
         engine = self._engine
         step_seconds = 0.0
         own_seconds = 0.0
@@ -341,10 +361,10 @@
         if ledger.get_used(head.upstream_id).heads >= head.slots:
             return None
         step_seconds += chain.crossings * CROSSING_SECONDS
-        cost = own_seconds + queue_seconds
-        cost += STREAM_WEIGHT * step_seconds * engine.usual_answer
+        first_seconds = own_seconds + queue_seconds
+        cost = first_seconds + STREAM_WEIGHT * step_seconds * engine.usual_answer
         cost /= 1.0 - min(MOST_LOAD, fullest)
         event_seconds = step_seconds * engine.steps_per_event
         if demand.event_gap and event_seconds > GAP_SHARE * demand.event_gap:
             cost += LATE_SECONDS
-        return cost
+        return Offer(chain, cost, first_seconds)
--- a/wigeondrift/systems/health.py
+++ b/wigeondrift/systems/health.py
@@ -43,6 +43,12 @@
             seconds = min(2 * penalty.seconds, LONGEST_PENALTY_SECONDS)
         self._penalties_by_id[instance_id] = Penalty(now + seconds, seconds)
 
+    def prolong(self, instance_id: str, now: float, seconds: float) -> None:
+        """Avoid an avoided upstream for at least ``seconds`` more."""
+        penalty = self._penalties_by_id.get(instance_id)
+        if penalty is not None:
+            penalty.ends_at = max(penalty.ends_at, now + seconds)
+
     def note_success(self, instance_ids: Iterable[str]) -> None:
         """Forget the failures of upstreams that work."""
         if self._penalties_by_id:
--- a/wigeondrift/systems/room.py
+++ b/wigeondrift/systems/room.py
@@ -129,14 +129,26 @@
         """Return the message that tells peers of the own reservations."""
         return PeerUsage(instance_id, sequence, dict(self._own_by_id))
 
-    def apply_peer(self, usage: PeerUsage, now: float) -> None:
-        """Take a peer's message; one that was overtaken is left aside."""
+    def describe_domain(self, name: str, sequence: int) -> PeerUsage:
+        """Return the message that sums up the routers that tell each other all.
+
+        Sums of other failure domains are told under names that hold a colon.
+        """
+        summed = dict(self._own_by_id)
+        for peer, (_, message) in self._peers_by_id.items():
+            if ":" not in peer:
+                _add_all(summed, message.usage_by_id)
+        return PeerUsage(name, sequence, summed)
+
+    def apply_peer(self, usage: PeerUsage, now: float) -> bool:
+        """Take a peer's message; false if it was overtaken and left aside."""
         known = self._peers_by_id.get(usage.instance_id)
         is_recent = known is not None and now - known[0] < PEER_SILENCE_SECONDS
         if is_recent and known[1].sequence >= usage.sequence:
-            return
+            return False
         self._peers_by_id[usage.instance_id] = (now, usage)
-        self._sum_peers(now)
+        self._sum_peers()
+        return True
 
     def forget_silent(self, now: float) -> None:
         """Drop what peers told that have fallen silent."""
@@ -148,12 +160,15 @@
         for name in silent:
             del self._peers_by_id[name]
         if silent:
-            self._sum_peers(now)
+            self._sum_peers()
 
-    def _sum_peers(self, now: float) -> None:
+    def _sum_peers(self) -> None:
         summed: dict[str, Usage] = {}
         for _, message in self._peers_by_id.values():
-            for upstream_id, usage in message.usage_by_id.items():
-                known = summed.get(upstream_id, _NOTHING)
-                summed[upstream_id] = known.add(usage)
+            _add_all(summed, message.usage_by_id)
         self._summed_by_id = summed
+
+
+def _add_all(summed: dict[str, Usage], usage_by_id: dict[str, Usage]) -> None:
+    for upstream_id, usage in usage_by_id.items():
+        summed[upstream_id] = summed.get(upstream_id, _NOTHING).add(usage)
