--- a/tests/features/router_decisions.feature
+++ b/tests/features/router_decisions.feature
@@ -98,3 +98,47 @@
     Then settings with unknown fields load
     And settings without the address of the store are refused by name
     And settings with a bad number are refused
+
+  Scenario: A domain of which no upstream answers is cut off as a whole
+    Given upstreams of the domain "west" seen from "east"
+    When "w1" can't be reached
+    Then "west" is not cut off
+    When "w2" can't be reached
+    Then "west" is cut off
+    When "w3" answers
+    Then "west" is not cut off
+
+  Scenario: The own domain is never cut off
+    Given upstreams of the domain "east" seen from "east"
+    When "e1" can't be reached
+    And "e2" can't be reached
+    Then "east" is not cut off
+
+  Scenario: A cut that nobody confirms is forgotten
+    Given upstreams of the domain "west" seen from "east"
+    When "w1" can't be reached
+    And "w2" can't be reached
+    And 2.5 seconds go by
+    Then "west" is not cut off
+
+  Scenario: The layers of a runner are lost once it is silent and its domain is not
+    Given upstreams of the domain "west" seen from "east"
+    When "w1" can't be reached
+    And 0.7 seconds go by
+    And "w1" can't be reached
+    Then "w1" is not lost
+    When "w2" answers
+    And 0.7 seconds go by
+    And "w1" can't be reached
+    Then "w1" is lost
+    When "w1" answers
+    Then "w1" is not lost
+
+  Scenario: A runner behind a cut is not lost
+    Given upstreams of the domain "west" seen from "east"
+    When "w1" can't be reached
+    And 0.7 seconds go by
+    And "w1" can't be reached
+    And 0.7 seconds go by
+    And "w1" can't be reached
+    Then "w1" is not lost
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -25,6 +25,7 @@
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.freshness import Freshness
 from wigeondrift.systems.placement import Placement
+from wigeondrift.systems.reach import Reach
 from wigeondrift.systems.repeats import RepeatBudget
 from wigeondrift.systems.room import PeerUsage, RoomLedger, Usage
 
@@ -388,3 +389,46 @@
         assert "soon" in str(error)
     else:
         raise AssertionError("accepted")
+
+
+@given('upstreams of the domain "{domain}" seen from "{own}"')
+def make_reach(context, domain, own):
+    context.reach = Reach(own)
+    context.domain = domain
+    context.now = 100.0
+
+
+@when('"{name}" can\'t be reached')
+def fail_to_reach(context, name):
+    context.reach.note_unreachable(context.domain, name, context.now)
+
+
+@when('"{name}" answers')
+def hear(context, name):
+    context.now += 0.01
+    context.reach.note_answer(context.domain, name, context.now)
+
+
+@when("{seconds:f} seconds go by")
+def go_by(context, seconds):
+    context.now += seconds
+
+
+@then('"{domain}" is cut off')
+def check_cut_off(context, domain):
+    assert context.reach.is_cut_off(domain, context.now)
+
+
+@then('"{domain}" is not cut off')
+def check_reached(context, domain):
+    assert not context.reach.is_cut_off(domain, context.now)
+
+
+@then('"{name}" is lost')
+def check_lost(context, name):
+    assert context.reach.is_lost(context.domain, name, context.now)
+
+
+@then('"{name}" is not lost')
+def check_not_lost(context, name):
+    assert not context.reach.is_lost(context.domain, name, context.now)
--- a/wigeondrift/events.py
+++ b/wigeondrift/events.py
@@ -49,6 +49,7 @@
     UPSTREAM_GONE = 3512, "An upstream did not come back after an outage."
     UPSTREAM_UNREADABLE = 3513, "An entry names no upstream to use."
     UPSTREAM_AVOIDED = 3514, "An upstream failed and is avoided for a while."
+    DOMAIN_CUT_OFF = 3515, "No upstream of a failure domain can be reached."
     PEER_UNREADABLE = 3521, "A peer's entry or message can't be read."
     LEASE_NOT_ENDED = 3522, "A lease could not be ended and lapses by itself."
     PLANNER_LEADS = 3531, "This router gives the orders to runners."
--- a/wigeondrift/platform/upstreams.py
+++ b/wigeondrift/platform/upstreams.py
@@ -157,23 +157,6 @@
             reason = body[:200].decode("latin-1")
             raise OrderRejected(f"status {status}: {reason}")
 
-    async def repath(
-        self, upstream: Upstream, request_id: str, path: str, order_count: int
-    ) -> None:
-        """Order the first runner of a stream to go on over another path."""
-        order = {
-            "operation": "repath",
-            "id": request_id,
-            "path": path,
-            "expect": order_count,
-        }
-        status, body = await self._ask(
-            upstream, "POST", "/wigeondrift/order", msgspec.json.encode(order)
-        )
-        if status not in STATUSES_ACCEPTED:
-            reason = body[:200].decode("latin-1")
-            raise OrderRejected(f"status {status}: {reason}")
-
     async def _ask(
         self, upstream: Upstream, method: str, target: str, body: bytes = b""
     ) -> tuple[int, bytes]:
--- a/wigeondrift/router/choice.py
+++ b/wigeondrift/router/choice.py
@@ -12,6 +12,7 @@
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.health import Health
 from wigeondrift.systems.placement import BYTES_PER_MB
+from wigeondrift.systems.reach import Reach
 from wigeondrift.systems.room import RoomLedger
 
 # Cost of an upstream in another failure domain, as part of its slots in use.
@@ -74,6 +75,7 @@
         "_totals_by_key",
         "health",
         "ledger",
+        "reach",
     )
 
     def __init__(
@@ -89,6 +91,7 @@
         self._told_by_id: dict[str, tuple[float, float]] = {}
         self._logger = logging.getLogger(LOGGER_NAME)
         self.health = Health()
+        self.reach = Reach(failure_domain)
         self.ledger = RoomLedger(self._get_total)
 
     def _get_total(self, runner: Upstream) -> float:
@@ -108,9 +111,7 @@
         now = trio.current_time()
         runners = self._directory.list_service(service.name)
         avoided = frozenset(
-            runner.upstream_id
-            for runner in runners
-            if self.health.is_avoided(runner.upstream_id, now)
+            runner.upstream_id for runner in runners if self.is_avoided(runner, now)
         )
         key = (self._directory.change_count, avoided, id(service.engine))
         if key != self._keys_by_service.get(service.name):
@@ -137,6 +138,34 @@
             routes=[" ".join(chain.route.instance_ids) for chain in book.chains],
         )
 
+    def is_avoided(self, upstream: Upstream, now: float) -> bool:
+        """Whether requests go elsewhere if they can."""
+        if self.health.is_avoided(upstream.upstream_id, now):
+            return True
+        return self.reach.is_cut_off(upstream.failure_domain, now)
+
+    def note_unreachable(self, upstream: Upstream, reason: str) -> None:
+        """Note that an upstream did not answer, and avoid it."""
+        now = trio.current_time()
+        domain = upstream.failure_domain
+        was_cut_off = self.reach.is_cut_off(domain, now)
+        self.reach.note_unreachable(domain, upstream.upstream_id, now)
+        if not was_cut_off and self.reach.is_cut_off(domain, now):
+            log_event(
+                self._logger,
+                logging.WARNING,
+                Event.DOMAIN_CUT_OFF,
+                failure_domain=domain,
+                upstream=upstream.upstream_id,
+            )
+        self.note_failure((upstream.upstream_id,), reason)
+
+    def note_answer(self, upstream: Upstream) -> None:
+        """Note that an upstream answered, whatever it said."""
+        self.reach.note_answer(
+            upstream.failure_domain, upstream.upstream_id, trio.current_time()
+        )
+
     def choose_chain(
         self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
     ) -> Reservation | None:
@@ -154,7 +183,7 @@
             for upstream in self._directory.list_service(service)
             if upstream.upstream_id not in excluded
         ]
-        sound = [m for m in members if not self.health.is_avoided(m.upstream_id, now)]
+        sound = [m for m in members if not self.is_avoided(m, now)]
         candidates = sound or members
         if not candidates:
             return None
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -105,8 +105,16 @@
             self.store, self.replica, settings.instance_id, entry
         )
         control = HttpRunnerControl(client)
+        reach = self.choice.reach
         self.planner = Planner(
-            self.store, self.replica, self.directory, control, settings.instance_id
+            self.store,
+            self.replica,
+            self.directory,
+            control,
+            settings.instance_id,
+            lambda runner, now: reach.is_lost(
+                runner.failure_domain, runner.upstream_id, now
+            ),
         )
         self.prober = Prober(self.replica, self.directory, self.choice, control)
         self.forwarder = Forwarder(
--- a/wigeondrift/router/control.py
+++ b/wigeondrift/router/control.py
@@ -33,14 +33,3 @@
         ------
         OrderRejected
         """
-
-    @abc.abstractmethod
-    async def repath(
-        self, upstream: Upstream, request_id: str, path: str, order_count: int
-    ) -> None:
-        """Order the first runner of a stream to go on over another path.
-
-        Raises
-        ------
-        OrderRejected
-        """
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -491,7 +491,7 @@
         except ConnectFailed as error:
             journey.attempts -= 1
             journey.may_have_run = had_run
-            self._choice.note_failure((upstream.upstream_id,), str(error))
+            self._choice.note_unreachable(upstream, str(error))
             raise AttemptFailed(
                 str(error), False, (upstream.upstream_id,), was_sent=False
             ) from error
@@ -564,8 +564,9 @@
         try:
             report = await self._control.get_report(upstream)
         except TransportError as error:
-            self._choice.note_failure((upstream.upstream_id,), str(error))
+            self._choice.note_unreachable(upstream, str(error))
             return (upstream.upstream_id,)
+        self._choice.note_answer(upstream)
         address = report.stalled_by_request.get(request_id)
         if address is None and report.stalled_by_request:
             address = next(iter(report.stalled_by_request.values()))
@@ -606,6 +607,7 @@
             # On a kept connection a call may be lost without a trace.
             fresh=not rule.is_idempotent,
         ) as response:
+            self._choice.note_answer(upstream)
             head = self._dialect.decode_head(response.status, response.headers)
             if head.request_id and head.request_id != call.request_id:
                 raise ConnectionLost("the answer belongs to another request")
--- a/wigeondrift/router/planner.py
+++ b/wigeondrift/router/planner.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections.abc import Callable
 
 import trio
 
@@ -62,6 +63,8 @@
     directory : Directory
     control : RunnerControl
     instance_id : str
+    is_lost : callable
+        Whether a runner has been unreachable for long; takes it and the time.
     """
 
     __slots__ = (
@@ -70,6 +73,7 @@
         "_control",
         "_directory",
         "_instance_id",
+        "_is_lost",
         "_lease",
         "_leased_at",
         "_logger",
@@ -87,7 +91,9 @@
         directory: Directory,
         control: RunnerControl,
         instance_id: str,
+        is_lost: Callable[[Upstream, float], bool],
     ) -> None:
+        self._is_lost = is_lost
         self._store = store
         self._replica = replica
         self._directory = directory
@@ -181,7 +187,11 @@
 
     async def _plan(self, service: str, engine: EngineSpec) -> None:
         now = trio.current_time()
-        runners = self._directory.list_service(service)
+        runners = [
+            runner
+            for runner in self._directory.list_service(service)
+            if not self._is_lost(runner, now)
+        ]
         ids = frozenset(runner.upstream_id for runner in runners)
         if ids != self._seen_ids:
             self._seen_ids = ids
--- a/wigeondrift/router/probing.py
+++ b/wigeondrift/router/probing.py
@@ -56,22 +56,29 @@
             return []
         health = self._choice.health
         now = trio.current_time()
-        return [
-            runner
-            for service in configuration.services_by_name.values()
-            if service.engine is not None
-            for runner in self._directory.list_service(service.name)
-            if health.is_avoided(runner.upstream_id, now)
-        ]
+        cut_off = set(self._choice.reach.list_cut_off(now))
+        avoided = []
+        for service in configuration.services_by_name.values():
+            if service.engine is None:
+                continue
+            for runner in self._directory.list_service(service.name):
+                if health.is_avoided(runner.upstream_id, now):
+                    avoided.append(runner)
+                elif runner.failure_domain in cut_off:
+                    # One more of the domain, which may not be at fault itself.
+                    cut_off.discard(runner.failure_domain)
+                    avoided.append(runner)
+        return avoided
 
     async def _probe(self, runner: Upstream) -> None:
         health = self._choice.health
         try:
             report = await self._control.get_report(runner)
-        except TransportError:
-            # That it is avoided was logged; this only prolongs it.
+        except TransportError as error:
+            self._choice.note_unreachable(runner, str(error))
             health.prolong(runner.upstream_id, trio.current_time(), 2 * PROBE_SECONDS)
             return
+        self._choice.note_answer(runner)
         if not _is_as_listed(runner, report):
             health.prolong(runner.upstream_id, trio.current_time(), 2 * PROBE_SECONDS)
 
