--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -164,14 +164,7 @@
                     address = self.address_of(upstream_id)
                     self.network.listen(address, server.handle)
                 self.nursery = nursery
-                self.parts = RouterParts(
-                    self.settings,
-                    MemoryClient(self.network),
-                    MemoryClient(self.network),
-                    NullMetrics(),
-                    random.Random(1),
-                )
-                self.parts.replica._get_time = trio.current_time
+                self.parts = self.make_parts(MemoryClient(self.network))
                 await self.parts.replica.start(nursery)
                 nursery.start_soon(self._keep_time)
                 await trio.sleep(0.1)
@@ -180,6 +173,18 @@
 
         trio.run(main, clock=self.clock)
 
+    def make_parts(self, client, instance_id="router-1"):
+        settings = msgspec.structs.replace(self.settings, instance_id=instance_id)
+        # Virtual time has no clock that counts suspension.
+        return RouterParts(
+            settings,
+            client,
+            MemoryClient(self.network),
+            NullMetrics(),
+            random.Random(1),
+            trio.current_time,
+        )
+
     async def _keep_time(self):
         while True:
             await self.parts.replica.expire(trio.current_time())
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -38,6 +38,7 @@
     EXPIRE_SECONDS,
     Replica,
     StoreLayout,
+    get_elapsed,
 )
 from wigeondrift.router.settings import RouterSettings
 from wigeondrift.router.waiting import LOOK_SECONDS, WaitingRoom
@@ -64,6 +65,8 @@
         Reach upstreams and the store.
     metrics : Metrics
     rng : random.Random
+    get_time : callable, optional
+        Clock that counts the time of a suspended machine, in seconds.
     """
 
     __slots__ = (
@@ -87,6 +90,7 @@
         store_client: HttpClient,
         metrics: Metrics,
         rng: random.Random,
+        get_time: Callable[[], float] = get_elapsed,
     ) -> None:
         bounds = settings.bounds
         self.store = HttpRevisionStore(store_client, settings.store_address)
@@ -95,7 +99,9 @@
         layout = StoreLayout(
             CONFIGURATION_KEY, UPSTREAMS_PREFIX, decode_configuration, decode_upstream
         )
-        self.replica = Replica(self.store, layout, self.directory, self.freshness)
+        self.replica = Replica(
+            self.store, layout, self.directory, self.freshness, get_time
+        )
         self.choice = Choice(self.directory, settings.failure_domain, rng)
         self.waiting = WaitingRoom(self.choice)
         entry = RouterEntry(
--- a/wigeondrift/router/planner.py
+++ b/wigeondrift/router/planner.py
@@ -20,7 +20,7 @@
 from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import EngineSpec, RunnerReport, Upstream
-from wigeondrift.router.replica import OWN_PREFIX, Replica, get_elapsed
+from wigeondrift.router.replica import OWN_PREFIX, Replica
 from wigeondrift.store.revisions import RevisionStore
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.placement import Placement, Range
@@ -111,7 +111,7 @@
     @property
     def leads(self) -> bool:
         """Whether orders may be given now."""
-        age = get_elapsed() - self._leased_at
+        age = self._replica.get_time() - self._leased_at
         return bool(self._lease) and age < LEASE_SAFE_SECONDS
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -139,7 +139,7 @@
         while not self._stopping:
             try:
                 if self._lease:
-                    asked_at = get_elapsed()
+                    asked_at = self._replica.get_time()
                     await self._store.renew_lease(self._lease)
                     self._leased_at = asked_at
                 elif LEADER_KEY not in self._replica.own_items_by_key:
@@ -156,7 +156,7 @@
     async def _take_lead(self) -> None:
         if self._replica.configuration is None:
             return
-        asked_at = get_elapsed()
+        asked_at = self._replica.get_time()
         lease = await self._store.grant_lease(LEASE_SECONDS)
         value = self._instance_id.encode()
         await self._store.put(LEADER_KEY, value, 0, lease)
@@ -174,9 +174,17 @@
     async def _run(self) -> None:
         while True:
             await trio.sleep(TICK_SECONDS)
+            self._note_list(trio.current_time())
             if self._lease and self.leads and not self._stopping:
                 await self._tick()
 
+    def _note_list(self, now: float) -> None:
+        """Note when the list last gained or lost an upstream, also before the lead."""
+        ids = frozenset(self._directory.upstreams_by_id)
+        if ids != self._seen_ids:
+            self._seen_ids = ids
+            self._changed_at = now
+
     async def _tick(self) -> None:
         configuration = self._replica.configuration
         if configuration is None:
@@ -192,16 +200,12 @@
             for runner in self._directory.list_service(service)
             if not self._is_lost(runner, now)
         ]
-        ids = frozenset(runner.upstream_id for runner in runners)
-        if ids != self._seen_ids:
-            self._seen_ids = ids
-            self._changed_at = now
         self._forget_orders(runners, now)
         ranges_by_id = self._list_ranges(runners)
         is_first = not any(end > first for first, end in ranges_by_id.values())
         if is_first and now - self._changed_at < SETTLE_SECONDS:
             return
-        if self._directory.is_settling(get_elapsed()):
+        if self._directory.is_settling(self._replica.get_time()):
             return
         reachable = [
             runner
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -87,7 +87,6 @@
         "_delay",
         "_directory",
         "_freshness",
-        "_get_time",
         "_is_lost",
         "_layout",
         "_logger",
@@ -96,6 +95,7 @@
         "_subscribers",
         "_unreadable_by_id",
         "configuration",
+        "get_time",
         "own_items_by_key",
     )
 
@@ -111,7 +111,7 @@
         self._layout = layout
         self._directory = directory
         self._freshness = freshness
-        self._get_time = get_time
+        self.get_time = get_time
         self._logger = logging.getLogger(LOGGER_NAME)
         self._revision = 0
         self._is_lost = False
@@ -128,12 +128,12 @@
     @property
     def is_current(self) -> bool:
         """Whether the configuration was confirmed recently enough for keys."""
-        return self._freshness.is_current(self._get_time())
+        return self._freshness.is_current(self.get_time())
 
     @property
     def age(self) -> float | None:
         """Age of the last confirmation in seconds."""
-        return self._freshness.get_age(self._get_time())
+        return self._freshness.get_age(self.get_time())
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Watch the store in ``nursery``."""
@@ -141,7 +141,7 @@
 
     async def expire(self, now: float) -> None:
         """Drop upstreams that did not come back; a subscriber of the timer."""
-        for upstream_id in self._directory.expire(self._get_time()):
+        for upstream_id in self._directory.expire(self.get_time()):
             log_event(
                 self._logger, logging.INFO, Event.UPSTREAM_GONE, upstream=upstream_id
             )
@@ -163,14 +163,14 @@
                 await trio.sleep(RETRY_SECONDS)
 
     async def _read_all(self) -> None:
-        asked_at = self._get_time()
+        asked_at = self.get_time()
         first = await self._store.list_items(self._layout.configuration_key)
         upstreams = await self._store.list_items(self._layout.upstreams_prefix)
         own = await self._store.list_items(OWN_PREFIX)
         self._note_answer()
         for item in first.items:
             self._apply_configuration(item)
-        now = self._get_time()
+        now = self.get_time()
         decoded = [self._decode(item) for item in upstreams.items]
         self._directory.replace_all([one for one in decoded if one is not None], now)
         self.own_items_by_key = {item.key: item for item in own.items}
@@ -180,13 +180,13 @@
         self._notify()
 
     async def _watch_once(self) -> None:
-        asked_at = self._get_time()
+        asked_at = self.get_time()
         # After a failure the first answer should come at once.
         wait = 0.0
         if not self._is_lost:
             wait = self._freshness.get_watch_seconds(self._delay)
         page = await self._store.watch("", self._revision, wait)
-        self._delay = max(0.0, self._get_time() - asked_at - wait)
+        self._delay = max(0.0, self.get_time() - asked_at - wait)
         self._note_answer()
         for item in page.items:
             self._apply(item)
@@ -240,7 +240,7 @@
     def _apply_upstream(self, item: Item) -> None:
         upstream_id = item.key.removeprefix(self._layout.upstreams_prefix)
         upstream = None if item.value is None else self._decode(item)
-        now = self._get_time()
+        now = self.get_time()
         if upstream is None:
             self._directory.remove(upstream_id, now)
         else:
@@ -279,7 +279,7 @@
         return upstream
 
     def _note_answer(self) -> None:
-        self._directory.note_answer(self._get_time())
+        self._directory.note_answer(self.get_time())
         if self._is_lost:
             self._is_lost = False
             log_event(self._logger, logging.INFO, Event.PLATFORM_BACK, age=self.age)
--- a/wigeondrift/store/calls.py
+++ b/wigeondrift/store/calls.py
@@ -1,4 +1,4 @@
-"""Calls and answers of the platform's HTTP protocol, see docs/PLATFORM.md."""
+"""Calls and answers of the platform's HTTP protocol, see docs/STORE-STANDIN.md."""
 
 import enum
 
--- a/wigeondrift/store/http.py
+++ b/wigeondrift/store/http.py
@@ -1,4 +1,4 @@
-"""Platform store over HTTP, see docs/PLATFORM.md for the protocol."""
+"""Platform store over HTTP, see docs/STORE-STANDIN.md for the protocol."""
 
 from typing import TypeVar
 
--- a/wigeondrift_emulator/platform.py
+++ b/wigeondrift_emulator/platform.py
@@ -1,6 +1,6 @@
 """Emulator of the platform's key-value service and instance list.
 
-The protocol is HTTP/1.1 with JSON bodies; docs/PLATFORM.md holds the whole of it.
+The protocol is HTTP/1.1 with JSON bodies; docs/STORE-STANDIN.md holds the whole of it.
 ``POST /v1/CALL`` takes one of the calls of ``wigeondrift.store.calls`` and is
 answered with status 200 and its answer, or with 409, 422 or 429 and a ``Refusal``,
 after which nothing was written. A connection that ends without an answer leaves open
