--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -24,7 +24,7 @@
 EXPIRE_SECONDS = 0.1
 # Pause after changes, so that those which come in a row are read by one call: each is
 # counted. Short beside the bounds on configuration and on leaving upstreams (2 s).
-BATCH_SECONDS = 0.5
+BATCH_SECONDS = 0.8
 
 OWN_PREFIX = "wigeondrift/"
 
--- a/wigeondrift/systems/freshness.py
+++ b/wigeondrift/systems/freshness.py
@@ -5,7 +5,7 @@
 SAFE_SHARE = 0.96
 # Two watches fit into the bound with this much to spare, in seconds: for the pause
 # after changes and for a call that is answered slowly.
-SPARE_SECONDS = 0.7
+SPARE_SECONDS = 1.0
 # Bounds on the wait of a watch, in seconds.
 LONGEST_WATCH_SECONDS = 5.0
 SHORTEST_WATCH_SECONDS = 0.3
