Answer refusals when they are decided

The product's own interface held a refusal back for up to 2 s so that callers that retry at once wait. Pacing, its settings and its metric are gone.

--- a/wigeondrift/gate.py
+++ b/wigeondrift/gate.py
@@ -5,7 +5,6 @@
 
 import trio
 
-from wigeondrift.errors import ErrorKind, RequestError
 from wigeondrift.policy import Policy
 from wigeondrift.systems.admission import (
     Admission,
@@ -13,53 +12,35 @@
     Ticket,
     TicketState,
 )
-from wigeondrift.systems.pacing import RefusalPacer
 from wigeondrift.timer import Clock, TimerService
 from wigeondrift.tracing import Span
 
 TICK_SECONDS = 0.02
-FORGET_SECONDS = 5.0
-PACED_KINDS = frozenset(
-    {
-        ErrorKind.LIMIT_EXCEEDED,
-        ErrorKind.QUEUE_FULL,
-        ErrorKind.QUEUE_TIMEOUT,
-        ErrorKind.QUARANTINED,
-        ErrorKind.NO_ROUTE,
-        ErrorKind.NO_UPSTREAM,
-        ErrorKind.UPSTREAM_REFUSED,
-        ErrorKind.CLAIM_UNAVAILABLE,
-    }
-)
 
 
 class Gate:
-    """Admits requests and holds refusals back.
+    """Admits requests.
 
     Parameters
     ----------
     admission : Admission
-    pacer : RefusalPacer
     clock : Clock
     timer : TimerService
         Ticks the admission, for limits that fill up and waits that end.
     """
 
-    __slots__ = ("_admission", "_clock", "_events_by_ticket", "_pacer")
+    __slots__ = ("_admission", "_clock", "_events_by_ticket")
 
     def __init__(
         self,
         admission: Admission,
-        pacer: RefusalPacer,
         clock: Clock,
         timer: TimerService,
     ) -> None:
         self._admission = admission
-        self._pacer = pacer
         self._clock = clock
         self._events_by_ticket: dict[Ticket, trio.Event] = {}
         timer.subscribe("admission", TICK_SECONDS, self._on_tick)
-        timer.subscribe("pacing", FORGET_SECONDS, self._on_forget)
 
     def take_demand(self) -> list[RowDemand]:
         """Return what each row asked for since the last call."""
@@ -70,17 +51,9 @@
         """Requests that wait."""
         return self._admission.waiting
 
-    @property
-    def held(self) -> int:
-        """Refusals that are held back."""
-        return self._pacer.held
-
     async def _on_tick(self, now: float) -> None:
         self._tick(now)
 
-    async def _on_forget(self, now: float) -> None:
-        self._pacer.forget_old(now)
-
     def _tick(self, now: float) -> None:
         for ticket in self._admission.tick(now):
             event = self._events_by_ticket.get(ticket)
@@ -136,18 +109,6 @@
             self._admission.withdraw(ticket)
         self._tick(self._clock.now())
 
-    async def pace(self, team: str, error: RequestError) -> None:
-        """Hold a refusal back, so that a caller that retries at once waits."""
-        if error.kind not in PACED_KINDS:
-            return
-        delay = self._pacer.hold(team, self._clock.now())
-        if not delay:
-            return
-        try:
-            await trio.sleep(delay)
-        finally:
-            self._pacer.release()
-
 
 class Admitted:
     """Slot of a running request.
@@ -175,4 +136,4 @@
         policy.make_admission_rules(),
         policy.make_queue,
     )
-    return Gate(admission, RefusalPacer(policy.make_pacing_rules()), clock, timer)
+    return Gate(admission, clock, timer)
--- a/wigeondrift/gateway.py
+++ b/wigeondrift/gateway.py
@@ -54,7 +54,6 @@
     waiting: int
     runs: int
     joined: int
-    held_refusals: int
     quarantined: int
 
 
@@ -274,7 +273,6 @@
             await serve(call)
         except RequestError as error:
             span.set("error", error.kind.value)
-            await self._gate.pace(team, error)
             await self._refuse(exchange, error, request_id, team)
 
     def _find(self, exchange: Exchange) -> Serve:
@@ -335,6 +333,5 @@
             waiting=self._gate.waiting,
             runs=self._runs.running,
             joined=self._runs.joined,
-            held_refusals=self._gate.held,
             quarantined=len(self._tables.quarantined),
         )
--- a/wigeondrift/policy.py
+++ b/wigeondrift/policy.py
@@ -5,13 +5,10 @@
 from wigeondrift.settings import EntrySettings
 from wigeondrift.systems.admission import AdmissionRules, Ticket
 from wigeondrift.systems.fairness import FairQueue
-from wigeondrift.systems.pacing import PacingRules
 from wigeondrift.systems.routing import Routing
 from wigeondrift.systems.shares import Limit, get_limit
 from wigeondrift.tables import Tables
 
-LEAST_DELAY_SECONDS = 0.25
-
 
 class Policy:
     """Default policy; subclasses replace single parts for comparison.
@@ -53,13 +50,3 @@
             long_tokens=chosen.long_tokens,
             long_fraction=chosen.long_fraction,
         )
-
-    def make_pacing_rules(self) -> PacingRules:
-        """Return the bounds on held refusals."""
-        chosen = self.settings.admission
-        return PacingRules(
-            rate=chosen.refusals_per_second,
-            least_delay=min(LEAST_DELAY_SECONDS, chosen.refusal_delay),
-            most_delay=chosen.refusal_delay,
-            held=chosen.refusals_held,
-        )
--- a/wigeondrift/settings.py
+++ b/wigeondrift/settings.py
@@ -81,12 +81,6 @@
         Estimated tokens from which a request counts as long.
     long_fraction : float
         Part of the slots that long requests may fill.
-    refusals_per_second : float
-        Pace of refusals answered to one team.
-    refusal_delay : float
-        Longest time that a refusal is held back, in seconds.
-    refusals_held : int
-        Refusals held back at once.
     joined_readers : int
         Repeats that follow one run at once.
     linger : float
@@ -98,9 +92,6 @@
     short_queue_timeout: Seconds = 0.15
     long_tokens: Positive = 2048
     long_fraction: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.5
-    refusals_per_second: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 50.0
-    refusal_delay: Seconds = 2.0
-    refusals_held: Positive = 1000
     joined_readers: Positive = 64
     linger: Seconds = 1.0
 
