--- a/wigeondrift/platform/configuration.py
+++ b/wigeondrift/platform/configuration.py
@@ -66,20 +66,12 @@
     load_s: float = 0.0
 
 
-class _WireDelay(msgspec.Struct):
-    # ``from`` is a keyword.
-    source: str = msgspec.field(name="from")
-    to: str
-    delay_ms: float = 0.0
-
-
 class _WireUsual(msgspec.Struct):
     prompt: float = 1000.0
     answer: float = 200.0
 
 
 class _WireEngine(msgspec.Struct):
-    slots: int = 1
     step_ms: float = 1.0
     per_seq_ms: float = 0.0
     # Milliseconds that 1,000 tokens of context add for each writing request.
@@ -90,20 +82,15 @@
     stride: int = 1
     # KV cache of one token over all layers.
     kv_token_bytes: float = 0.0
-    loads_at_once: int = 1
     layers: int = 0
     layer_mb: float = 0.0
     models: list[_WireModel] = []
     kinds: list[_WireKind] = []
-    delays: list[_WireDelay] = []
     usual: _WireUsual = msgspec.field(default_factory=_WireUsual)
 
 
 class _WireService(msgspec.Struct):
     name: str
-    health_path: str = "/health"
-    # Connections that one upstream takes from all callers together.
-    max_conns: int = 100
     engine: _WireEngine | None = None
 
 
@@ -179,20 +166,14 @@
 
 def _make_service(wire: _WireService) -> ServiceSpec:
     engine = None if wire.engine is None else _make_engine(wire.engine)
-    return ServiceSpec(wire.name, wire.health_path, wire.max_conns, engine)
+    return ServiceSpec(wire.name, engine)
 
 
 def _make_engine(wire: _WireEngine) -> EngineSpec:
-    delays = {}
-    for delay in wire.delays:
-        seconds = delay.delay_ms / MS_PER_SECOND
-        delays[delay.source, delay.to] = seconds
-        delays[delay.to, delay.source] = seconds
     return EngineSpec(
         layers=wire.layers,
         layer_mb=wire.layer_mb,
         cache_bytes_per_layer=wire.kv_token_bytes / max(1, wire.layers),
-        slots=wire.slots,
         step_seconds=wire.step_ms / MS_PER_SECOND,
         step_seconds_per_request=wire.per_seq_ms / MS_PER_SECOND,
         step_seconds_per_token=(
@@ -202,10 +183,8 @@
         chunk_tokens=max(1.0, wire.chunk),
         steps_per_event=max(1, wire.stride),
         load_seconds=max((model.load_s for model in wire.models), default=0.0),
-        loads_at_once=max(1, wire.loads_at_once),
         usual_prompt=wire.usual.prompt,
         usual_answer=wire.usual.answer,
-        domain_delays_by_pair=delays,
         accelerators_by_kind={
             kind.name: Accelerator(kind.mb, kind.pace, kind.read_x)
             for kind in wire.kinds
--- a/wigeondrift/platform/settings.py
+++ b/wigeondrift/platform/settings.py
@@ -46,7 +46,6 @@
         store_address=values_by_name["platform.address"],
         peer_port=int(ports[0] or 0),
         heartbeat=float(get("heartbeat_ms", "1200")) / MS_PER_SECOND,
-        least_lease=float(get("platform.ttl_min_ms", "1000")) / MS_PER_SECOND,
         descriptors=int(get("limits.max_fds", "4096")),
         bounds=_make_bounds(values_by_name),
     )
@@ -63,14 +62,11 @@
     is_strict = values_by_name.get("bounds.revoke_strict") == "true"
     known = Bounds()
     return Bounds(
-        drain=seconds("drain_ms", known.drain),
         grace=number("grace_s", known.grace),
-        stable_window=seconds("stable_window_ms", known.stable_window),
         key_revocation=(
             seconds("revoke_ms", known.key_revocation) if is_strict else 0.0
         ),
         retry_ratio=number("budget_ratio", known.retry_ratio),
         retry_window=number("budget_window_s", known.retry_window),
         retry_slack=number("budget_slack", known.retry_slack),
-        stage_stall=seconds("stall_ms", known.stage_stall),
     )
--- a/wigeondrift/platform/upstreams.py
+++ b/wigeondrift/platform/upstreams.py
@@ -44,12 +44,6 @@
 class _WireReport(msgspec.Struct):
     seq: int
     busy: bool = False
-    running: int = 0
-    waiting: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
-    # Over 1 means that the runner is slow.
-    pace: float = 1.0
     layers: _WireLayers | None = None
     born: int = 0
     stalled: list[dict[str, str]] = []
@@ -104,11 +98,6 @@
     return RunnerReport(
         order_count=wire.seq,
         is_busy=wire.busy,
-        running=wire.running,
-        waiting=wire.waiting,
-        cache_used=wire.kv_used,
-        cache_total=wire.kv_total,
-        slowdown=wire.pace,
         first_layer=layers.first,
         end_layer=layers.to,
         born_ms=wire.born,
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -20,6 +20,7 @@
     HttpRunnerControl,
     decode_upstream,
 )
+from wigeondrift.router.attempt import Sender
 from wigeondrift.router.choice import Choice
 from wigeondrift.router.forwarding import Forwarder
 from wigeondrift.router.listeners import (
@@ -123,14 +124,14 @@
             ),
         )
         self.prober = Prober(self.replica, self.directory, self.choice, control)
+        dialect = PlatformDialect()
         self.forwarder = Forwarder(
             replica=self.replica,
             choice=self.choice,
             waiting=self.waiting,
             membership=self.membership,
-            client=client,
-            control=control,
-            dialect=PlatformDialect(),
+            sender=Sender(self.choice, client, control, dialect, metrics),
+            dialect=dialect,
             bounds=bounds,
             metrics=metrics,
             rng=rng,
--- a/wigeondrift/router/entities.py
+++ b/wigeondrift/router/entities.py
@@ -91,8 +91,6 @@
     layer_mb : float
     cache_bytes_per_layer : float
         KV cache of one token in one layer, in bytes.
-    slots : int
-        Requests that a runner takes at once as the first of a route.
     step_seconds : float
         Fixed time of one token step.
     step_seconds_per_request : float
@@ -106,19 +104,14 @@
         Token steps between two events of a stream.
     load_seconds : float
         Time to load all layers.
-    loads_at_once : int
-        Loads beyond which each takes proportionally longer.
     usual_prompt, usual_answer : float
         Mean tokens of a request.
-    domain_delays_by_pair : dict of (str, str) to float
-        One-way delay between two failure domains, in seconds.
     accelerators_by_kind : dict of str to Accelerator
     """
 
     layers: int
     layer_mb: float
     cache_bytes_per_layer: float
-    slots: int
     step_seconds: float
     step_seconds_per_request: float
     step_seconds_per_token: float
@@ -126,10 +119,8 @@
     chunk_tokens: float
     steps_per_event: int
     load_seconds: float
-    loads_at_once: int
     usual_prompt: float
     usual_answer: float
-    domain_delays_by_pair: dict[tuple[str, str], float]
     accelerators_by_kind: dict[str, Accelerator]
 
 
@@ -137,8 +128,6 @@
     """One configured service; ``engine`` is None for a plain one."""
 
     name: str
-    health_path: str
-    max_connections: int
     engine: EngineSpec | None
 
 
@@ -247,11 +236,6 @@
         Orders accepted since its start; the guard of the next order.
     is_busy : bool
         Whether an order is in progress.
-    running, waiting : int
-    cache_used, cache_total : int
-        KV cache, in tokens times layers.
-    slowdown : float
-        Factor on its usual times; over 1 means slow.
     first_layer, end_layer : int
     born_ms : int
     stalled_by_request : dict of str to str
@@ -260,11 +244,6 @@
 
     order_count: int
     is_busy: bool
-    running: int
-    waiting: int
-    cache_used: int
-    cache_total: int
-    slowdown: float
     first_layer: int
     end_layer: int
     born_ms: int
--- a/wigeondrift/router/listeners.py
+++ b/wigeondrift/router/listeners.py
@@ -1,5 +1,6 @@
 """Listening sockets of a router: callers, the balancer's questions, metrics."""
 
+import abc
 import logging
 
 import trio
@@ -161,26 +162,21 @@
         )
 
 
-class ReadyListener(Component):
-    """Answers the balancer's questions.
+class PageListener(Component):
+    """Serves small pages on an address of their own.
 
     Parameters
     ----------
     address : str
-    path : str
-        Path of the question.
-    readiness : Readiness
+        ``host:port``.
     """
 
-    __slots__ = ("_address", "_path", "_readiness", "_server")
+    __slots__ = ("_address", "_server")
 
-    def __init__(self, address: str, path: str, readiness: Readiness) -> None:
+    def __init__(self, address: str) -> None:
         self._address = address
-        self._path = path
-        self._readiness = readiness
-        self._server = HttpServer(
-            self._answer, HttpLimits(connections=SMALL_CONNECTIONS)
-        )
+        limits = HttpLimits(connections=SMALL_CONNECTIONS)
+        self._server = HttpServer(self._answer, limits)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Listen in ``nursery``."""
@@ -188,6 +184,29 @@
         listeners = await trio.open_tcp_listeners(port, host=host)
         nursery.start_soon(trio.serve_listeners, self._server.serve_stream, listeners)
 
+    @abc.abstractmethod
+    async def _answer(self, exchange: Exchange) -> None:
+        """Answer one request."""
+
+
+class ReadyListener(PageListener):
+    """Answers the balancer's questions.
+
+    Parameters
+    ----------
+    address : str
+    path : str
+        Path of the question.
+    readiness : Readiness
+    """
+
+    __slots__ = ("_path", "_readiness")
+
+    def __init__(self, address: str, path: str, readiness: Readiness) -> None:
+        super().__init__(address)
+        self._path = path
+        self._readiness = readiness
+
     async def _answer(self, exchange: Exchange) -> None:
         status = 404
         if exchange.request.path == self._path:
@@ -195,7 +214,7 @@
         await exchange.respond(status, [("Content-Type", "text/plain")])
 
 
-class MetricsListener(Component):
+class MetricsListener(PageListener):
     """Serves the metrics as text.
 
     Parameters
@@ -204,20 +223,11 @@
     metrics : PrometheusMetrics
     """
 
-    __slots__ = ("_address", "_metrics", "_server")
+    __slots__ = ("_metrics",)
 
     def __init__(self, address: str, metrics: PrometheusMetrics) -> None:
-        self._address = address
+        super().__init__(address)
         self._metrics = metrics
-        self._server = HttpServer(
-            self._answer, HttpLimits(connections=SMALL_CONNECTIONS)
-        )
-
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Listen in ``nursery``."""
-        host, port = parse_address(self._address)
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        nursery.start_soon(trio.serve_listeners, self._server.serve_stream, listeners)
 
     async def _answer(self, exchange: Exchange) -> None:
         if exchange.request.path != METRICS_PATH:
--- a/wigeondrift/router/settings.py
+++ b/wigeondrift/router/settings.py
@@ -8,12 +8,8 @@
 
     Attributes
     ----------
-    drain : float
-        Time that a leaving upstream goes on serving.
     grace : float
         Time between the request to stop and the kill.
-    stable_window : float
-        Calm time after which a process counts as undisturbed.
     key_revocation : float
         Time after which a key taken away must not be served; zero if not strict.
     retry_ratio : float
@@ -21,18 +17,13 @@
     retry_window : float
     retry_slack : float
         Repeats allowed besides, over all instances, in each window.
-    stage_stall : float
-        Time after which a runner gives up on work that waits for a dead stage.
     """
 
-    drain: float = 2.0
     grace: float = 8.0
-    stable_window: float = 3.0
     key_revocation: float = 5.0
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 0.0
-    stage_stall: float = 2.0
 
 
 class RouterSettings(msgspec.Struct, frozen=True):
@@ -51,8 +42,6 @@
         ``host:port`` of the platform's store.
     heartbeat : float
         Time between two signs of life of an upstream, in seconds.
-    least_lease : float
-        Shortest lease that the store gives, in seconds.
     descriptors : int
         File descriptors that the process may hold.
     bounds : Bounds
@@ -66,6 +55,5 @@
     store_address: str
     peer_port: int = 0
     heartbeat: float = 1.2
-    least_lease: float = 1.0
     descriptors: int = 4096
     bounds: Bounds = Bounds()
