--- a/tests/features/router.feature
+++ b/tests/features/router.feature
@@ -185,3 +185,13 @@
     And its connection was closed after the answer
     And a later connection was not taken
     And the router ended by itself
+
+  Scenario: A member that breaks one answer is neither avoided nor thought unreachable
+    Given one member has the fault "reset"
+    When 6 callers ask for a status one after another
+    Then no member is avoided and no question was put to one
+
+  Scenario: Idle connections are closed when they are too old to be used again
+    When a caller asks for a draft
+    And 6 seconds pass
+    Then no idle connection is left
--- a/tests/features/steps/router_steps.py
+++ b/tests/features/steps/router_steps.py
@@ -553,3 +553,30 @@
 @then("the router ended by itself")
 def check_ended(context):
     run_to_here(context, lambda world: check_true(context.has_ended))
+
+
+@then("no member is avoided and no question was put to one")
+def check_members_sound(context):
+    def check(world):
+        now = trio.current_time()
+        for name in MEMBERS:
+            assert not world.parts.choice.health.is_avoided(name, now)
+            assert world.servers_by_id[name].reports == 0
+
+    run_to_here(context, check)
+
+
+@when("{seconds:d} seconds pass")
+def pass_seconds(context, seconds):
+    async def wait(world):
+        await trio.sleep(seconds)
+
+    later(context, wait)
+
+
+@then("no idle connection is left")
+def check_idle(context):
+    def check(world):
+        assert world.parts.client.idle == 0
+
+    run_to_here(context, check)
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -188,6 +188,7 @@
     async def _keep_time(self):
         while True:
             await self.parts.replica.expire(trio.current_time())
+            await self.parts.client.prune(trio.current_time())
             await self.parts.waiting.look(trio.current_time())
             await trio.sleep(0.05)
 
--- a/wigeondrift/http_client.py
+++ b/wigeondrift/http_client.py
@@ -316,6 +316,25 @@
         else:
             await channel.close()
 
+    @property
+    def idle(self) -> int:
+        """Number of idle connections."""
+        return sum(map(len, self._idle_by_address.values()))
+
+    async def prune(self, now: float) -> None:
+        """Close idle connections that won't be used again.
+
+        Parameters
+        ----------
+        now : float
+            Time of the event loop, in seconds.
+        """
+        for address, channels in list(self._idle_by_address.items()):
+            old = [c for c in channels if now >= c.usable_until]
+            self._idle_by_address[address] = [c for c in channels if c not in old]
+            for channel in old:
+                await channel.close()
+
     async def forget(self, address: str) -> None:
         """Close the idle connections to an address, which may have gone silent."""
         for channel in self._idle_by_address.pop(address, ()):
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -96,10 +96,11 @@
             journey.may_have_run = had_run or failure.may_have_run
             raise
         except TransportError as error:
-            suspects = await self._examine(upstream, journey.call.request_id)
-            raise AttemptFailed(
-                str(error), True, (upstream.upstream_id, *suspects)
-            ) from error
+            suspects = {upstream.upstream_id}
+            if reservation is not None:
+                # Members of plain services have no report.
+                suspects.update(await self._examine(upstream, journey.call.request_id))
+            raise AttemptFailed(str(error), True, tuple(suspects)) from error
 
     async def _call_guarded(
         self,
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -52,6 +52,8 @@
 LEAST_CONNECTIONS = 64
 METRICS_PORT = 9464
 IDLE_CONNECTIONS = 32
+# Pause between two looks for idle connections that are too old, in seconds.
+PRUNE_SECONDS = 1.0
 # A runner or the store answers a connection within milliseconds.
 CONNECT_SECONDS = 0.5
 
@@ -72,6 +74,7 @@
 
     __slots__ = (
         "choice",
+        "client",
         "directory",
         "forwarder",
         "freshness",
@@ -94,6 +97,7 @@
         get_time: Callable[[], float] = get_elapsed,
     ) -> None:
         bounds = settings.bounds
+        self.client = client
         self.store = HttpRevisionStore(store_client, settings.store_address)
         self.directory = Directory(settings.heartbeat)
         self.freshness = Freshness(bounds.key_revocation)
@@ -144,6 +148,7 @@
         """Subscribe the periodic parts and those that follow the settings."""
         timer.subscribe("settings", RELOAD_SECONDS, reloader.look)
         timer.subscribe("expire", EXPIRE_SECONDS, self.replica.expire)
+        timer.subscribe("prune", PRUNE_SECONDS, self.client.prune)
         timer.subscribe("waiting", LOOK_SECONDS, self.waiting.look)
         reloader.subscribe(lambda settings: self.store.move(settings.store_address))
         reloader.subscribe(
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -36,6 +36,8 @@
         Layers.
     order_count : int
     orders : list of dict
+    reports : int
+        Questions for its report.
     """
 
     def __init__(self, upstream_id: str, events: int = 6) -> None:
@@ -49,6 +51,7 @@
         self.order_count = 0
         self.orders: list[dict] = []
         self.abandoned = 0
+        self.reports = 0
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
@@ -66,6 +69,7 @@
                 self.abandoned += 1
 
     async def _report(self, exchange: Exchange) -> None:
+        self.reports += 1
         stalled = []
         if self.stalled_by:
             for request in self.served:
