--- a/tests/features/http.feature
+++ b/tests/features/http.feature
@@ -9,10 +9,18 @@
       | bytes                     | status |
       | an oversized header       | 431    |
       | an oversized body         | 413    |
+      | an announced huge body    | 413    |
+      | a body with two lengths   | 400    |
+      | a body of a bad length    | 400    |
+      | a bad chunk size          | 400    |
       | something other than HTTP | 400    |
       | half a request and waits  | 408    |
       | half a request and EOF    | 400    |
 
+  Scenario: Hostile bytes never reach the handler changed and never end the server
+    Given an echo server with a header bound of 2048 and a body bound of 1000 bytes
+    Then 300 random mutations of a request are echoed whole, refused or closed
+
   Scenario: Two requests use one connection
     Given an echo server with a header bound of 2048 and a body bound of 1000 bytes
     When a client sends "one" and then "two"
--- a/tests/features/steps/http_steps.py
+++ b/tests/features/steps/http_steps.py
@@ -1,5 +1,8 @@
 import trio
 from behave import given, then, when
+from hypothesis import given as given_any
+from hypothesis import settings
+from hypothesis import strategies as st
 from trio.testing import MockClock, memory_stream_pair
 
 from tests.processes import free_address
@@ -11,6 +14,11 @@
 BYTES_BY_NAME = {
     "an oversized header": HEAD + b"X: " + b"y" * 4000 + b"\r\n\r\n",
     "an oversized body": HEAD + b"Content-Length: 2000\r\n\r\n" + b"y" * 2000,
+    "an announced huge body": HEAD + b"Content-Length: 99999999999\r\n\r\n",
+    "a body with two lengths": HEAD
+    + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "a body of a bad length": HEAD + b"Content-Length: 4, 5\r\n\r\nbody",
+    "a bad chunk size": HEAD + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\nbody\r\n",
     "something other than HTTP": b"\x16\x03\x01\x02\r\n\r\n",
     "half a request and waits": HEAD + b"Content-Length: 9\r\n\r\nhalf",
     "half a request and EOF": HEAD + b"Content-Length: 9\r\n\r\nhalf",
@@ -153,3 +161,42 @@
     except* kind:
         raised = True
     assert raised, f"{kind.__name__} was not raised"
+
+
+WHOLE = HEAD + b"Content-Length: 4\r\n\r\nbody"
+
+
+@then("{count:d} random mutations of a request are echoed whole, refused or closed")
+def check_mutations(context, count):
+    mutation = st.tuples(
+        st.integers(0, len(WHOLE)), st.integers(0, 6), st.binary(max_size=6)
+    )
+
+    async def talk(data):
+        ours, theirs = memory_stream_pair()
+        answer = b""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.server.serve_stream, theirs)
+            await ours.send_all(data)
+            await ours.send_eof()
+            while part := await ours.receive_some(65536):
+                answer += part
+        return answer
+
+    @settings(max_examples=count, derandomize=True, database=None, deadline=None)
+    @given_any(st.lists(mutation, min_size=1, max_size=3))
+    def check(mutations):
+        data = WHOLE
+        for place, removed, added in mutations:
+            data = data[:place] + added + data[place + removed :]
+        answer = trio.run(talk, data, clock=MockClock(autojump_threshold=0))
+        if answer:
+            status = int(answer.split(b" ", 2)[1])
+            assert answer.startswith(b"HTTP/1.1 ")
+            assert status in (200, 400, 408, 413, 431), answer
+            if status == 200:
+                # What was echoed stands in what was sent.
+                body = answer.partition(b"\r\n\r\n")[2].split(b"HTTP/1.1")[0]
+                assert body in data or b"chunked" in data.lower(), answer
+
+    check()
