--- a/wigeondrift/events.py
+++ b/wigeondrift/events.py
@@ -59,7 +59,6 @@
     ROUTES_CHANGED = 3541, "The routes over a model's runners were found anew."
     ATTEMPT_FAILED = 3551, "A request failed at an upstream."
     RELOADED = 3561, "The settings file was read again."
-    LINES_DROPPED = 3571, "Lines of this log were dropped to keep its volume bounded."
     REQUEST_QUARANTINED = 3401, "A fingerprint is refused since upstreams died of it."
 
 
