Let routers of large failure domains follow a few that read the store

Now a few routers of each failure domain read the store, and the others ask one of these over HTTP on the internal port. A follower counts a relay's confirmation from when its question was sent, plus the time held, less the relay's age, and reads the store itself for 5 s when the relay does not answer, is too old, or has lost the store. Groups below five are unchanged.

Ruled out: longer waits of the watch (bound by keys taken away), stale reads (no confirmation).

--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -20,7 +20,7 @@
 from wigeondrift.platform.upstreams import decode_report, decode_upstream
 from wigeondrift.router.entities import Upstream
 from wigeondrift.router.event_stream import EventBuffer
-from wigeondrift.router.replica import BATCH_SECONDS
+from wigeondrift.router.sources import BATCH_SECONDS
 from wigeondrift.systems.chains import ChainBook, RouteDemand
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.freshness import Freshness
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -180,6 +180,7 @@
             settings,
             client,
             MemoryClient(self.network),
+            MemoryClient(self.network),
             NullMetrics(),
             random.Random(1),
             trio.current_time,
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -221,6 +221,10 @@
     """The store no longer has the changes that a watch goes on from."""
 
 
+class RelayFailed(WigeondriftError):
+    """A router that others follow did not answer, or has lost the store itself."""
+
+
 class LeaseEnded(PlatformError):
     """The store knows no such lease; nothing was written."""
 
--- a/wigeondrift/events.py
+++ b/wigeondrift/events.py
@@ -51,6 +51,7 @@
     UPSTREAM_AVOIDED = 3514, "An upstream failed and is avoided for a while."
     DOMAIN_CUT_OFF = 3515, "No upstream of a failure domain can be reached."
     PEER_UNREADABLE = 3521, "A peer's entry or message can't be read."
+    RELAY_LOST = 3523, "A router that reads the store for this one failed."
     LEASE_NOT_ENDED = 3522, "A lease could not be ended and lapses by itself."
     PLANNER_LEADS = 3531, "This router gives the orders to runners."
     PLANNER_STOPPED = 3532, "This router no longer gives orders to runners."
--- a/wigeondrift/platform/settings.py
+++ b/wigeondrift/platform/settings.py
@@ -47,6 +47,7 @@
         peer_port=int(ports[0] or 0),
         heartbeat=float(get("heartbeat_ms", "1200")) / MS_PER_SECOND,
         descriptors=int(get("limits.max_fds", "4096")),
+        link_mbps=float(get("limits.link_mbps", "0")),
         bounds=_make_bounds(values_by_name),
     )
 
@@ -66,6 +67,11 @@
         key_revocation=(
             seconds("revoke_ms", known.key_revocation) if is_strict else 0.0
         ),
+        # The configuration and the list of upstreams come from the same store.
+        change_apply=min(
+            seconds("config_apply_ms", known.change_apply),
+            seconds("drain_ms", known.change_apply),
+        ),
         retry_ratio=number("budget_ratio", known.retry_ratio),
         retry_window=number("budget_window_s", known.retry_window),
         retry_slack=number("budget_slack", known.retry_slack),
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -33,6 +33,7 @@
 from wigeondrift.router.peers import PeerExchange
 from wigeondrift.router.planner import Planner
 from wigeondrift.router.probing import Prober
+from wigeondrift.router.relay import Relay, RelayedSource
 from wigeondrift.router.reload import LOOK_SECONDS as RELOAD_SECONDS
 from wigeondrift.router.reload import Reloader
 from wigeondrift.router.replica import (
@@ -42,9 +43,11 @@
     get_elapsed,
 )
 from wigeondrift.router.settings import RouterSettings
+from wigeondrift.router.sources import StoreSource
 from wigeondrift.router.waiting import LOOK_SECONDS, WaitingRoom
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.freshness import Freshness
+from wigeondrift.systems.relays import RelayTable
 from wigeondrift.timer import TimerService, TrioClock
 
 # Descriptors kept for connections to upstreams, the store and the files of a process.
@@ -64,8 +67,8 @@
     Parameters
     ----------
     settings : RouterSettings
-    client, store_client : HttpClient
-        Reach upstreams and the store.
+    client, store_client, peer_client : HttpClient
+        Reach upstreams, the store and other routers.
     metrics : Metrics
     rng : random.Random
     get_time : callable, optional
@@ -82,7 +85,10 @@
         "planner",
         "prober",
         "readiness",
+        "relay",
+        "relays",
         "replica",
+        "source",
         "store",
         "waiting",
     )
@@ -92,6 +98,7 @@
         settings: RouterSettings,
         client: HttpClient,
         store_client: HttpClient,
+        peer_client: HttpClient,
         metrics: Metrics,
         rng: random.Random,
         get_time: Callable[[], float] = get_elapsed,
@@ -104,17 +111,39 @@
         layout = StoreLayout(
             CONFIGURATION_KEY, UPSTREAMS_PREFIX, decode_configuration, decode_upstream
         )
+        self.relays = RelayTable(settings.instance_id)
+        self.source = RelayedSource(
+            StoreSource(self.store, self.freshness, self.relays, bounds, get_time),
+            self.relays,
+            lambda: self.membership.list_addresses(),
+            peer_client,
+            bounds,
+            get_time,
+        )
         self.replica = Replica(
-            self.store, layout, self.directory, self.freshness, get_time
+            self.store,
+            self.source,
+            layout,
+            self.directory,
+            self.freshness,
+            get_time,
         )
         self.choice = Choice(self.directory, settings.failure_domain, rng)
         self.waiting = WaitingRoom(self.choice)
         entry = RouterEntry(
-            f"{settings.host}:{settings.peer_port}", settings.failure_domain
+            f"{settings.host}:{settings.peer_port}",
+            settings.failure_domain,
+            settings.link_mbps,
         )
         self.membership = Membership(
             self.store, self.replica, settings.instance_id, entry
         )
+        self.replica.subscribe(
+            lambda: self.relays.set_members(self.membership.list_links())
+        )
+        self.relay = Relay(
+            self.replica, self.relays, bounds, settings.host, settings.peer_port
+        )
         control = HttpRunnerControl(client)
         reach = self.choice.reach
         self.planner = Planner(
@@ -154,6 +183,8 @@
         reloader.subscribe(
             lambda settings: self.freshness.rebound(settings.bounds.key_revocation)
         )
+        reloader.subscribe(lambda settings: self.source.rebound(settings.bounds))
+        reloader.subscribe(lambda settings: self.relay.rebound(settings.bounds))
         reloader.subscribe(lambda settings: self.forwarder.rebound(settings.bounds))
 
 
@@ -175,6 +206,7 @@
         settings,
         HttpClient(CONNECT_SECONDS, IDLE_CONNECTIONS),
         HttpClient(CONNECT_SECONDS, IDLE_CONNECTIONS),
+        HttpClient(CONNECT_SECONDS),
         metrics,
         random.Random(),
     )
@@ -191,6 +223,7 @@
     components = [
         ReadyListener(settings.ready_address, READINESS_PATH, parts.readiness),
         MetricsListener(f"{settings.host}:{METRICS_PORT}", metrics),
+        parts.relay,
         parts.replica,
         parts.membership,
         peers,
--- a/wigeondrift/router/membership.py
+++ b/wigeondrift/router/membership.py
@@ -27,10 +27,13 @@
     address : str
         ``host:port`` where it takes messages of its peers.
     failure_domain : str
+    link_mbps : float
+        Bandwidth of its link.
     """
 
     address: str
     failure_domain: str
+    link_mbps: float = 0.0
 
 
 class Membership(Component):
@@ -74,6 +77,20 @@
         """Return the other routers by their instance."""
         return self._peers_by_id
 
+    def list_addresses(self) -> dict[str, str]:
+        """Return the addresses of the other routers by their instance."""
+        return {name: peer.address for name, peer in self._peers_by_id.items()}
+
+    def list_links(self) -> dict[str, float]:
+        """Return the links of the own failure domain's routers, in Mbit/s."""
+        links = {
+            name: peer.link_mbps
+            for name, peer in self._peers_by_id.items()
+            if peer.failure_domain == self._entry.failure_domain
+        }
+        links[self._instance_id] = self._entry.link_mbps
+        return links
+
     def _read_peers(self) -> None:
         peers = {}
         for key, item in self._replica.own_items_by_key.items():
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -15,16 +15,15 @@
 )
 from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.router.entities import Configuration, Upstream
+from wigeondrift.router.sources import ChangeSource
 from wigeondrift.store.revisions import Item, RevisionStore
+from wigeondrift.systems.changes import ChangeLog
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.freshness import Freshness
 
 # Pause after a failed call, in seconds: short beside the bound on keys.
 RETRY_SECONDS = 0.25
 EXPIRE_SECONDS = 0.1
-# Pause after changes, so that those which come in a row are read by one call: each is
-# counted. Short beside the bounds on configuration and on leaving upstreams (2 s).
-BATCH_SECONDS = 0.8
 
 OWN_PREFIX = "wigeondrift/"
 
@@ -64,11 +63,12 @@
 
 
 class Replica(Component):
-    """Watches the store.
+    """Follows the store.
 
     Parameters
     ----------
     store : RevisionStore
+    source : ChangeSource
     layout : StoreLayout
     directory : Directory
     freshness : Freshness
@@ -81,48 +81,55 @@
         In force; None until one has been read.
     own_items_by_key : dict of str to Item
         Keys that routers wrote.
+    log : ChangeLog
+        Recent changes, for routers that follow this one.
+    answered_at : float
+        Time at which the store last answered.
     """
 
     __slots__ = (
-        "_delay",
         "_directory",
         "_freshness",
         "_is_lost",
         "_layout",
         "_logger",
-        "_revision",
+        "_source",
         "_store",
         "_subscribers",
         "_unreadable_by_id",
+        "answered_at",
         "configuration",
         "get_time",
+        "log",
         "own_items_by_key",
     )
 
     def __init__(
         self,
         store: RevisionStore,
+        source: ChangeSource,
         layout: StoreLayout,
         directory: Directory,
         freshness: Freshness,
         get_time: Callable[[], float] = get_elapsed,
     ) -> None:
         self._store = store
+        self._source = source
         self._layout = layout
         self._directory = directory
         self._freshness = freshness
         self.get_time = get_time
         self._logger = logging.getLogger(LOGGER_NAME)
-        self._revision = 0
         self._is_lost = False
-        self._delay = 0.0
         self._subscribers: list[Callable[[], None]] = []
         self._unreadable_by_id: dict[str, bytes] = {}
         self.configuration: Configuration | None = None
         self.own_items_by_key: dict[str, Item] = {}
+        self.log = ChangeLog()
+        self.answered_at = get_time()
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call ``callback`` after each change of what is known."""
+        """Call ``callback`` when something changed or the store was lost."""
         self._subscribers.append(callback)
 
     @property
@@ -135,6 +142,11 @@
         """Age of the last confirmation in seconds."""
         return self._freshness.get_age(self.get_time())
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call was not answered."""
+        return self._is_lost
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Watch the store in ``nursery``."""
         nursery.start_soon(self._run)
@@ -155,7 +167,7 @@
                     await self._read_all()
                     needs_all = False
                 else:
-                    await self._watch_once()
+                    await self._read_changes()
             except HistoryLost:
                 needs_all = True
             except PlatformError as error:
@@ -164,38 +176,49 @@
 
     async def _read_all(self) -> None:
         asked_at = self.get_time()
+        prefix = self._layout.upstreams_prefix
+        known_keys = {prefix + name for name in self._directory.upstreams_by_id}
+        known_keys.update(self.own_items_by_key)
         first = await self._store.list_items(self._layout.configuration_key)
         upstreams = await self._store.list_items(self._layout.upstreams_prefix)
         own = await self._store.list_items(OWN_PREFIX)
-        self._note_answer()
+        self._note_answer(self.get_time())
         for item in first.items:
             self._apply_configuration(item)
         now = self.get_time()
         decoded = [self._decode(item) for item in upstreams.items]
         self._directory.replace_all([one for one in decoded if one is not None], now)
+        listed = (*first.items, *upstreams.items, *own.items)
+        self._log_difference(listed, known_keys, first.revision)
         self.own_items_by_key = {item.key: item for item in own.items}
-        self._revision = first.revision
         if self.configuration is not None:
             self._freshness.confirm(asked_at)
         self._notify()
 
-    async def _watch_once(self) -> None:
-        asked_at = self.get_time()
-        # After a failure the first answer should come at once.
-        wait = 0.0
-        if not self._is_lost:
-            wait = self._freshness.get_watch_seconds(self._delay)
-        page = await self._store.watch("", self._revision, wait)
-        self._delay = max(0.0, self.get_time() - asked_at - wait)
-        self._note_answer()
-        for item in page.items:
+    def _log_difference(
+        self, listed: tuple[Item, ...], known_keys: set[str], revision: int
+    ) -> None:
+        """Let followers go on from before the history that the store lost."""
+        known = self.log.revision
+        if not known:
+            self.log.restart(revision)
+            return
+        gone = known_keys - {item.key for item in listed}
+        changed = [item for item in listed if item.revision > known]
+        changed.sort(key=lambda item: item.revision)
+        changed.extend(Item(key, None, revision) for key in sorted(gone))
+        self.log.extend(tuple(changed), revision)
+
+    async def _read_changes(self) -> None:
+        changes = await self._source.read(self.log.revision)
+        self._note_answer(changes.answered_at)
+        for item in changes.items:
             self._apply(item)
-        self._revision = max(self._revision, page.revision)
+        self.log.extend(changes.items, changes.revision)
         if self.configuration is not None:
-            self._freshness.confirm(asked_at)
-        if page.items:
+            self._freshness.confirm(changes.confirmed_at)
+        if changes.items:
             self._notify()
-            await trio.sleep(BATCH_SECONDS)
 
     def _apply(self, item: Item) -> None:
         layout = self._layout
@@ -278,8 +301,9 @@
         self._unreadable_by_id.pop(upstream_id, None)
         return upstream
 
-    def _note_answer(self) -> None:
-        self._directory.note_answer(self.get_time())
+    def _note_answer(self, answered_at: float) -> None:
+        self.answered_at = max(self.answered_at, answered_at)
+        self._directory.note_answer(self.answered_at)
         if self._is_lost:
             self._is_lost = False
             log_event(self._logger, logging.INFO, Event.PLATFORM_BACK, age=self.age)
@@ -294,6 +318,7 @@
                 reason=str(error),
                 age=self.age,
             )
+            self._notify()
 
     def _notify(self) -> None:
         for callback in self._subscribers:
--- a/wigeondrift/router/settings.py
+++ b/wigeondrift/router/settings.py
@@ -12,6 +12,8 @@
         Time between the request to stop and the kill.
     key_revocation : float
         Time after which a key taken away must not be served; zero if not strict.
+    change_apply : float
+        Time after which a change of the store must be in force everywhere.
     retry_ratio : float
         Repeats allowed for each request.
     retry_window : float
@@ -21,6 +23,7 @@
 
     grace: float = 8.0
     key_revocation: float = 5.0
+    change_apply: float = 2.0
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 0.0
@@ -44,6 +47,8 @@
         Time between two signs of life of an upstream, in seconds.
     descriptors : int
         File descriptors that the process may hold.
+    link_mbps : float
+        Bandwidth of the instance's link.
     bounds : Bounds
     """
 
@@ -56,4 +61,5 @@
     peer_port: int = 0
     heartbeat: float = 1.2
     descriptors: int = 4096
+    link_mbps: float = 0.0
     bounds: Bounds = Bounds()
--- /dev/null
+++ b/wigeondrift/systems/changes.py
@@ -0,0 +1,55 @@
+"""Recent changes of the store, kept for those that ask which ones they missed."""
+
+from collections import deque
+
+from wigeondrift.store.revisions import Item
+
+# Changes kept: those of several minutes on a busy deployment.
+MOST_CHANGES = 2000
+
+
+class ChangeLog:
+    """Bounded log of changes in the order of their revisions.
+
+    Of each key only the newest change is kept: who asks needs the state, not its past.
+
+    Parameters
+    ----------
+    most : int
+        Changes kept at once.
+
+    Attributes
+    ----------
+    revision : int
+        Revision up to which all changes are known.
+    """
+
+    __slots__ = ("_items", "_most", "_since", "revision")
+
+    def __init__(self, most: int = MOST_CHANGES) -> None:
+        self._most = most
+        self._items: deque[Item] = deque()
+        # Changes after this revision are in the log, or were replaced by newer ones.
+        self._since = 0
+        self.revision = 0
+
+    def restart(self, revision: int) -> None:
+        """Begin anew at a revision, with no changes before it."""
+        self._items.clear()
+        self._since = self.revision = revision
+
+    def extend(self, items: tuple[Item, ...], revision: int) -> None:
+        """Add the changes up to ``revision``, in their order."""
+        if items:
+            newest = {item.key for item in items}
+            self._items = deque(i for i in self._items if i.key not in newest)
+            self._items.extend(items)
+            while len(self._items) > self._most:
+                self._since = max(self._since, self._items.popleft().revision)
+        self.revision = max(self.revision, revision)
+
+    def list_after(self, revision: int) -> tuple[Item, ...] | None:
+        """Return the changes after a revision; None if some are no longer known."""
+        if revision < self._since:
+            return None
+        return tuple(item for item in self._items if item.revision > revision)
--- a/wigeondrift/systems/freshness.py
+++ b/wigeondrift/systems/freshness.py
@@ -30,7 +30,7 @@
         self._bound = bound
         self._confirmed_at: float | None = None
 
-    def get_watch_seconds(self, delay: float) -> float:
+    def get_watch_seconds(self, delay: float, handover: float = 0.0) -> float:
         """Return the wait of a watch that confirms often enough.
 
         A watch confirms what held when it was asked for, so the confirmation is up to
@@ -40,10 +40,13 @@
         ----------
         delay : float
             Time that the store lately took beyond the wait, in seconds.
+        handover : float
+            Time by which those that follow this router know it later, in seconds.
         """
         if self._bound <= 0.0:
             return LONGEST_WATCH_SECONDS
-        wait = (SAFE_SHARE * self._bound - SPARE_SECONDS) / 2.0 - delay
+        usable = SAFE_SHARE * self._bound - SPARE_SECONDS - handover
+        wait = usable / 2.0 - delay
         return min(LONGEST_WATCH_SECONDS, max(SHORTEST_WATCH_SECONDS, wait))
 
     def rebound(self, bound: float) -> None:
--- /dev/null
+++ b/wigeondrift/systems/relays.py
@@ -0,0 +1,88 @@
+"""Which routers read the store themselves and which follow one that does.
+
+Answers the load of many routers on the store: each call is counted, and what changes is
+the same for all. In each failure domain a few routers read the store; the others ask
+one of these. Whoever gets no answer reads the store itself for a while.
+"""
+
+import math
+from collections.abc import Mapping
+
+# In smaller groups each router reads the store: following would save little and adds
+# the time to notice that a relay has gone.
+LEAST_MEMBERS = 5
+# Two, so that followers of one that has gone need not all go to the store.
+LEAST_RELAYS = 2
+# Followers of one relay: at 2 questions a second each costs it about 2% of a core.
+FOLLOWERS = 16
+# Time for which a router reads the store itself after its relay failed, in seconds.
+FALLBACK_SECONDS = 5.0
+# Time for which a relay that failed is not asked again: its registration lapses within
+# it if it is gone, in seconds.
+AVOID_SECONDS = 10.0
+
+
+class RelayTable:
+    """Routers of one failure domain, ranked alike by all that know the same ones.
+
+    Parameters
+    ----------
+    name : str
+        The own instance.
+    """
+
+    __slots__ = ("_avoided_until_by_name", "_direct_until", "_name", "_relays")
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._relays: list[str] = []
+        self._avoided_until_by_name: dict[str, float] = {}
+        self._direct_until = -math.inf
+
+    def set_members(self, link_by_name: Mapping[str, float]) -> None:
+        """Take the routers of the own failure domain.
+
+        Parameters
+        ----------
+        link_by_name : mapping of str to float
+            Bandwidth of each one's link, the own included; the best connected relay.
+        """
+        ranked = sorted(link_by_name, key=lambda name: (-link_by_name[name], name))
+        count = 0
+        if len(ranked) >= LEAST_MEMBERS:
+            count = max(LEAST_RELAYS, math.ceil(len(ranked) / FOLLOWERS))
+        self._relays = ranked[:count]
+
+    @property
+    def relays(self) -> list[str]:
+        """Routers that read the store for the others; none in small groups."""
+        return self._relays
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether others follow this router."""
+        return self._name in self._relays
+
+    def choose(self, now: float) -> str | None:
+        """Return the relay to ask; None to read the store itself."""
+        if self.is_relay or now < self._direct_until:
+            return None
+        usable = [
+            name
+            for name in self._relays
+            if now >= self._avoided_until_by_name.get(name, now)
+        ]
+        if not usable:
+            return None
+        # Spreads followers evenly without talk.
+        return usable[sum(self._name.encode()) % len(usable)]
+
+    def note_failure(self, name: str, now: float) -> None:
+        """Leave a relay that did not answer, or has lost the store itself."""
+        self._direct_until = now + FALLBACK_SECONDS
+        self._avoided_until_by_name = {
+            known: until
+            for known, until in self._avoided_until_by_name.items()
+            if now < until
+        }
+        self._avoided_until_by_name[name] = now + AVOID_SECONDS
