Prove the relays under random faults; let them outlive a cut call

Both bounds (keys taken away, changes in force) are checked in virtual time over eight routers with silent, refusing and late ways. The stand-in of the store answered twice when its history was lost at a call without wait.

--- /dev/null
+++ b/tests/features/steps/relay_steps.py
@@ -0,0 +1,172 @@
+import random
+
+import trio
+from behave import given, then, when
+from hypothesis import given as given_data
+from hypothesis import settings, strategies
+
+from tests.relay_world import RelayWorld, disturb
+from wigeondrift.store.revisions import Item
+from wigeondrift.systems.changes import ChangeLog
+
+COUNT_SECONDS = 10.0
+
+
+@given("{count:d} routers of one failure domain")
+def make_routers(context, count):
+    context.count = count
+    context.steps = []
+
+
+def run(context, check):
+    """Run the queued steps in a world of their own, then the check."""
+
+    async def scenario(world):
+        for step in context.steps:
+            await step(world)
+        await check(world)
+
+    RelayWorld(context.count).run(scenario)
+
+
+def do(action):
+    async def check(world):
+        action(world)
+
+    return check
+
+
+@when("the routers run for {seconds:d} seconds")
+def wait(context, seconds):
+    context.steps.append(lambda world: trio.sleep(seconds))
+
+
+@when("a configuration is written and {seconds:d} seconds pass")
+def write(context, seconds):
+    async def step(world):
+        world.write(2)
+        await trio.sleep(seconds)
+
+    context.steps.append(step)
+
+
+@when(
+    "the history is forgotten, a configuration is written and {seconds:d} seconds pass"
+)
+def forget(context, seconds):
+    async def step(world):
+        world.store.forget_history()
+        for way in world.store_ways_by_name.values():
+            way.calls = 0
+        world.write(2)
+        await trio.sleep(seconds)
+
+    context.steps.append(step)
+
+
+@when('the ways to the relays are "{mode}"')
+def break_relays(context, mode):
+    async def step(world):
+        for name in world.relays:
+            world.peer_ways_by_name[name].set(mode)
+
+    context.steps.append(step)
+
+
+@when('the relays\' ways to the store are "{mode}"')
+def cut_relays(context, mode):
+    async def step(world):
+        for name in world.relays:
+            world.store_ways_by_name[name].set(mode)
+
+    context.steps.append(step)
+
+
+@then("{count:d} of them read the store")
+def check_relays(context, count):
+    def check(world):
+        assert len(world.relays) == count, world.relays
+
+    run(context, do(check))
+
+
+@then("the others read nothing from the store in the last {seconds:d} seconds")
+def check_calls(context, seconds):
+    async def check(world):
+        watches = dict(world.store.calls_by_name)
+        for way in world.store_ways_by_name.values():
+            way.calls = 0
+        await trio.sleep(seconds)
+        for name, way in world.store_ways_by_name.items():
+            if name not in world.relays:
+                # Renewals of its registration, one each 3 s.
+                assert way.calls <= seconds / 3.0 + 1.0, (name, way.calls)
+        assert watches["kv-range"] == world.store.calls_by_name["kv-range"]
+
+    run(context, check)
+
+
+@then("the others made no call to the store since")
+def check_followers(context):
+    def check(world):
+        for name, way in world.store_ways_by_name.items():
+            if name not in world.relays:
+                assert way.calls <= 2, (name, way.calls)
+
+    run(context, do(check))
+
+
+@then("all know it")
+def check_all(context):
+    def check(world):
+        for name, parts in world.routers_by_name.items():
+            assert parts.replica.configuration.version == 2, name
+
+    run(context, do(check))
+
+
+@then("all but the relays know it")
+def check_others(context):
+    def check(world):
+        for name, parts in world.routers_by_name.items():
+            is_told = parts.replica.configuration.version == 2
+            assert is_told or name in world.relays, name
+
+    run(context, do(check))
+
+
+@then("both bounds hold for {seconds:d} seconds of faults with seed {seed:d}")
+def check_bounds(context, seconds, seed):
+    async def check(world):
+        await disturb(world, random.Random(seed), float(seconds))
+
+    run(context, check)
+
+
+@then("random changes come back from the log as an oracle has them")
+def check_log(context):
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given_data(
+        strategies.lists(strategies.integers(0, 5), max_size=40),
+        strategies.integers(1, 8),
+        strategies.integers(0, 45),
+    )
+    def check(keys, most, after):
+        log = ChangeLog(most)
+        log.restart(0)
+        last_by_key = {}
+        for revision, key in enumerate(keys, start=1):
+            item = Item(f"k{key}", b"", revision)
+            last_by_key[item.key] = item
+            log.extend((item,), revision)
+        wanted = sorted(
+            (i for i in last_by_key.values() if i.revision > after),
+            key=lambda item: item.revision,
+        )
+        found = log.list_after(after)
+        if found is None:
+            assert len(last_by_key) > most
+        else:
+            assert list(found) == wanted
+
+    check()
--- /dev/null
+++ b/tests/relay_world.py
@@ -0,0 +1,182 @@
+"""Routers of one failure domain over one store, with faults on the ways between them.
+
+Oracle: a router that trusts keys knows each configuration that was written longer ago
+than the bound on keys; one whose own way to the store is in order knows each that was
+written longer ago than the bound on changes, whatever happens to the others.
+"""
+
+import random
+
+import msgspec
+import trio
+from trio.testing import MockClock
+
+from tests.router_world import make_configuration
+from wigeondrift.metrics import NullMetrics
+from wigeondrift.router.composition import RouterParts
+from wigeondrift.router.settings import Bounds, RouterSettings
+from wigeondrift_emulator.memory_network import MemoryClient, MemoryNetwork
+from wigeondrift_emulator.revision_server import RevisionServer
+
+BOUNDS = Bounds(key_revocation=5.0, change_apply=3.0)
+LOOK_SECONDS = 0.05
+# The platform's own time after which a machine counts as undisturbed.
+STABLE_SECONDS = 3.0
+
+
+class SlowExchange:
+    """Exchange whose answer takes a while on its way."""
+
+    def __init__(self, exchange, seconds):
+        self.request = exchange.request
+        self._exchange = exchange
+        self._seconds = seconds
+
+    async def respond(self, status, headers, body=b""):
+        # The server's own time-outs do not end what is already on its way.
+        with trio.CancelScope(shield=True):
+            await trio.sleep(self._seconds)
+        await self._exchange.respond(status, headers, body)
+
+
+class Way:
+    """Way to a server, and what is wrong with it."""
+
+    def __init__(self, handler):
+        self._handler = handler
+        self.mode = "open"
+        self.disturbed_at = -STABLE_SECONDS
+        self.calls = 0
+
+    def set(self, mode):
+        self.disturbed_at = trio.current_time()
+        self.mode = mode
+
+    @property
+    def is_in_order(self):
+        is_stable = trio.current_time() - self.disturbed_at >= STABLE_SECONDS
+        return self.mode == "open" and is_stable
+
+    async def handle(self, exchange):
+        self.calls += 1
+        if self.mode == "silent":
+            await trio.sleep_forever()
+        if self.mode == "refused":
+            await exchange.respond(503, [])
+            return
+        if self.mode == "late":
+            await trio.sleep(0.3)
+            exchange = SlowExchange(exchange, 2.5)
+        await self._handler(exchange)
+        if self.mode == "silent":
+            await trio.sleep_forever()
+
+
+class RelayWorld:
+    """Some routers that know each other."""
+
+    def __init__(self, count):
+        self.clock = MockClock(autojump_threshold=0)
+        self.store = RevisionServer()
+        self.written_at_by_version = {}
+        self.count = count
+        self.routers_by_name = {}
+        self.store_ways_by_name = {}
+        self.peer_ways_by_name = {}
+
+    def write(self, version):
+        data = msgspec.json.encode(make_configuration(version=version))
+        self.store.write("op/config", data)
+        self.written_at_by_version[version] = trio.current_time()
+
+    def run(self, scenario):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                self.network = MemoryNetwork(nursery)
+                self.write(1)
+                for number in range(1, self.count + 1):
+                    await self._add_router(number, nursery)
+                await trio.sleep(4.0)
+                await scenario(self)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=self.clock)
+
+    async def _add_router(self, number, nursery):
+        name = f"router-{number}"
+        store_address = f"10.0.0.{number}:80"
+        peer_address = f"10.1.0.{number}:70"
+        settings = RouterSettings(
+            instance_id=name,
+            failure_domain="east",
+            host=f"10.1.0.{number}",
+            caller_address=f"10.1.0.{number}:80",
+            ready_address=f"10.1.0.{number}:81",
+            store_address=store_address,
+            peer_port=70,
+            bounds=BOUNDS,
+        )
+        clients = [MemoryClient(self.network) for _ in range(3)]
+        parts = RouterParts(
+            settings, *clients, NullMetrics(), random.Random(number), trio.current_time
+        )
+        self.routers_by_name[name] = parts
+        self.store_ways_by_name[name] = Way(self.store.handle)
+        self.peer_ways_by_name[name] = Way(parts.relay.answer)
+        self.network.listen(store_address, self.store_ways_by_name[name].handle)
+        self.network.listen(peer_address, self.peer_ways_by_name[name].handle)
+        await parts.replica.start(nursery)
+        await parts.membership.start(nursery)
+
+    @property
+    def relays(self):
+        return [n for n, p in self.routers_by_name.items() if p.relays.is_relay]
+
+    def check(self):
+        """Check both bounds now."""
+        now = trio.current_time()
+        for name, parts in self.routers_by_name.items():
+            known = parts.replica.configuration
+            version = 0 if known is None else known.version
+            if parts.replica.is_current:
+                self._check_known(name, version, now - BOUNDS.key_revocation)
+            if self.store_ways_by_name[name].is_in_order:
+                self._check_known(name, version, now - BOUNDS.change_apply)
+
+    def _check_known(self, name, version, until):
+        for written, at in self.written_at_by_version.items():
+            assert version >= written or at > until, (name, version, written, at)
+
+    async def check_for(self, seconds):
+        until = trio.current_time() + seconds
+        while trio.current_time() < until:
+            self.check()
+            await trio.sleep(LOOK_SECONDS)
+
+
+async def disturb(world, rng, seconds):
+    """Write configurations and set random faults, then check once they are over."""
+    until = trio.current_time() + seconds
+    version = max(world.written_at_by_version)
+    ways = [*world.store_ways_by_name.values(), *world.peer_ways_by_name.values()]
+    while trio.current_time() < until:
+        action = rng.random()
+        if action < 0.4:
+            version += rng.randint(1, 3)
+            world.write(version)
+        elif action < 0.7:
+            mode = rng.choice(("silent", "refused", "late"))
+            for way in rng.sample(ways, rng.randint(1, 3)):
+                way.set(mode)
+        elif action < 0.9:
+            for way in ways:
+                if way.mode != "open" and rng.random() < 0.6:
+                    way.set("open")
+        else:
+            world.store.forget_history()
+        await world.check_for(rng.uniform(0.05, 2.0))
+    for way in ways:
+        if way.mode != "open":
+            way.set("open")
+    await world.check_for(2 * BOUNDS.key_revocation)
+    assert all(p.replica.is_current for p in world.routers_by_name.values())
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -152,6 +152,7 @@
             self.directory,
             control,
             settings.instance_id,
+            lambda: self.relays.may_lead,
             lambda runner, now: reach.is_lost(
                 runner.failure_domain, runner.upstream_id, now
             ),
--- a/wigeondrift/router/planner.py
+++ b/wigeondrift/router/planner.py
@@ -38,6 +38,11 @@
 # An order that shows no effect after its load's time and this margin is forgotten.
 ORDER_MARGIN_SECONDS = 3.0
 RETRY_SECONDS = 1.0
+# Time for which the lead must be vacant before a router tries for it, in seconds: the
+# others' entries show by then, so that few try. The second holds for all others, in
+# case those few can't reach the store.
+VACANT_SECONDS = 1.0
+LONG_VACANT_SECONDS = 3.0
 # A runner that could not be reached gets no order for this long.
 BARRED_SECONDS = 2.0
 
@@ -63,6 +68,8 @@
     directory : Directory
     control : RunnerControl
     instance_id : str
+    may_lead : callable
+        Whether this router is one of the few that take a vacant lead at once.
     is_lost : callable
         Whether a runner has been unreachable for long; takes it and the time.
     """
@@ -77,11 +84,13 @@
         "_lease",
         "_leased_at",
         "_logger",
+        "_may_lead",
         "_orders_by_id",
         "_replica",
         "_seen_ids",
         "_stopping",
         "_store",
+        "_vacant_since",
     )
 
     def __init__(
@@ -91,8 +100,10 @@
         directory: Directory,
         control: RunnerControl,
         instance_id: str,
+        may_lead: Callable[[], bool],
         is_lost: Callable[[Upstream, float], bool],
     ) -> None:
+        self._may_lead = may_lead
         self._is_lost = is_lost
         self._store = store
         self._replica = replica
@@ -106,6 +117,7 @@
         self._seen_ids: frozenset[str] = frozenset()
         self._changed_at = 0.0
         self._stopping = False
+        self._vacant_since = replica.get_time()
         self._logger = logging.getLogger(LOGGER_NAME)
 
     @property
@@ -142,7 +154,7 @@
                     asked_at = self._replica.get_time()
                     await self._store.renew_lease(self._lease)
                     self._leased_at = asked_at
-                elif LEADER_KEY not in self._replica.own_items_by_key:
+                elif self._is_wanted():
                     await self._take_lead()
                 await trio.sleep(RENEW_SECONDS if self._lease else TICK_SECONDS)
             except (LeaseEnded, RevisionConflict):
@@ -153,9 +165,17 @@
                     self._give_up(str(error))
                 await trio.sleep(RETRY_SECONDS / 2)
 
-    async def _take_lead(self) -> None:
+    def _is_wanted(self) -> bool:
+        """Whether the lead is vacant and this router is to try for it."""
+        now = self._replica.get_time()
+        if LEADER_KEY in self._replica.own_items_by_key:
+            self._vacant_since = now
         if self._replica.configuration is None:
-            return
+            return False
+        vacant = now - self._vacant_since
+        return vacant >= (VACANT_SECONDS if self._may_lead() else LONG_VACANT_SECONDS)
+
+    async def _take_lead(self) -> None:
         asked_at = self._replica.get_time()
         lease = await self._store.grant_lease(LEASE_SECONDS)
         value = self._instance_id.encode()
--- a/wigeondrift/router/relay.py
+++ b/wigeondrift/router/relay.py
@@ -5,6 +5,7 @@
 on the way and no frozen relay makes a confirmation look younger than it is.
 """
 
+import contextlib
 import logging
 from collections.abc import Callable
 
@@ -12,7 +13,12 @@
 import trio
 
 from wigeondrift.application import Component
-from wigeondrift.errors import RelayFailed, TransportError
+from wigeondrift.errors import (
+    HistoryLost,
+    PlatformError,
+    RelayFailed,
+    TransportError,
+)
 from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.http_client import HttpClient
 from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
@@ -38,6 +44,11 @@
 # Connections of a relay: one a follower, and as many while relays change.
 MOST_FOLLOWERS = 512
 STATUS_OK = 200
+STATUS_HISTORY_LOST = 410
+# Time that a relay has to reach the store again before its followers go there: a call
+# that was only cut is answered at the first retry.
+LOST_SECONDS = 0.35
+LOST_STEP_SECONDS = 0.05
 MESSAGE_HEADERS = [("Content-Type", "application/msgpack")]
 
 
@@ -91,6 +102,7 @@
         "_get_addresses",
         "_get_time",
         "_logger",
+        "_lost_store",
         "_store",
         "_table",
     )
@@ -110,6 +122,8 @@
         self._client = client
         self._bounds = bounds
         self._get_time = get_time
+        # Whether the last call to the store was not answered.
+        self._lost_store = False
         self._logger = logging.getLogger(LOGGER_NAME)
 
     def rebound(self, bounds: Bounds) -> None:
@@ -119,14 +133,66 @@
 
     async def read(self, after: int) -> Changes:
         """Return the changes after a revision."""
-        name = None
-        if get_relay_wait(self._bounds) >= LEAST_WAIT_SECONDS:
-            name = self._table.choose(self._get_time())
-        address = None if name is None else self._get_addresses().get(name)
-        if address is None:
-            return await self._store.read(after)
+        name = self._choose()
+        if name is None:
+            return await self._read_store(after)
+        if self._lost_store:
+            return await self._race(name, after)
+        try:
+            return await self._ask(name, after)
+        except RelayFailed:
+            return await self._read_store(after)
+
+    def _choose(self) -> str | None:
+        if get_relay_wait(self._bounds) < LEAST_WAIT_SECONDS:
+            return None
+        name = self._table.choose(self._get_time(), self._lost_store)
+        return name if name in self._get_addresses() else None
+
+    async def _read_store(self, after: int) -> Changes:
+        self._lost_store = True
+        changes = await self._store.read(after)
+        self._lost_store = False
+        return changes
+
+    async def _race(self, name: str, after: int) -> Changes:
+        """Ask both: neither may answer, and the bounds leave no time for a second try.
+
+        Raises
+        ------
+        PlatformError
+            If neither answers.
+        """
+        found: list[Changes] = []
+        failed: list[PlatformError] = []
+
+        async def ask(scope: trio.CancelScope) -> None:
+            # What went wrong is logged where it was noticed.
+            with contextlib.suppress(RelayFailed):
+                found.append(await self._ask(name, after))
+                scope.cancel()
+
+        async def read(scope: trio.CancelScope) -> None:
+            try:
+                found.append(await self._read_store(after))
+                scope.cancel()
+            except PlatformError as error:
+                failed.append(error)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, nursery.cancel_scope)
+            nursery.start_soon(read, nursery.cancel_scope)
+        if found:
+            return found[0]
+        raise failed[0]
+
+    async def _ask(self, name: str, after: int) -> Changes:
+        address = self._get_addresses()[name]
         try:
-            changes = await self._ask(address, after)
+            changes = await self._exchange(address, after)
+        except HistoryLost as error:
+            # The relay is younger than what this router knows; the next answer helps.
+            raise RelayFailed(str(error)) from error
         except (TransportError, RelayFailed) as error:
             self._table.note_failure(name, self._get_time())
             await self._client.forget(address)
@@ -138,12 +204,12 @@
                 reason=str(error),
                 revision=after,
             )
+            raise RelayFailed(str(error)) from error
+        finally:
             self._store.poll_next()
-            return await self._store.read(after)
-        self._store.poll_next()
         return changes
 
-    async def _ask(self, address: str, after: int) -> Changes:
+    async def _exchange(self, address: str, after: int) -> Changes:
         wait = HELD_SHARE * self._bounds.change_apply
         question = msgspec.msgpack.encode(Question(after, wait))
         asked_at = self._get_time()
@@ -155,6 +221,8 @@
                     status, body = response.status, await response.read()
         except trio.TooSlowError as error:
             raise RelayFailed("no answer in time") from error
+        if status == STATUS_HISTORY_LOST:
+            raise HistoryLost("the relay does not know the changes since")
         if status != STATUS_OK:
             raise RelayFailed(f"status {status}")
         try:
@@ -231,11 +299,12 @@
             return
         with trio.move_on_after(question.wait):
             while self._is_usable and not self._has_news(question.after):
-                await self._news.wait()
+                await self._wait_for_news()
         items = replica.log.list_after(question.after)
         if not self._is_usable or items is None:
             # The follower reads the store itself.
-            await exchange.respond(503, [])
+            status = 503 if items is not None else STATUS_HISTORY_LOST
+            await exchange.respond(status, [])
             return
         now = replica.get_time()
         answer = Answer(
@@ -249,10 +318,22 @@
             STATUS_OK, list(MESSAGE_HEADERS), msgspec.msgpack.encode(answer)
         )
 
+    async def _wait_for_news(self) -> None:
+        lost_at = self._replica.lost_at
+        if lost_at is None:
+            await self._news.wait()
+        else:
+            with trio.move_on_after(LOST_STEP_SECONDS):
+                await self._news.wait()
+
     @property
     def _is_usable(self) -> bool:
-        age = self._replica.age
-        if not self._table.is_relay or age is None or self._replica.is_lost:
+        replica = self._replica
+        now, age, lost_at = replica.get_time(), replica.age, replica.lost_at
+        if age is None or self._table.choose(now) is not None:
+            # It knows nothing yet, or follows another router itself.
+            return False
+        if lost_at is not None and now - lost_at >= LOST_SECONDS:
             return False
         # Older than two watches: this process stood still or its calls are lost.
         longest = 2.0 * get_relay_wait(self._bounds) + RELAY_BATCH_SECONDS
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -85,12 +85,13 @@
         Recent changes, for routers that follow this one.
     answered_at : float
         Time at which the store last answered.
+    lost_at : float or None
+        Time since which calls are not answered; None while they are.
     """
 
     __slots__ = (
         "_directory",
         "_freshness",
-        "_is_lost",
         "_layout",
         "_logger",
         "_source",
@@ -101,6 +102,7 @@
         "configuration",
         "get_time",
         "log",
+        "lost_at",
         "own_items_by_key",
     )
 
@@ -120,7 +122,7 @@
         self._freshness = freshness
         self.get_time = get_time
         self._logger = logging.getLogger(LOGGER_NAME)
-        self._is_lost = False
+        self.lost_at: float | None = None
         self._subscribers: list[Callable[[], None]] = []
         self._unreadable_by_id: dict[str, bytes] = {}
         self.configuration: Configuration | None = None
@@ -142,11 +144,6 @@
         """Age of the last confirmation in seconds."""
         return self._freshness.get_age(self.get_time())
 
-    @property
-    def is_lost(self) -> bool:
-        """Whether the last call was not answered."""
-        return self._is_lost
-
     async def start(self, nursery: trio.Nursery) -> None:
         """Watch the store in ``nursery``."""
         nursery.start_soon(self._run)
@@ -304,13 +301,13 @@
     def _note_answer(self, answered_at: float) -> None:
         self.answered_at = max(self.answered_at, answered_at)
         self._directory.note_answer(self.answered_at)
-        if self._is_lost:
-            self._is_lost = False
+        if self.lost_at is not None:
+            self.lost_at = None
             log_event(self._logger, logging.INFO, Event.PLATFORM_BACK, age=self.age)
 
     def _note_lost(self, error: PlatformError) -> None:
-        if not self._is_lost:
-            self._is_lost = True
+        if self.lost_at is None:
+            self.lost_at = self.get_time()
             log_event(
                 self._logger,
                 logging.WARNING,
--- a/wigeondrift/router/sources.py
+++ b/wigeondrift/router/sources.py
@@ -120,6 +120,7 @@
     def poll_next(self) -> None:
         """Let the next call return at once, with news or without."""
         self._waits = False
+        self._had_changes = False
 
     async def read(self, after: int) -> Changes:
         """Return the changes after a revision."""
--- a/wigeondrift/systems/relays.py
+++ b/wigeondrift/systems/relays.py
@@ -63,9 +63,22 @@
         """Whether others follow this router."""
         return self._name in self._relays
 
-    def choose(self, now: float) -> str | None:
-        """Return the relay to ask; None to read the store itself."""
-        if self.is_relay or now < self._direct_until:
+    @property
+    def may_lead(self) -> bool:
+        """Whether this router is one of the few that compete for duties."""
+        return self.is_relay or not self._relays
+
+    def choose(self, now: float, has_lost_store: bool = False) -> str | None:
+        """Return the relay to ask; None to read the store itself.
+
+        Parameters
+        ----------
+        now : float
+        has_lost_store : bool
+            Whether the store does not answer this router, so that a relay is asked
+            also soon after another one failed.
+        """
+        if self.is_relay or (now < self._direct_until and not has_lost_store):
             return None
         usable = [
             name
--- a/wigeondrift_emulator/revision_server.py
+++ b/wigeondrift_emulator/revision_server.py
@@ -138,13 +138,13 @@
     async def _watch(self, exchange: Exchange, query: dict[str, str]) -> None:
         after = int(query["after"])
         with trio.move_on_after(int(query["wait_ms"]) / 1000.0):
-            while True:
-                if after < self.history_from:
-                    await exchange.respond(410, [])
-                    return
+            while after >= self.history_from:
                 if self._list_changes(query["prefix"], after):
                     break
                 await self._changed.wait()
+        if after < self.history_from:
+            await exchange.respond(410, [])
+            return
         events = self._list_changes(query["prefix"], after)
         await _answer(exchange, {"events": events, "as_of": self.revision})
 
