Draw routes by what they can serve where many routers choose on old news; soak

Ruled out: room (no wait), retries, slow runners. A turn of a runner that writes also runs the steps of a whole event, which the expected time left out.

Now two routes are drawn in proportion to what they can serve and the better one is taken, where twelve or more peers are heard.

The fault soak begins: real programs as processes, a loopback proxy, signals, promises checked from what callers and upstreams saw.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: the real programs as processes, with faults from outside them."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,214 @@
+"""Command line of the soak: ``python -m soak [--seed N] [--count N]``."""
+
+import random
+import sys
+import time
+
+import cyclopts
+import trio
+
+from soak.deployment import HOST, Deployment
+from soak.faults import Faults
+from soak.promises import Call, find_broken
+from soak.upstream import EVENTS
+from wigeondrift.errors import TransportError, WigeondriftError
+from wigeondrift.http_client import HttpClient
+
+CALLERS = 12
+PATIENCE_SECONDS = 4.0
+CONNECT_SECONDS = 1.0
+PAUSE_SECONDS = 0.05
+# A fault that lasts until the end, a restart and the platform's own bound on recovery.
+RECOVER_SECONDS = 12.0
+# Each fourth seed has planned work only, and a stricter promise.
+PLANNED_SEEDS = 4
+LOG_LINES = 30
+
+app = cyclopts.App(name="soak")
+
+
+class Callers:
+    """Callers that send requests of all kinds, on kept and on new connections.
+
+    Attributes
+    ----------
+    calls : list of Call
+    """
+
+    def __init__(self, deployment: Deployment, rng: random.Random, seed: int) -> None:
+        self._deployment = deployment
+        self._rng = rng
+        self._seed = seed
+        self._clients = [HttpClient(CONNECT_SECONDS) for _ in range(CALLERS)]
+        self.calls: list[Call] = []
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for client in self._clients:
+                nursery.start_soon(self._run_caller, client)
+
+    async def _run_caller(self, client: HttpClient) -> None:
+        routers = list(self._deployment.routers_by_name)
+        router = self._rng.choice(routers)
+        while True:
+            kind = self._rng.choice(("draft", "draft", "order", "status"))
+            key = self._rng.choice(("key-1", "key-2", "key-3"))
+            call = await self.send(client, router, kind, key)
+            if call.status != 200:
+                router = self._rng.choice(routers)
+            await trio.sleep(PAUSE_SECONDS * self._rng.random() * 2)
+
+    async def send(self, client: HttpClient, router: str, kind: str, key: str) -> Call:
+        """Send one request and note what came."""
+        name = f"{self._seed:x}-{len(self.calls):06x}"
+        call = Call(name, kind, router, key, time.monotonic())
+        self.calls.append(call)
+        headers = [
+            ("Host", HOST),
+            ("Wigeondrift-Request-Id", name),
+            ("Wigeondrift-Deadline-Remaining", str(int(1000 * PATIENCE_SECONDS))),
+            ("Authorization", f"Bearer {key}"),
+        ]
+        if kind == "draft":
+            headers.append(("Wigeondrift-Token-Counts", "10,20"))
+        try:
+            with trio.move_on_after(PATIENCE_SECONDS) as scope:
+                async with client.request(
+                    self._deployment.get_address(router),
+                    "GET" if kind == "status" else "POST",
+                    f"/{kind}/1",
+                    headers,
+                    b"" if kind == "status" else b"body",
+                    head_timeout=PATIENCE_SECONDS,
+                    fresh=self._rng.random() < 0.3,
+                ) as response:
+                    call.status = response.status
+                    async for data in response.iter_data():
+                        call.body += data.decode("latin-1")
+                    call.is_whole = True
+            if scope.cancelled_caught:
+                call.error = "the caller left"
+        except TransportError as error:
+            call.error = f"{type(error).__name__}: {error}"
+        call.ended_at = time.monotonic()
+        return call
+
+
+class Soak:
+    """One soak with one seed.
+
+    Parameters
+    ----------
+    seed : int
+    seconds : float
+        Time with faults.
+    routers : int
+    """
+
+    def __init__(self, seed: int, seconds: float, routers: int) -> None:
+        self._rng = random.Random(seed)
+        self._seconds = seconds
+        self._is_planned_only = seed % PLANNED_SEEDS == 0
+        self._deployment = Deployment(routers)
+        self.callers = Callers(self._deployment, self._rng, seed)
+        self.faults = Faults(self._deployment, self._rng, self._is_planned_only)
+        self.broken: list[str] = []
+
+    async def run(self) -> None:
+        """Play the faults, then check the promises."""
+        async with trio.open_nursery() as nursery:
+            await self._deployment.start(nursery)
+            load = trio.CancelScope()
+
+            async def call() -> None:
+                with load:
+                    await self.callers.run()
+
+            nursery.start_soon(call)
+            await self.faults.run(self._seconds)
+            await trio.sleep(PATIENCE_SECONDS)
+            load.cancel()
+            await self._check_recovery()
+            nursery.cancel_scope.cancel()
+        self.broken += find_broken(
+            [call for call in self.callers.calls if call.ended_at],
+            [run for run in self._deployment.list_runs() if self._has_ended(run.id)],
+            self.faults.revoked_at_by_key,
+            EVENTS,
+            self._is_planned_only,
+        )
+
+    def _has_ended(self, name: str) -> bool:
+        """Whether a run's request is known and was not cut by the end of the load."""
+        number = int(name.partition("-")[2], 16)
+        calls = self.callers.calls
+        return number >= len(calls) or bool(calls[number].ended_at)
+
+    async def _check_recovery(self) -> None:
+        client = HttpClient(CONNECT_SECONDS)
+        ends_at = trio.current_time() + RECOVER_SECONDS
+        for router in self._deployment.routers_by_name:
+            for kind in ("draft", "order", "status"):
+                while True:
+                    call = await self.callers.send(client, router, kind, "key-1")
+                    if call.status == 200 and call.is_whole:
+                        break
+                    if trio.current_time() >= ends_at:
+                        self.broken.append(f"recovery: {router} serves no {kind}")
+                        break
+                    await trio.sleep(PAUSE_SECONDS)
+
+    def end(self) -> None:
+        """End all processes."""
+        self._deployment.end()
+
+    def describe(self) -> str:
+        """Return counts, for the verdict's line."""
+        calls = self.callers.calls
+        served = sum(1 for call in calls if call.status == 200 and call.is_whole)
+        return (
+            f"{len(calls)} requests, {served} served, {len(self.faults.notes)} faults"
+        )
+
+
+def play(seed: int, seconds: float, routers: int) -> bool:
+    """Play one seed; print its verdict and return whether all promises held."""
+    soak = Soak(seed, seconds, routers)
+    try:
+        trio.run(soak.run)
+    except* (WigeondriftError, trio.TooSlowError, OSError) as errors:
+        soak.broken.append(f"soak: {errors.exceptions!r}")
+    finally:
+        soak.end()
+    print(f"seed {seed}: {'BROKEN' if soak.broken else 'kept'}, {soak.describe()}")
+    for line in [*soak.broken[:LOG_LINES], *(soak.faults.notes if soak.broken else ())]:
+        print("  ", line)
+    sys.stdout.flush()
+    return not soak.broken
+
+
+@app.default
+def main(
+    seed: int = 1, count: int = 1, seconds: float = 10.0, routers: int = 3
+) -> None:
+    """Play seeds one after another.
+
+    Parameters
+    ----------
+    seed
+        First seed.
+    count
+        Number of seeds.
+    seconds
+        Time with faults in each.
+    routers
+        Routers of each.
+    """
+    kept = sum(play(seed + number, seconds, routers) for number in range(count))
+    print(f"{kept} kept, {count - kept} broken")
+    sys.exit(0 if kept == count else 1)
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,264 @@
+"""Starts the programs of one soak, reads what they tell, and ends them by their ids."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+import trio
+
+from soak.promises import Run
+from soak.proxy import Proxy
+from wigeondrift.errors import TransportError
+from wigeondrift.http_client import HttpClient
+
+ROOT = Path(__file__).parent.parent
+HOST = "soak.example"
+MODELS = (("r1", "0-40"), ("r2", "40-80"), ("r3", "0-40"), ("r4", "40-80"))
+MEMBERS = ("m1", "m2")
+ZONES = ("east", "west")
+BEAT_MS = 1200
+GRACE_SECONDS = 4
+CALL_SECONDS = 1.0
+START_SECONDS = 20.0
+STEP_SECONDS = 0.1
+ENGINE = {
+    "slots": 32,
+    "kv_token_bytes": 80_000,
+    "step_ms": 1.0,
+    "read_per_s": 100000.0,
+    "layers": 80,
+    "layer_mb": 100.0,
+    "models": [{"name": "m", "load_s": 1.0}],
+    "usual": {"prompt": 10, "answer": 20},
+    "kinds": [{"name": "large", "mb": 9000.0, "pace": 1.0, "read_x": 1.0}],
+}
+
+
+def make_configuration(version: int, keys: list[str]) -> dict:
+    """Return a configuration with the three kinds of routes."""
+
+    def route(name: str, kind: str, service: str) -> dict:
+        return {
+            "name": name,
+            "host": HOST,
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 4000,
+            "slo_ms": 500,
+            "attempts": 1 if kind == "unsafe" else 3,
+            "service": service,
+            "resumable": kind == "streaming",
+            "gap_aim_ms": 200,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            route("draft", "streaming", "model"),
+            route("order", "unsafe", "desk"),
+            route("status", "safe", "desk"),
+        ],
+        "services": [
+            {"name": "model", "health_path": "/health", "engine": ENGINE},
+            {"name": "desk", "health_path": "/health"},
+        ],
+        "tenants": [{"name": f"team-{key}", "api_keys": [key]} for key in keys],
+    }
+
+
+class Program:
+    """One program and its process, which may be started again."""
+
+    def __init__(self, module: str, arguments: list[str], **environment: str) -> None:
+        self._command = [sys.executable, "-m", module, *arguments]
+        self._environment = {**os.environ, "PYTHONPATH": str(ROOT), **environment}
+        self.log = tempfile.NamedTemporaryFile(suffix=".log")  # noqa: SIM115
+        self.popen: subprocess.Popen | None = None
+        self.is_paused = False
+        self.start()
+
+    def start(self) -> None:
+        """Start the program, its output going on in the same file."""
+        self.popen = subprocess.Popen(
+            self._command,
+            stdin=subprocess.DEVNULL,
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+            env=self._environment,
+        )
+
+    @property
+    def is_running(self) -> bool:
+        """Whether its process has not ended."""
+        return self.popen.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if the process runs."""
+        if self.is_running:
+            self.popen.send_signal(number)
+
+    def pause(self) -> None:
+        """Stop the process from running until ``go_on``."""
+        self.is_paused = True
+        self.signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        """Let a paused process run."""
+        if self.is_paused:
+            self.is_paused = False
+            self.signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """End the process and wait for its end."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def read_lines(self) -> list[bytes]:
+        """Return the whole lines that it has written."""
+        return Path(self.log.name).read_bytes().splitlines()
+
+
+class Deployment:
+    """Store, upstreams and routers, with a proxy before the store and each upstream."""
+
+    def __init__(self, routers: int) -> None:
+        self.net = f"127.{20 + os.getpid() % 200}"
+        self.store_address = f"{self.net}.1.1:7000"
+        self.store = Program("soak.store", [self.store_address])
+        self.upstreams_by_id: dict[str, Program] = {}
+        self.routers_by_name: dict[str, Program] = {}
+        self.proxies_by_name: dict[str, Proxy] = {}
+        self.files: list = []
+        self.version = 0
+        self.keys = ["key-1", "key-2", "key-3"]
+        self._client = HttpClient(CALL_SECONDS)
+        for number, (name, held) in enumerate(
+            [*MODELS, *((m, "0-0") for m in MEMBERS)]
+        ):
+            self._add_upstream(number, name, held)
+        for number in range(routers):
+            self._add_router(number)
+
+    def _add_upstream(self, number: int, name: str, held: str) -> None:
+        address = f"{self.net}.2.{number + 1}:7000"
+        told = f"{self.net}.3.{number + 1}:7000"
+        service = "desk" if held == "0-0" else "model"
+        zone = ZONES[number // 2 % 2] if service == "model" else ZONES[number % 2]
+        self.proxies_by_name[name] = Proxy(told, address)
+        self.upstreams_by_id[name] = Program(
+            "soak.upstream",
+            [name, service, address, told, zone, self.store_address, held],
+        )
+
+    def _add_router(self, number: int) -> None:
+        name, ip = f"router-{number + 1}", f"{self.net}.4.{number + 1}"
+        store = f"{self.net}.5.{number + 1}:7000"
+        self.proxies_by_name[f"store of {name}"] = Proxy(store, self.store_address)
+        lines = {
+            "node": name,
+            "zone": ZONES[number % 2],
+            "ip": ip,
+            "listen.front": f"{ip}:8227",
+            "listen.ready": f"{ip}:8220",
+            "internal_ports": "7340,7355",
+            "heartbeat_ms": BEAT_MS,
+            "bounds.grace_s": GRACE_SECONDS,
+            "bounds.revoke_strict": "true",
+            "bounds.revoke_ms": 5000,
+            "bounds.budget_slack": 100,
+            "platform.address": store,
+        }
+        file = tempfile.NamedTemporaryFile("w", suffix=".conf")  # noqa: SIM115
+        file.write("".join(f"{key}={value}\n" for key, value in lines.items()))
+        file.flush()
+        self.files.append(file)
+        self.routers_by_name[name] = Program(
+            "wigeondrift.router", [], WIGEONDRIFT_CONFIG=file.name
+        )
+
+    def get_address(self, router: str) -> str:
+        """Return where callers reach a router."""
+        return f"{self.net}.4.{router.removeprefix('router-')}:8227"
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the proxies and wait until every router is ready.
+
+        Raises
+        ------
+        TransportError, trio.TooSlowError
+            If the store or a router does not come up.
+        """
+        for proxy in self.proxies_by_name.values():
+            await nursery.start(proxy.run)
+        with trio.fail_after(START_SECONDS):
+            while not await self.is_up(self.store_address, "/soak/look"):
+                await trio.sleep(STEP_SECONDS)
+            await self.configure()
+            await self.wait_until_ready()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until every router says that it is ready."""
+        for name in self.routers_by_name:
+            address = self.get_address(name).replace(":8227", ":8220")
+            while not await self.is_up(address, "/wigeondrift/readiness"):
+                await trio.sleep(STEP_SECONDS)
+
+    async def is_up(self, address: str, path: str) -> bool:
+        """Whether a question is answered with 200."""
+        try:
+            with trio.move_on_after(CALL_SECONDS):
+                async with self._client.request(
+                    address, "GET", path, fresh=True
+                ) as response:
+                    await response.read()
+                    return response.status == 200
+        except TransportError:
+            # Not up yet; the caller asks again.
+            return False
+        return False
+
+    async def configure(self) -> float:
+        """Write the next configuration; return when the store had taken it."""
+        self.version += 1
+        document = make_configuration(self.version, self.keys)
+        value = msgspec.json.encode(document).decode()
+        await self._tell("write", {"key": "op/config", "value": value})
+        return time.monotonic()
+
+    async def set_mode(self, mode: str) -> None:
+        """Set the mode of the store."""
+        await self._tell("mode", {"mode": mode})
+
+    async def _tell(self, name: str, call: dict) -> None:
+        body = msgspec.json.encode(call)
+        async with self._client.request(
+            self.store_address, "POST", f"/soak/{name}", [], body, fresh=True
+        ) as response:
+            await response.read()
+
+    def list_runs(self) -> list[Run]:
+        """Return all runs that the upstreams told."""
+        return [
+            msgspec.json.decode(line, type=Run)
+            for program in self.upstreams_by_id.values()
+            for line in program.read_lines()
+            if line.startswith(b'{"id"') and line.endswith(b"}")
+        ]
+
+    def list_programs(self) -> list[Program]:
+        """Return all programs."""
+        return [
+            self.store,
+            *self.upstreams_by_id.values(),
+            *self.routers_by_name.values(),
+        ]
+
+    def end(self) -> None:
+        """End all processes that this deployment started."""
+        for program in self.list_programs():
+            program.kill()
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,152 @@
+"""Draws faults in series and lets them overlap."""
+
+import random
+import signal
+
+import trio
+
+from soak.deployment import Deployment
+from soak.promises import REVOKE_SECONDS
+from soak.proxy import MODES
+
+PAUSES_SECONDS = (0.1, 0.5, 1.5)
+LASTS_SECONDS = (0.3, 1.0, 3.0, 6.0)
+RESTART_SECONDS = 0.3
+STOP_SECONDS = 6.0
+MOST_ROUNDS = 3
+
+
+class Faults:
+    """What goes wrong in one soak.
+
+    Parameters
+    ----------
+    deployment : Deployment
+    rng : random.Random
+    is_planned_only : bool
+        Only planned stops and changes of the configuration.
+    """
+
+    def __init__(
+        self, deployment: Deployment, rng: random.Random, is_planned_only: bool
+    ) -> None:
+        self._deployment = deployment
+        self._rng = rng
+        self._is_planned_only = is_planned_only
+        self._stopping: set[str] = set()
+        self.revoked_at_by_key: dict[str, float] = {}
+        self.notes: list[str] = []
+
+    async def run(self, seconds: float) -> None:
+        """Set faults for a while; all are over when this returns."""
+        planned = [self._stop_router, self._hang_up, self._configure]
+        unplanned = [
+            self._disturb_way,
+            self._disturb_way,
+            self._cut_connections,
+            self._kill,
+            self._pause,
+            self._disturb_store,
+            self._revoke,
+        ]
+        actions = planned if self._is_planned_only else [*planned, *unplanned]
+        ends_at = trio.current_time() + seconds
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < ends_at:
+                action = self._rng.choice(actions)
+                for _ in range(self._rng.randint(1, MOST_ROUNDS)):
+                    nursery.start_soon(action)
+                    await trio.sleep(self._rng.choice(PAUSES_SECONDS))
+
+    def _note(self, text: str) -> None:
+        self.notes.append(f"{trio.current_time():.2f} {text}")
+
+    async def _last(self) -> None:
+        await trio.sleep(self._rng.choice(LASTS_SECONDS))
+
+    async def _stop_router(self) -> None:
+        # One at a time, so that callers have another one.
+        if self._stopping:
+            return
+        name = self._rng.choice(list(self._deployment.routers_by_name))
+        router = self._deployment.routers_by_name[name]
+        self._stopping.add(name)
+        self._note(f"SIGTERM {name}")
+        router.signal(signal.SIGTERM)
+        with trio.move_on_after(STOP_SECONDS):
+            while router.is_running:
+                await trio.sleep(RESTART_SECONDS / 3)
+        router.kill()
+        await trio.sleep(RESTART_SECONDS)
+        router.start()
+        self._stopping.discard(name)
+
+    async def _hang_up(self) -> None:
+        name = self._rng.choice(list(self._deployment.routers_by_name))
+        if name not in self._stopping:
+            self._note(f"SIGHUP {name}")
+            self._deployment.routers_by_name[name].signal(signal.SIGHUP)
+
+    async def _configure(self) -> None:
+        self._note("configuration")
+        await self._deployment.configure()
+
+    async def _revoke(self) -> None:
+        keys = self._deployment.keys
+        if len(keys) > 1:
+            key = keys.pop()
+            self._note(f"key taken away {key}")
+            self.revoked_at_by_key[key] = await self._deployment.configure()
+
+    async def _disturb_way(self) -> None:
+        name = self._rng.choice(list(self._deployment.proxies_by_name))
+        proxy = self._deployment.proxies_by_name[name]
+        proxy.mode = self._rng.choice(MODES[1:])
+        self._note(f"way to {name}: {proxy.mode}")
+        await self._last()
+        proxy.mode = "open"
+        if self._rng.random() < 0.5:
+            proxy.reset()
+
+    async def _cut_connections(self) -> None:
+        name = self._rng.choice(list(self._deployment.proxies_by_name))
+        proxy = self._deployment.proxies_by_name[name]
+        is_silent = self._rng.random() < 0.5
+        self._note(f"connections to {name}: {'silent' if is_silent else 'reset'}")
+        if is_silent:
+            proxy.hush()
+        else:
+            proxy.reset()
+
+    async def _kill(self) -> None:
+        programs = {
+            **self._deployment.upstreams_by_id,
+            **self._deployment.routers_by_name,
+        }
+        name = self._rng.choice(list(programs))
+        if name in self._stopping:
+            return
+        self._stopping.add(name)
+        self._note(f"SIGKILL {name}")
+        programs[name].kill()
+        await self._last()
+        programs[name].start()
+        self._stopping.discard(name)
+
+    async def _pause(self) -> None:
+        program = self._rng.choice(self._deployment.list_programs())
+        if program.is_paused:
+            return
+        self._note(f"SIGSTOP {' '.join(program.popen.args[2:4])}")
+        program.pause()
+        await self._last()
+        program.go_on()
+
+    async def _disturb_store(self) -> None:
+        mode = self._rng.choice(("down", "lossy", "forget"))
+        self._note(f"store: {mode}")
+        with trio.move_on_after(REVOKE_SECONDS):
+            await self._deployment.set_mode(mode)
+            await self._last()
+        with trio.move_on_after(REVOKE_SECONDS):
+            await self._deployment.set_mode("open")
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,104 @@
+"""Loopback proxy that delays, resets, silences or cuts connections one way."""
+
+import socket
+import struct
+
+import trio
+
+from wigeondrift.address import parse_address
+
+CHUNK_BYTES = 65536
+DELAY_SECONDS = 0.4
+LOOK_SECONDS = 0.02
+MODES = ("open", "delay", "silent", "one_way", "refuse")
+
+
+class Proxy:
+    """Passes connections on to one address.
+
+    Attributes
+    ----------
+    mode : str
+        ``open``; ``delay``; ``silent``: takes connections and passes nothing;
+        ``one_way``: requests pass, answers don't; ``refuse``: resets new connections.
+    """
+
+    def __init__(self, address: str, target: str) -> None:
+        self.address = address
+        self.mode = "open"
+        self._target = target
+        self._streams: set[trio.SocketStream] = set()
+        self._hushed: set[trio.SocketStream] = set()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        host, port = parse_address(self.address)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for stream in list(self._streams):
+            _reset(stream)
+
+    def hush(self) -> None:
+        """Let the open connections go silent for good; new ones work."""
+        self._hushed.update(self._streams)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        if self.mode == "refuse":
+            _reset(stream)
+            return
+        host, port = parse_address(self._target)
+        try:
+            onward = await trio.open_tcp_stream(host, port)
+        except OSError:
+            # The target is down; its own port would have reset the connection.
+            _reset(stream)
+            return
+        self._streams.update((stream, onward))
+        try:
+            async with stream, onward, trio.open_nursery() as nursery:
+                scope = nursery.cancel_scope
+                nursery.start_soon(self._pump, stream, onward, False, scope)
+                nursery.start_soon(self._pump, onward, stream, True, scope)
+        finally:
+            self._streams -= {stream, onward}
+            self._hushed -= {stream, onward}
+
+    async def _pump(
+        self,
+        source: trio.SocketStream,
+        target: trio.SocketStream,
+        is_answer: bool,
+        scope: trio.CancelScope,
+    ) -> None:
+        try:
+            while data := await source.receive_some(CHUNK_BYTES):
+                while self._holds_back(source, is_answer):
+                    await trio.sleep(LOOK_SECONDS)
+                if self.mode == "delay":
+                    await trio.sleep(DELAY_SECONDS)
+                await target.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            _reset(target)
+        while self._holds_back(source, is_answer):
+            await trio.sleep(LOOK_SECONDS)
+        scope.cancel()
+
+    def _holds_back(self, source: trio.SocketStream, is_answer: bool) -> bool:
+        if source in self._hushed or self.mode == "silent":
+            return True
+        return self.mode == "one_way" and is_answer
+
+
+def _reset(stream: trio.SocketStream) -> None:
+    """Close a connection so that its peer sees a reset."""
+    linger = struct.pack("ii", 1, 0)
+    try:
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    except OSError:
+        # Closed already by its peer's end.
+        return
+    stream.socket.close()
--- /dev/null
+++ b/soak/store.py
@@ -0,0 +1,76 @@
+"""Program of the soak: stand-in of the store, with registrations of upstreams.
+
+Run as ``python -m soak.store ADDRESS``. Calls below ``/soak/`` are the operator's and
+the upstreams'; they don't pass the proxies and work in every mode.
+"""
+
+import sys
+import time
+
+import msgspec
+import trio
+
+from wigeondrift.address import parse_address
+from wigeondrift.http_server import Exchange, HttpServer
+from wigeondrift_emulator.revision_server import RevisionServer
+
+# An entry is removed after three signs of life were missed.
+LAPSE_SECONDS = 3.6
+LOOK_SECONDS = 0.2
+
+
+class SoakStore:
+    """Store whose faults the soak sets.
+
+    Modes are those of ``RevisionServer``: down, and answers that get lost.
+    """
+
+    def __init__(self) -> None:
+        self._server = RevisionServer()
+        self._beaten_at_by_key: dict[str, float] = {}
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        _, _, name = exchange.request.path.partition("/soak/")
+        if not name:
+            await self._server.handle(exchange)
+            return
+        call = msgspec.json.decode(exchange.request.body or b"{}")
+        if name == "write":
+            self._server.write(call["key"], call["value"].encode())
+        elif name == "beat":
+            self._beaten_at_by_key[call["key"]] = time.monotonic()
+            value = call["value"].encode()
+            if self._server.get(call["key"]) != value:
+                self._server.write(call["key"], value)
+        elif name == "mode":
+            self._server.is_down = call["mode"] == "down"
+            self._server.loses_answers = call["mode"] == "lossy"
+            if call["mode"] == "forget":
+                self._server.forget_history()
+        await exchange.respond(200, [], str(self._server.revision).encode())
+
+    async def expire(self) -> None:
+        """Remove the entries of upstreams that fell silent."""
+        while True:
+            await trio.sleep(LOOK_SECONDS)
+            now = time.monotonic()
+            for key, beaten_at in list(self._beaten_at_by_key.items()):
+                if now - beaten_at > LAPSE_SECONDS:
+                    del self._beaten_at_by_key[key]
+                    self._server.remove(key)
+
+
+async def main(address: str) -> None:
+    """Serve until killed."""
+    store = SoakStore()
+    host, port = parse_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(store.expire)
+        server = HttpServer(store.handle)
+        nursery.start_soon(trio.serve_listeners, server.serve_stream, listeners)
+
+
+if __name__ == "__main__":
+    trio.run(main, *sys.argv[1:])
--- /dev/null
+++ b/soak/upstream.py
@@ -0,0 +1,156 @@
+"""Program of the soak: one runner or member, which tells each run on standard output.
+
+Run as ``python -m soak.upstream ID SERVICE ADDRESS TOLD_ADDRESS ZONE STORE FIRST-END``;
+the address told to the store is that of the proxy before it.
+"""
+
+import sys
+import time
+
+import msgspec
+import trio
+
+from wigeondrift.address import parse_address
+from wigeondrift.errors import TransportError
+from wigeondrift.http_client import HttpClient
+from wigeondrift.http_server import Exchange, HttpServer
+
+BEAT_SECONDS = 1.2
+CALL_SECONDS = 1.0
+EVENT_SECONDS = 0.03
+EVENTS = 20
+SEAL = ("Wigeondrift-Response-Seal", "soak")
+STAGES = "wigeondrift-hop-count"
+
+
+class SoakUpstream:
+    """One upstream.
+
+    Parameters
+    ----------
+    upstream_id : str
+    held : tuple of (int, int)
+        Layers; none for a member of a plain service.
+    born_ms : int
+    """
+
+    def __init__(self, upstream_id: str, held: tuple[int, int], born_ms: int) -> None:
+        self.held = held
+        self._upstream_id = upstream_id
+        self._born_ms = born_ms
+        self._orders = 0
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        request = exchange.request
+        expected = request.headers_by_name.get("wigeondrift-expect-instance")
+        if expected not in (None, self._upstream_id):
+            await exchange.respond(421, [])
+        elif request.path == "/wigeondrift/report":
+            await exchange.respond(200, [], msgspec.json.encode(self._report()))
+        elif request.path == "/wigeondrift/order":
+            await self._order(exchange)
+        elif self.held != (0, 0) and not self._holds(request.headers_by_name):
+            await exchange.respond(421, [])
+        else:
+            await exchange.run_until_closed(lambda: self._run(exchange))
+
+    def _holds(self, headers_by_name: dict[str, str]) -> bool:
+        stage, _, _ = headers_by_name.get(STAGES, "").partition(",")
+        first, _, end = stage.partition("=")[2].partition("-")
+        if not (first.isdigit() and end.isdigit()):
+            return False
+        return self.held[0] <= int(first) and int(end) <= self.held[1]
+
+    def _report(self) -> dict:
+        first, end = self.held
+        return {
+            "busy": False,
+            "seq": self._orders,
+            "born": self._born_ms,
+            "layers": {"from": first, "to": end, "version": 1},
+            "stalled": [],
+        }
+
+    async def _order(self, exchange: Exchange) -> None:
+        order = msgspec.json.decode(exchange.request.body)
+        if order.get("expect") != self._orders:
+            await exchange.respond(409, [])
+            return
+        self._orders += 1
+        self.held = (order["from"], order["to"])
+        await exchange.respond(202, [])
+
+    async def _run(self, exchange: Exchange) -> None:
+        request = exchange.request
+        name = request.headers_by_name["wigeondrift-request-id"]
+        line = {"id": name, "upstream": self._upstream_id, "at": time.monotonic()}
+        sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
+        sys.stdout.flush()
+        headers = [("Wigeondrift-Request-Id", name), SEAL]
+        if "wigeondrift-token-counts" not in request.headers_by_name:
+            await trio.sleep(EVENT_SECONDS)
+            await exchange.respond(200, headers, f"done {name}".encode())
+            return
+        after = request.headers_by_name.get("last-event-id")
+        await exchange.start(200, headers)
+        for number in range(int(after) + 1 if after else 0, EVENTS):
+            await trio.sleep(EVENT_SECONDS)
+            await exchange.send(f"id: {number}\ndata: {name}\n\n".encode())
+        await exchange.finish()
+
+
+async def beat(upstream: SoakUpstream, store: str, key: str, entry: dict) -> None:
+    """Tell the store that the upstream lives and what it holds."""
+    client = HttpClient(CALL_SECONDS)
+    while True:
+        first, end = upstream.held
+        if (first, end) != (0, 0) or entry.get("kind"):
+            entry["layers"] = {"from": first, "to": end, "version": 1}
+        value = msgspec.json.encode(entry).decode()
+        call = msgspec.json.encode({"key": key, "value": value})
+        try:
+            with trio.move_on_after(CALL_SECONDS):
+                async with client.request(
+                    store, "POST", "/soak/beat", [], call
+                ) as told:
+                    await told.read()
+        except TransportError as error:
+            sys.stderr.write(f"the store was not told: {error}\n")
+        await trio.sleep(BEAT_SECONDS)
+
+
+async def main(
+    upstream_id: str,
+    service: str,
+    address: str,
+    told_address: str,
+    zone: str,
+    store: str,
+    held: str,
+) -> None:
+    """Serve until killed."""
+    first, _, end = held.partition("-")
+    born_ms = time.time_ns() // 1_000_000
+    upstream = SoakUpstream(upstream_id, (int(first), int(end)), born_ms)
+    entry = {
+        "service": service,
+        "address": told_address,
+        "zone": zone,
+        "state": "ready",
+        "slots": 32,
+        "born": born_ms,
+        "seq": 1,
+    }
+    if service == "model":
+        entry["kind"] = "large"
+    host, port = parse_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    async with trio.open_nursery() as nursery:
+        server = HttpServer(upstream.handle)
+        nursery.start_soon(trio.serve_listeners, server.serve_stream, listeners)
+        nursery.start_soon(beat, upstream, store, f"servers/{upstream_id}", entry)
+
+
+if __name__ == "__main__":
+    trio.run(main, *sys.argv[1:])
--- a/tests/features/router_decisions.feature
+++ b/tests/features/router_decisions.feature
@@ -142,3 +142,12 @@
     And 0.7 seconds go by
     And "w1" can't be reached
     Then "w1" is not lost
+
+  Scenario Outline: Many routers with old news of each other spread their requests
+    Then with seed <seed> drawn routes make less than half as many first events late
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -7,6 +7,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from tests.machines import herd
 from tests.router_world import make_engine
 from wigeondrift.entities import Route, Stage
 from wigeondrift.errors import (
@@ -18,7 +19,7 @@
 from wigeondrift.platform.configuration import decode_configuration
 from wigeondrift.platform.settings import parse_settings
 from wigeondrift.platform.upstreams import decode_report, decode_upstream
-from wigeondrift.router.entities import Upstream
+from wigeondrift.router.entities import Accelerator, EngineSpec, Upstream
 from wigeondrift.router.event_stream import EventBuffer
 from wigeondrift.router.sources import BATCH_SECONDS
 from wigeondrift.systems.chains import ChainBook, RouteDemand
@@ -432,3 +433,35 @@
 @then('"{name}" is not lost')
 def check_not_lost(context, name):
     assert not context.reach.is_lost(context.domain, name, context.now)
+
+
+HERD_KINDS = {
+    "large": Accelerator(43200.0, 5.6, 2.7),
+    "small": Accelerator(30000.0, 16.0, 8.2),
+}
+HERD_ENGINE = EngineSpec(
+    layers=80,
+    layer_mb=500.0,
+    cache_bytes_per_layer=14750.0,
+    step_seconds=0.001,
+    step_seconds_per_request=1e-5,
+    step_seconds_per_token=1e-8,
+    read_tokens_per_second=164000.0,
+    chunk_tokens=512.0,
+    steps_per_event=5,
+    load_seconds=14.0,
+    usual_prompt=775.0,
+    usual_answer=222.0,
+    accelerators_by_kind=HERD_KINDS,
+)
+
+
+@then("with seed {seed:d} drawn routes make less than half as many first events late")
+def check_herd(context, seed):
+    def get_total(runner):
+        free = HERD_KINDS[runner.kind].memory_mb - runner.held_layers * 500.0
+        return free * 1e6 / HERD_ENGINE.cache_bytes_per_layer
+
+    plain = herd.play(HERD_ENGINE, get_total, seed, draws=False)
+    drawn = herd.play(HERD_ENGINE, get_total, seed, draws=True)
+    assert drawn < plain / 2, (drawn, plain)
--- /dev/null
+++ b/tests/features/steps/soak_steps.py
@@ -0,0 +1,107 @@
+import subprocess
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+
+from soak.promises import Call, Run, find_broken
+
+ROOT = Path(__file__).parent.parent.parent.parent
+EVENTS = 3
+SOAK_SECONDS = 120
+
+
+def make_events(name, numbers):
+    return "".join(f"id: {n}\ndata: {name}\n\n" for n in numbers)
+
+
+def make_call(name, kind, body):
+    return Call(name, kind, "router-1", "key", 10.0, 200, body, True, "", 11.0)
+
+
+@given("what callers and upstreams saw of sound requests")
+def make_sound(context):
+    context.calls = {
+        "order": make_call("1-1", "order", "done 1-1"),
+        "status": make_call("1-2", "status", "done 1-2"),
+        "draft": make_call("1-3", "draft", make_events("1-3", range(EVENTS))),
+    }
+    context.runs = [Run(c.request_id, "u1", 10.1) for c in context.calls.values()]
+    context.revoked = {}
+    context.is_planned_only = False
+
+
+def find(context):
+    return find_broken(
+        list(context.calls.values()),
+        context.runs,
+        context.revoked,
+        EVENTS,
+        context.is_planned_only,
+    )
+
+
+@then("no promise is broken")
+def check_none(context):
+    assert find(context) == []
+
+
+@when("an order runs at a second upstream")
+def run_twice(context):
+    context.runs.append(Run("1-1", "u2", 10.2))
+
+
+@when("an order that ran was answered as not run")
+def refuse(context):
+    context.calls["order"].status = 503
+
+
+@when("a status has the answer of another request")
+def mix(context):
+    context.calls["status"].body = "done 1-1"
+
+
+@when("a draft misses an event and looks whole")
+def miss(context):
+    context.calls["draft"].body = make_events("1-3", (0, 2))
+
+
+@when("a draft has an event twice before it is cut")
+def repeat(context):
+    context.calls["draft"].body = make_events("1-3", (0, 1, 1))
+    context.calls["draft"].is_whole = False
+
+
+@when("something ran that no caller sent")
+def run_unasked(context):
+    context.runs.append(Run("1-9", "u1", 10.1))
+
+
+@when("a request ran with a key taken away long ago")
+def take_key(context):
+    context.revoked["key"] = 4.9
+
+
+@when("a request that ran got no whole answer")
+def lose(context):
+    context.is_planned_only = True
+    context.calls["order"].is_whole = False
+
+
+@then('the broken promise is "{word}"')
+def check_word(context, word):
+    words = {line.partition(":")[0] for line in find(context)}
+    assert words == {word}, find(context)
+
+
+@then("a soak of {seconds:d} seconds with seed {seed:d} keeps all promises")
+def check_soak(context, seconds, seed):
+    command = [sys.executable, "-m", "soak", "--seed", str(seed)]
+    done = subprocess.run(
+        [*command, "--seconds", str(seconds)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=SOAK_SECONDS,
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
--- a/wigeondrift/router/choice.py
+++ b/wigeondrift/router/choice.py
@@ -17,6 +17,9 @@
 
 # Cost of an upstream in another failure domain, as part of its slots in use.
 FAR_LOAD = 0.5
+# Messages of peers (and sums of other failure domains) from which on many choose at
+# once: news of one then takes a second and more to reach all.
+MANY_ROUTERS = 12
 # Time for which an upstream's own word on its load holds, in seconds.
 LOAD_SECONDS = 1.0
 
@@ -170,8 +173,9 @@
         self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
     ) -> Reservation | None:
         """Reserve a route with room for a request; None if none has."""
+        rng = self._rng if self.ledger.peer_count >= MANY_ROUTERS else None
         offer = self.get_book(service).choose(
-            demand, self.ledger, excluded, self._failure_domain
+            demand, self.ledger, excluded, self._failure_domain, rng
         )
         return None if offer is None else Reservation(offer, demand, self.ledger)
 
--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -6,6 +6,8 @@
 those with KV cache for it at every stage.
 """
 
+import math
+import random
 from collections.abc import Callable, Iterable
 
 from wigeondrift.entities import Route, Stage
@@ -36,6 +38,14 @@
 # Cost of a route whose events would come too slowly.
 LATE_SECONDS = 2.0
 
+# Routes drawn when many routers choose at once: two are enough to leave the fullest
+# ones aside, and few enough that old news leads nobody astray together.
+DRAWN_ROUTES = 2
+# Load at which routes are compared by what they can serve.
+HALF_FULL = 0.5
+# Part of an answer that a request holds on average while it runs.
+MEAN_WRITTEN = 0.5
+
 StageCost = Callable[[Upstream, int], float]
 
 
@@ -63,9 +73,11 @@
 class Chain:
     """One route and its runners, kept until the holdings change."""
 
-    __slots__ = ("crossings", "route", "runners")
+    __slots__ = ("crossings", "rate", "route", "runners")
 
     def __init__(self, route: Route, runners: tuple[Upstream, ...]) -> None:
+        # Requests a second that it can serve; known once its cache is.
+        self.rate: float | None = None
         self.route = route
         self.runners = runners
         self.crossings = sum(
@@ -297,7 +309,9 @@
         share = layers / engine.layers
         tokens = used.cells / max(1, layers)
         step = self._stage_seconds(runner, layers, used.requests, tokens)
-        return step + reading * share
+        # With requests that write, each turn runs the steps of a whole event.
+        steps = engine.steps_per_event if used.requests > 0 else 1
+        return steps * step + reading * share
 
     def choose(
         self,
@@ -305,9 +319,14 @@
         ledger: RoomLedger,
         excluded: Iterable[str],
         failure_domain: str,
+        rng: random.Random | None = None,
     ) -> Offer | None:
         """Return the best route with room for a request, None if none has.
 
+        Routers that choose at once on what they knew a while ago would all take the
+        same route. With ``rng``, a few are drawn in proportion to what they can serve,
+        and the best of these is taken if its first event is expected soon.
+
         Parameters
         ----------
         demand : RouteDemand
@@ -317,10 +336,54 @@
             Runners that must not be in it.
         failure_domain : str
             The caller's side, from which the first runner is reached.
+        rng : random.Random, optional
+            Given if many choose at once.
         """
         barred = set(excluded)
+        if rng is not None and len(self.chains) > DRAWN_ROUTES:
+            weights = [self.get_rate(chain, ledger) for chain in self.chains]
+            if any(weights):
+                drawn = rng.choices(self.chains, weights, k=DRAWN_ROUTES)
+                offer = self._choose_among(
+                    drawn, demand, ledger, barred, failure_domain
+                )
+                if offer is not None and offer.cost < LATE_SECONDS:
+                    return offer
+        return self._choose_among(self.chains, demand, ledger, barred, failure_domain)
+
+    def get_rate(self, chain: Chain, ledger: RoomLedger) -> float:
+        """Return the requests a second that a route serves with its cache half full."""
+        if chain.rate is not None:
+            return chain.rate
+        engine = self._engine
+        usual_tokens = engine.usual_prompt + MEAN_WRITTEN * engine.usual_answer
+        requests = read_rate = math.inf
+        step_seconds = 0.0
+        for stage, runner in zip(chain.route.stages, chain.runners, strict=True):
+            layers = stage.end_layer - stage.first_layer
+            cells = HALF_FULL * ledger.get_total(runner)
+            requests = min(requests, cells / layers / max(1.0, usual_tokens))
+            writing = cells / layers / max(1.0, usual_tokens)
+            step_seconds += HOP_SECONDS + self._stage_seconds(
+                runner, layers, writing, cells / layers
+            )
+            used = Usage(cells, max(1, int(writing)))
+            seconds = self._chunk_seconds(runner, layers, used)
+            read_rate = min(read_rate, engine.chunk_tokens / seconds)
+        write_rate = requests / (step_seconds * max(1.0, engine.usual_answer))
+        chain.rate = min(write_rate, read_rate / max(1.0, engine.usual_prompt))
+        return chain.rate
+
+    def _choose_among(
+        self,
+        chains: Iterable[Chain],
+        demand: RouteDemand,
+        ledger: RoomLedger,
+        barred: set[str],
+        failure_domain: str,
+    ) -> Offer | None:
         best = None
-        for chain in self.chains:
+        for chain in chains:
             if not barred.isdisjoint(chain.route.instance_ids):
                 continue
             offer = self._weigh(chain, demand, ledger)
--- a/wigeondrift/systems/room.py
+++ b/wigeondrift/systems/room.py
@@ -77,6 +77,11 @@
         self._peers_by_id: dict[str, tuple[float, PeerUsage]] = {}
         self._summed_by_id: dict[str, Usage] = {}
 
+    @property
+    def peer_count(self) -> int:
+        """Number of peers and sums that were heard of lately."""
+        return len(self._peers_by_id)
+
     def get_total(self, runner: Upstream) -> float:
         """Return the cells that a runner has beside its weights."""
         return self._get_total(runner)
