--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from wigeondrift.entities import Route, Stage
@@ -231,7 +232,7 @@
         Those that take work and are not avoided.
     """
 
-    __slots__ = ("_engine", "chains")
+    __slots__ = ("_engine", "_routes_by_id", "chains")
 
     def __init__(self, engine: EngineSpec, runners: Iterable[Upstream]) -> None:
         self._engine = engine
@@ -243,6 +244,9 @@
                 group.append(runner)
         for version in sorted(runners_by_version, reverse=True):
             self._add_version(runners_by_version[version])
+        self._routes_by_id = Counter(
+            runner.upstream_id for chain in self.chains for runner in chain.runners
+        )
 
     def _add_version(self, runners: list[Upstream]) -> None:
         members_by_domain: dict[str, list[Upstream]] = {}
@@ -357,19 +361,22 @@
             return chain.rate
         engine = self._engine
         usual_tokens = engine.usual_prompt + MEAN_WRITTEN * engine.usual_answer
+        usual_tokens = max(1.0, usual_tokens)
         requests = read_rate = math.inf
         step_seconds = 0.0
         for stage, runner in zip(chain.route.stages, chain.runners, strict=True):
             layers = stage.end_layer - stage.first_layer
+            # Routes that share a runner share what it can serve.
+            sharing = self._routes_by_id[runner.upstream_id]
             cells = HALF_FULL * ledger.get_total(runner)
-            requests = min(requests, cells / layers / max(1.0, usual_tokens))
-            writing = cells / layers / max(1.0, usual_tokens)
+            writing = cells / layers / usual_tokens
+            requests = min(requests, writing / sharing)
             step_seconds += HOP_SECONDS + self._stage_seconds(
                 runner, layers, writing, cells / layers
             )
             used = Usage(cells, max(1, int(writing)))
             seconds = self._chunk_seconds(runner, layers, used)
-            read_rate = min(read_rate, engine.chunk_tokens / seconds)
+            read_rate = min(read_rate, engine.chunk_tokens / seconds / sharing)
         write_rate = requests / (step_seconds * max(1.0, engine.usual_answer))
         chain.rate = min(write_rate, read_rate / max(1.0, engine.usual_prompt))
         return chain.rate
--- a/wigeondrift/systems/relays.py
+++ b/wigeondrift/systems/relays.py
@@ -17,6 +17,9 @@
 FOLLOWERS = 16
 # Time for which a router reads the store itself after its relay failed, in seconds.
 FALLBACK_SECONDS = 5.0
+# Time for which a router reads the store itself after its start: those that start
+# together know few of each other at first, and would take different ones for relays.
+SETTLE_SECONDS = 2.0
 # Time for which a relay that failed is not asked again: its registration lapses within
 # it if it is gone, in seconds.
 AVOID_SECONDS = 10.0
@@ -51,7 +54,7 @@
         self._name = name
         self._relays: list[str] = []
         self._avoided_until_by_name: dict[str, float] = {}
-        self._direct_until = -math.inf
+        self._direct_until: float | None = None
 
     def set_members(self, link_by_name: Mapping[str, float]) -> None:
         """Take the routers of the own failure domain, this one included."""
@@ -82,6 +85,8 @@
             Whether the store does not answer this router, so that a relay is asked
             also soon after another one failed.
         """
+        if self._direct_until is None:
+            self._direct_until = now + SETTLE_SECONDS
         if self.is_relay or (now < self._direct_until and not has_lost_store):
             return None
         usable = [
