--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -8,8 +8,8 @@
 import cyclopts
 
 from wigeondrift.composition import compose_entry
-from wigeondrift.entry import load_or_exit, run_application
-from wigeondrift.policy import Policy
+from wigeondrift.entry.main import load_or_exit, run_application
+from wigeondrift.entry.policy import Policy
 from wigeondrift.systems.admission import AdmissionRules, Ticket
 from wigeondrift.systems.fairness import FairQueue
 from wigeondrift.systems.fleet import Group
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,10 +14,7 @@
 import cyclopts
 
 from wigeondrift.entities import Instance, Role
-from wigeondrift.messages import InstancesNews, TableNews, serialize_message
-from wigeondrift.packing import pack, unpack
-from wigeondrift.post import MESSAGE_BYTES
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     LimitRow,
     ServiceKind,
     ServiceRow,
@@ -26,6 +23,9 @@
     parse_table,
     serialize_table,
 )
+from wigeondrift.wire.messages import InstancesNews, TableNews, serialize_message
+from wigeondrift.wire.packing import pack, unpack
+from wigeondrift.wire.post import MESSAGE_BYTES
 
 RUNNERS = (30, 300, 4100)
 TEAMS = (10, 100, 340)
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -13,16 +13,16 @@
 from hdrh.histogram import HdrHistogram
 from trio.testing import MockClock
 
-from wigeondrift.claims import ClaimStore, KeyClaimStore
 from wigeondrift.entities import Instance, Role
+from wigeondrift.entry.claims import ClaimStore, KeyClaimStore
+from wigeondrift.entry.orders import OrderDesk, OrderJob, UpstreamChooser
+from wigeondrift.entry.service import ServiceCall
+from wigeondrift.entry.service_memory import MemoryPlainService
 from wigeondrift.errors import RequestError
-from wigeondrift.orders import OrderDesk, OrderJob, UpstreamChooser
-from wigeondrift.service import ServiceCall
-from wigeondrift.service_memory import MemoryPlainService
 from wigeondrift.settings import RequestSettings
 from wigeondrift.store.memory import MemoryStore
-from wigeondrift.table import ServiceKind, ServiceRow
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import ServiceKind, ServiceRow
+from wigeondrift.table.tables import Tables
 from wigeondrift.timer import TrioClock
 
 ADDRESS = "127.0.0.1:1"
--- a/bench/control.py
+++ b/bench/control.py
@@ -22,14 +22,11 @@
 from tests.processes import free_address, write_settings
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import PlatformError, WigeondriftError
-from wigeondrift.http_client import HttpClient
-from wigeondrift.messages import Hello, InstancesNews, TableNews
-from wigeondrift.post import PostOffice
-from wigeondrift.status import ask_status
+from wigeondrift.operator.status import ask_status
 from wigeondrift.store.core import DownMode, StoreCore
 from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.systems.control import AgentControl
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     TABLE_KEY,
     LimitRow,
     ServiceKind,
@@ -38,6 +35,9 @@
     TeamRow,
     serialize_table,
 )
+from wigeondrift.wire.http_client import HttpClient
+from wigeondrift.wire.messages import Hello, InstancesNews, TableNews
+from wigeondrift.wire.post import PostOffice
 from wigeondrift_emulator.network import Process, VirtualNetwork
 
 WARM_SECONDS = 4.0
--- a/bench/control_memory.py
+++ b/bench/control_memory.py
@@ -23,21 +23,12 @@
 
 def main(teams: int, instances: int) -> None:
     """Print the sizes at each step, in megabytes."""
-    import wigeondrift.gateway
-    import wigeondrift.generation
-    import wigeondrift.link
-    import wigeondrift.orders
-    import wigeondrift.store.http
-
     sizes = {"entry": read_anonymous()}
-    import wigeondrift.loads
-    import wigeondrift.systems.control
-    import wigeondrift.watcher  # noqa: F401
 
     sizes["with_control"] = read_anonymous()
     from wigeondrift.entities import Instance, Role
     from wigeondrift.systems.control import AgentControl
-    from wigeondrift.table import (
+    from wigeondrift.table.rows import (
         LimitRow,
         ServiceKind,
         ServiceRow,
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -16,7 +16,7 @@
 
 from bench.load import Callers, print_summary
 from bench.workload import LONG, SHORT, Crest, Workload
-from wigeondrift.table import LimitRow
+from wigeondrift.table.rows import LimitRow
 from wigeondrift_emulator.control import Action, ControlOrder
 from wigeondrift_emulator.links import LinkSettings
 from wigeondrift_emulator.stack import (
--- a/bench/load.py
+++ b/bench/load.py
@@ -14,7 +14,7 @@
 
 from bench.workload import LONG, SHORT, Arrival, Crest, Workload
 from wigeondrift.errors import TransportError
-from wigeondrift.http_client import ClientResponse, HttpClient
+from wigeondrift.wire.http_client import ClientResponse, HttpClient
 
 HIGHEST_MICROSECONDS = 600_000_000
 SIGNIFICANT_DIGITS = 3
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -18,18 +18,18 @@
 import msgspec
 import trio
 
-from wigeondrift.engine_http import HttpEngine
 from wigeondrift.entities import Instance, Role
+from wigeondrift.entry.engine_http import HttpEngine
+from wigeondrift.entry.generation import GenerationJob, Generator
 from wigeondrift.errors import RequestError
-from wigeondrift.generation import GenerationJob, Generator
-from wigeondrift.http_client import HttpClient
 from wigeondrift.settings import RequestSettings
 from wigeondrift.systems.quarantine import Quarantine, make_fingerprint
 from wigeondrift.systems.retries import RetryBudget
 from wigeondrift.systems.routing import Routing
-from wigeondrift.table import ServiceKind, ServiceRow, Table
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import ServiceKind, ServiceRow, Table
+from wigeondrift.table.tables import Tables
 from wigeondrift.timer import TrioClock
+from wigeondrift.wire.http_client import HttpClient
 from wigeondrift_emulator.engine import EngineSettings
 from wigeondrift_emulator.links import LinkSettings
 from wigeondrift_emulator.runner import RunnerSettings
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from wigeondrift.address import parse_address
-from wigeondrift.http_client import HttpClient
-from wigeondrift.http_server import Exchange, HttpServer
+from wigeondrift.wire.address import parse_address
+from wigeondrift.wire.http_client import HttpClient
+from wigeondrift.wire.http_server import Exchange, HttpServer
 
 LISTEN_BACKLOG = 512
 
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -12,8 +12,8 @@
 
 from wigeondrift.entities import Instance, LoadReport, Role
 from wigeondrift.systems.routing import Routing
-from wigeondrift.table import ServiceKind, ServiceRow, Table
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import ServiceKind, ServiceRow, Table
+from wigeondrift.table.tables import Tables
 
 SIZES = (30, 300, 4100)
 DOMAINS = ("rajkot", "morbi", "jamnagar")
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -12,7 +12,6 @@
 import cyclopts
 
 from wigeondrift.entities import Instance, Role
-from wigeondrift.messages import Demand, DemandNews, serialize_message
 from wigeondrift.store.core import StoreCore
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.control import AgentControl
@@ -22,7 +21,7 @@
     divide,
     get_limit,
 )
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     TABLE_KEY,
     LimitRow,
     ServiceKind,
@@ -31,7 +30,8 @@
     TeamRow,
     serialize_table,
 )
-from wigeondrift.tables import Tables
+from wigeondrift.table.tables import Tables
+from wigeondrift.wire.messages import Demand, DemandNews, serialize_message
 from wigeondrift_emulator.network import FRAME_BYTES, Process, VirtualNetwork
 
 DOMAINS = ("rajkot", "morbi", "jamnagar")
--- a/bench/table.py
+++ b/bench/table.py
@@ -14,15 +14,20 @@
 import msgspec
 import trio
 
-from wigeondrift.declaration import serialize_csv
-from wigeondrift.editor import TableEditor
-from wigeondrift.edits import CellChange, Edit, apply_edit, diff_tables, get_cells
-from wigeondrift.http_client import HttpClient
-from wigeondrift.rendering import Printer
+from wigeondrift.operator.declaration import serialize_csv
+from wigeondrift.operator.editor import TableEditor
+from wigeondrift.operator.edits import (
+    CellChange,
+    Edit,
+    apply_edit,
+    diff_tables,
+    get_cells,
+)
+from wigeondrift.operator.rendering import Printer
 from wigeondrift.store.core import Faults
 from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.systems.editing import Accepted
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     TABLE_BYTES,
     TABLE_KEY,
     LimitRow,
@@ -33,7 +38,8 @@
     parse_table,
     serialize_table,
 )
-from wigeondrift.table_check import check_table, load_table
+from wigeondrift.table.table_check import check_table, load_table
+from wigeondrift.wire.http_client import HttpClient
 from wigeondrift_emulator.platform import PlatformEmulator
 
 TEAM_COUNTS = (10, 100, 340)
--- a/bench/token_cost.py
+++ b/bench/token_cost.py
@@ -12,11 +12,11 @@
 import msgspec
 import trio
 
-from wigeondrift.completions import CompletionRequest
-from wigeondrift.engine import GenerateRequest
 from wigeondrift.entities import Stage
-from wigeondrift.http_client import HttpClient
-from wigeondrift.table import LimitRow
+from wigeondrift.entry.completions import CompletionRequest
+from wigeondrift.entry.engine import GenerateRequest
+from wigeondrift.table.rows import LimitRow
+from wigeondrift.wire.http_client import HttpClient
 from wigeondrift_emulator.processes import Process, free_address
 from wigeondrift_emulator.stack import (
     MODEL,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,7 @@
 from soak.promises import Call, find_broken
 from soak.upstream import EVENTS
 from wigeondrift.errors import TransportError, WigeondriftError
-from wigeondrift.http_client import HttpClient
+from wigeondrift.wire.http_client import HttpClient
 
 CALLERS = 12
 PATIENCE_SECONDS = 4.0
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -14,7 +14,7 @@
 from soak.promises import Run
 from soak.proxy import Proxy
 from wigeondrift.errors import TransportError
-from wigeondrift.http_client import HttpClient
+from wigeondrift.wire.http_client import HttpClient
 
 ROOT = Path(__file__).parent.parent
 HOST = "soak.example"
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from wigeondrift.address import parse_address
+from wigeondrift.wire.address import parse_address
 
 CHUNK_BYTES = 65536
 DELAY_SECONDS = 0.4
--- a/soak/store.py
+++ b/soak/store.py
@@ -10,8 +10,8 @@
 import msgspec
 import trio
 
-from wigeondrift.address import parse_address
-from wigeondrift.http_server import Exchange, HttpServer
+from wigeondrift.wire.address import parse_address
+from wigeondrift.wire.http_server import Exchange, HttpServer
 from wigeondrift_emulator.revision_server import RevisionServer
 
 # An entry is removed after three signs of life were missed.
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -10,10 +10,10 @@
 import msgspec
 import trio
 
-from wigeondrift.address import parse_address
 from wigeondrift.errors import TransportError
-from wigeondrift.http_client import HttpClient
-from wigeondrift.http_server import Exchange, HttpServer
+from wigeondrift.wire.address import parse_address
+from wigeondrift.wire.http_client import HttpClient
+from wigeondrift.wire.http_server import Exchange, HttpServer
 
 BEAT_SECONDS = 1.2
 CALL_SECONDS = 1.0
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -5,7 +5,7 @@
 import trio
 
 from wigeondrift.errors import ConnectFailed, ConnectionLost, TransportError
-from wigeondrift.http_client import HttpClient
+from wigeondrift.wire.http_client import HttpClient
 from wigeondrift_emulator.stack import MODEL, PLAIN, VERSION, get_key
 from wigeondrift_emulator.tokens import expected_tokens
 
--- a/tests/control_plane.py
+++ b/tests/control_plane.py
@@ -11,13 +11,11 @@
 from tests.processes import Process, free_address, wait_until, write_settings
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import PlatformError, WigeondriftError
-from wigeondrift.http_client import HttpClient
-from wigeondrift.link import Link
-from wigeondrift.status import ask_status
+from wigeondrift.operator.status import ask_status
 from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.shares import get_limit
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     TABLE_KEY,
     LimitRow,
     ServiceKind,
@@ -26,8 +24,10 @@
     TeamRow,
     serialize_table,
 )
-from wigeondrift.tables import Tables
+from wigeondrift.table.tables import Tables
 from wigeondrift.timer import TimerService, TrioClock
+from wigeondrift.wire.http_client import HttpClient
+from wigeondrift.wire.link import Link
 
 ROW = "team/service"
 DOMAINS = ("rajkot", "morbi", "jamnagar")
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -6,11 +6,11 @@
 import trio
 
 from tests.processes import free_address
-from wigeondrift.engine import EndEvent, EngineEvent, GenerateRequest, TokenEvent
-from wigeondrift.engine_http import HttpEngine
-from wigeondrift.engine_memory import MemoryEngine
 from wigeondrift.entities import Instance, Role, Stage
-from wigeondrift.http_client import HttpClient
+from wigeondrift.entry.engine import EndEvent, EngineEvent, GenerateRequest, TokenEvent
+from wigeondrift.entry.engine_http import HttpEngine
+from wigeondrift.entry.engine_memory import MemoryEngine
+from wigeondrift.wire.http_client import HttpClient
 from wigeondrift_emulator.engine import EngineProcess, EngineSettings
 from wigeondrift_emulator.runner import Cluster, RunnerSettings
 
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -6,8 +6,8 @@
 from tests.machines.joining import JoiningMachine
 from wigeondrift.entities import Instance, Role
 from wigeondrift.systems.capacity import get_entry_slots
-from wigeondrift.table import ServiceKind, ServiceRow, Table
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import ServiceKind, ServiceRow, Table
+from wigeondrift.table.tables import Tables
 
 
 def fuzz(machine, examples, steps):
--- a/tests/features/steps/agents.py
+++ b/tests/features/steps/agents.py
@@ -3,7 +3,7 @@
 from tests.control_plane import ROW, ControlPlane
 from tests.processes import wait_until
 from wigeondrift.entities import Instance, InstanceState, Role
-from wigeondrift.table import LimitRow, Table
+from wigeondrift.table.rows import LimitRow, Table
 
 
 @given("a platform with {count:d} agents and an entry's link to each")
--- a/tests/features/steps/answers_steps.py
+++ b/tests/features/steps/answers_steps.py
@@ -3,9 +3,9 @@
 from behave import then, when
 
 from wigeondrift.errors import ANSWERS_BY_KIND, ErrorKind, SettingsError
-from wigeondrift.messages import Digest, parse_message, serialize_message
-from wigeondrift.packing import pack, unpack
 from wigeondrift.settings import EntrySettings, parse_settings
+from wigeondrift.wire.messages import Digest, parse_message, serialize_message
+from wigeondrift.wire.packing import pack, unpack
 
 
 @then("each error kind has an answer with its own event number")
--- a/tests/features/steps/ctl_steps.py
+++ b/tests/features/steps/ctl_steps.py
@@ -13,14 +13,14 @@
 
 from tests.processes import Process, free_address, write_settings
 from tests.settings_samples import TEN_FAULTS
-from wigeondrift.claim import Claim, ClaimState, make_claim_name
-from wigeondrift.claims import KeyClaimStore
-from wigeondrift.ctl import run_command
-from wigeondrift.declaration import parse_csv
+from wigeondrift.entry.claim import Claim, ClaimState, make_claim_name
+from wigeondrift.entry.claims import KeyClaimStore
 from wigeondrift.errors import PlatformUnavailable, SettingsError
-from wigeondrift.http_client import HttpClient
+from wigeondrift.operator.ctl import run_command
+from wigeondrift.operator.declaration import parse_csv
 from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.timer import TrioClock
+from wigeondrift.wire.http_client import HttpClient
 
 
 def run_tool(context, *arguments):
@@ -269,10 +269,10 @@
             cells = [f"{columns[index]}={index + 3}"]
         arguments = ["table", "set", "large", "lm", *cells]
         arguments += ["--platform", context.address, "--author", f"op{index}"]
-        context.tools[f"op{index}"] = Process("wigeondrift.ctl", arguments)
+        context.tools[f"op{index}"] = Process("wigeondrift.operator", arguments)
     rival = ["table", "set", "large", "lm", "weight=9", "--author", "rival"]
     rival += ["--platform", context.address]
-    context.tools["rival"] = Process("wigeondrift.ctl", rival)
+    context.tools["rival"] = Process("wigeondrift.operator", rival)
     context.codes = {
         author: tool.popen.wait(30) for author, tool in context.tools.items()
     }
--- a/tests/features/steps/edits.py
+++ b/tests/features/steps/edits.py
@@ -8,15 +8,15 @@
 from trio.testing import MockClock
 
 from tests.machines.edits import CELLS, START, EditMachine
-from wigeondrift import edits
-from wigeondrift.editor import TableEditor
-from wigeondrift.edits import CellChange, Edit
 from wigeondrift.errors import TableError
+from wigeondrift.operator import edits
+from wigeondrift.operator.editor import TableEditor
+from wigeondrift.operator.edits import CellChange, Edit
 from wigeondrift.store.core import DownMode
 from wigeondrift.store.memory import MemoryStore
 from wigeondrift.systems.editing import Accepted, Conflicted, Unavailable, Unknown
 from wigeondrift.systems.replica import Replica, Verdict
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     TABLE_KEY,
     LimitRow,
     ServiceKind,
@@ -24,7 +24,7 @@
     TeamRow,
     serialize_table,
 )
-from wigeondrift.table_check import check_table, load_table
+from wigeondrift.table.table_check import check_table, load_table
 
 DIGEST = "0" * 64
 EXAMPLES = 150
--- a/tests/features/steps/engine.py
+++ b/tests/features/steps/engine.py
@@ -18,10 +18,10 @@
     open_http_engine,
 )
 from tests.processes import Process, free_address, write_settings
-from wigeondrift.engine import CancelRequest, EngineRefused, FailureEvent
-from wigeondrift.engine_http import EventParser, HttpEngine
+from wigeondrift.entry.engine import CancelRequest, EngineRefused, FailureEvent
+from wigeondrift.entry.engine_http import EventParser, HttpEngine
 from wigeondrift.errors import ConnectFailed, ConnectionLost, ProtocolViolation
-from wigeondrift.http_client import HttpClient
+from wigeondrift.wire.http_client import HttpClient
 from wigeondrift_emulator.engine import EngineSettings
 from wigeondrift_emulator.tokens import expected_tokens
 
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -7,8 +7,8 @@
 from tests.gateways import KEY, MODEL, ORDERS, make_tables, open_bench, parse_answer
 from wigeondrift.errors import ErrorKind, RequestError
 from wigeondrift.settings import HttpSettings, StopSettings
-from wigeondrift.table import LimitRow
-from wigeondrift.tracing import PassingSpan
+from wigeondrift.table.rows import LimitRow
+from wigeondrift.telemetry.tracing import PassingSpan
 
 COMPLETIONS = "/v1/completions"
 CHAT = "/v1/chat/completions"
--- a/tests/features/steps/http_steps.py
+++ b/tests/features/steps/http_steps.py
@@ -7,8 +7,8 @@
 
 from tests.processes import free_address
 from wigeondrift.errors import ConnectFailed, ConnectionLost
-from wigeondrift.http_client import HttpClient
-from wigeondrift.http_server import HttpLimits, HttpServer
+from wigeondrift.wire.http_client import HttpClient
+from wigeondrift.wire.http_server import HttpLimits, HttpServer
 
 HEAD = b"POST /echo HTTP/1.1\r\nHost: a\r\n"
 BYTES_BY_NAME = {
--- a/tests/features/steps/ordering.py
+++ b/tests/features/steps/ordering.py
@@ -6,8 +6,8 @@
 from tests.machines.ordering import OrderMachine
 from tests.order_faults import ChangePlatform, Heal, Settle, SwitchUpstream, TrapEntry
 from tests.order_world import World
+from wigeondrift.entry.service_memory import FaultMode
 from wigeondrift.errors import Outcome
-from wigeondrift.service_memory import FaultMode
 from wigeondrift.store.core import DownMode
 
 EXAMPLES = 80
--- a/tests/features/steps/plain_service.py
+++ b/tests/features/steps/plain_service.py
@@ -3,11 +3,11 @@
 
 from tests.order_control import ask_order_control
 from tests.processes import Process, free_address
+from wigeondrift.entry.service import FENCING_HEADER, KEY_HEADER, ServiceCall
+from wigeondrift.entry.service_http import HttpPlainService
+from wigeondrift.entry.service_memory import FaultMode, MemoryPlainService, Switches
 from wigeondrift.errors import ConnectFailed, ConnectionLost
-from wigeondrift.http_client import HttpClient
-from wigeondrift.service import FENCING_HEADER, KEY_HEADER, ServiceCall
-from wigeondrift.service_http import HttpPlainService
-from wigeondrift.service_memory import FaultMode, MemoryPlainService, Switches
+from wigeondrift.wire.http_client import HttpClient
 
 SILENCE_SECONDS = 0.2
 
--- a/tests/features/steps/platform_store.py
+++ b/tests/features/steps/platform_store.py
@@ -6,8 +6,8 @@
 from tests.processes import Process, free_address
 from wigeondrift.entities import InstanceState
 from wigeondrift.errors import PlatformUnavailable
-from wigeondrift.http_client import HttpClient
 from wigeondrift.store.http import HttpPlatformStore
+from wigeondrift.wire.http_client import HttpClient
 
 
 @then('the platform store in {form} passes the case "{name}"')
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -5,10 +5,10 @@
 from tests.fleets import make_runner, make_tables
 from tests.machines import quarantine
 from wigeondrift.entities import Instance, Role
-from wigeondrift.messages import SuspectNews
 from wigeondrift.systems.quarantine import Quarantine
 from wigeondrift.systems.routing import Routing
-from wigeondrift.tables import Tables
+from wigeondrift.table.tables import Tables
+from wigeondrift.wire.messages import SuspectNews
 
 NAMES = ("a", "b")
 
--- a/tests/features/steps/router_steps.py
+++ b/tests/features/steps/router_steps.py
@@ -6,10 +6,10 @@
 
 from tests.processes import free_address
 from tests.router_world import KEY, TEAM, Answer, RouterWorld
-from wigeondrift.address import parse_address
 from wigeondrift.application import Application
 from wigeondrift.entities import Route, Stage
 from wigeondrift.router.listeners import CallerListener
+from wigeondrift.wire.address import parse_address
 
 MEMBERS = ("d1", "d2")
 FIRST_COPY = ("a1", "a2")
--- a/tests/features/steps/routing.py
+++ b/tests/features/steps/routing.py
@@ -6,7 +6,7 @@
 from wigeondrift.entities import LoadReport
 from wigeondrift.errors import ErrorKind, RequestError
 from wigeondrift.systems.routing import Routing
-from wigeondrift.table import LimitRow
+from wigeondrift.table.rows import LimitRow
 
 PROMPT_HASH = 0x1234567890ABCDEF
 
--- a/tests/features/steps/stack_steps.py
+++ b/tests/features/steps/stack_steps.py
@@ -9,7 +9,7 @@
 
 from tests.callers import Seen, get_text, order, order_until_answered, stream
 from tests.collector import Collector
-from wigeondrift.table import LimitRow
+from wigeondrift.table.rows import LimitRow
 from wigeondrift_emulator.processes import (
     ROOT,
     Process,
--- a/tests/features/steps/telemetry_steps.py
+++ b/tests/features/steps/telemetry_steps.py
@@ -7,9 +7,9 @@
     InMemorySpanExporter,
 )
 
-from wigeondrift.metrics import Metric, StatsdMetrics
-from wigeondrift.otlp import OtlpTracer
-from wigeondrift.tracing import check_traceparent
+from wigeondrift.telemetry.metrics import Metric, StatsdMetrics
+from wigeondrift.telemetry.otlp import OtlpTracer
+from wigeondrift.telemetry.tracing import check_traceparent
 
 CALLER = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 PAGE = Path(__file__).parents[3] / "docs" / "METRICS.md"
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -1,8 +1,8 @@
 """Tables with runners for scenarios of routing."""
 
 from wigeondrift.entities import Instance, InstanceState, Role
-from wigeondrift.table import LimitRow, ServiceKind, ServiceRow, Table
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import LimitRow, ServiceKind, ServiceRow, Table
+from wigeondrift.table.tables import Tables
 
 SERVICE = "kokil-lm"
 TEAM = "counters"
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -9,17 +9,16 @@
 
 from tests.processes import free_address
 from wigeondrift.entities import Instance, Role
+from wigeondrift.entry.gate import make_gate
+from wigeondrift.entry.gateway import Gateway
+from wigeondrift.entry.model_api import ModelApi
+from wigeondrift.entry.orders import OrderResult
+from wigeondrift.entry.policy import Policy
+from wigeondrift.entry.request_ids import RequestIds
+from wigeondrift.entry.runs import make_runs
+from wigeondrift.entry.service import ServiceAnswer
+from wigeondrift.entry.service_api import ServiceApi
 from wigeondrift.errors import ErrorKind, Outcome, RequestError
-from wigeondrift.gate import make_gate
-from wigeondrift.gateway import Gateway
-from wigeondrift.metrics import NullMetrics
-from wigeondrift.model_api import ModelApi
-from wigeondrift.orders import OrderResult
-from wigeondrift.policy import Policy
-from wigeondrift.request_ids import RequestIds
-from wigeondrift.runs import make_runs
-from wigeondrift.service import ServiceAnswer
-from wigeondrift.service_api import ServiceApi
 from wigeondrift.settings import (
     AdmissionSettings,
     EntrySettings,
@@ -28,10 +27,11 @@
     StopSettings,
 )
 from wigeondrift.systems.shares import Limit
-from wigeondrift.table import LimitRow, ServiceKind, ServiceRow, Table, TeamRow
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import LimitRow, ServiceKind, ServiceRow, Table, TeamRow
+from wigeondrift.table.tables import Tables
+from wigeondrift.telemetry.metrics import NullMetrics
+from wigeondrift.telemetry.tracing import PassingTracer
 from wigeondrift.timer import TimerService, TrioClock
-from wigeondrift.tracing import PassingTracer
 
 KEY = "counter-key"
 MODEL = "kokil-lm"
--- a/tests/generations.py
+++ b/tests/generations.py
@@ -6,15 +6,15 @@
 from trio.testing import MockClock
 
 from tests.engines import LAYERS, SERVICE, make_instance, make_runner_settings
-from wigeondrift.engine_memory import MemoryEngine
 from wigeondrift.entities import Instance, Role
+from wigeondrift.entry.engine_memory import MemoryEngine
+from wigeondrift.entry.generation import GenerationJob, Generator
 from wigeondrift.errors import RequestError
-from wigeondrift.generation import GenerationJob, Generator
 from wigeondrift.settings import RequestSettings
 from wigeondrift.systems.quarantine import Quarantine, make_fingerprint
 from wigeondrift.systems.routing import Routing
-from wigeondrift.table import LimitRow, ServiceKind, ServiceRow, Table
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import LimitRow, ServiceKind, ServiceRow, Table
+from wigeondrift.table.tables import Tables
 from wigeondrift.timer import TrioClock
 from wigeondrift_emulator.runner import Cluster
 from wigeondrift_emulator.tokens import expected_tokens
--- a/tests/machines/admission.py
+++ b/tests/machines/admission.py
@@ -12,8 +12,8 @@
 )
 from wigeondrift.systems.fairness import FairQueue
 from wigeondrift.systems.shares import Limit
-from wigeondrift.table import LimitRow, ServiceKind, ServiceRow, Table
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import LimitRow, ServiceKind, ServiceRow, Table
+from wigeondrift.table.tables import Tables
 
 TEAMS = ("small", "large", "huge")
 WEIGHTS = {"small": 1.0, "large": 2.0, "huge": 4.0}
--- a/tests/machines/control.py
+++ b/tests/machines/control.py
@@ -13,13 +13,11 @@
 )
 
 from wigeondrift.entities import Instance, InstanceState, Role
-from wigeondrift.events import Event
-from wigeondrift.messages import SuspectNews
 from wigeondrift.store.core import DownMode, Faults, StoreCore
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.control import AgentControl
 from wigeondrift.systems.shares import choose_owner, compute_floor, get_limit
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     TABLE_KEY,
     LimitRow,
     ServiceKind,
@@ -28,7 +26,9 @@
     TeamRow,
     serialize_table,
 )
-from wigeondrift.tables import Tables
+from wigeondrift.table.tables import Tables
+from wigeondrift.telemetry.events import Event
+from wigeondrift.wire.messages import SuspectNews
 from wigeondrift_emulator.network import Process, VirtualNetwork
 
 DOMAINS = ("rajkot", "morbi", "jamnagar")
--- a/tests/machines/edits.py
+++ b/tests/machines/edits.py
@@ -17,12 +17,12 @@
     rule,
 )
 
-from wigeondrift.edits import CellChange, Edit
 from wigeondrift.errors import (
     PlatformThrottled,
     PlatformUnavailable,
     RevisionConflict,
 )
+from wigeondrift.operator.edits import CellChange, Edit
 from wigeondrift.store.core import DownMode, StoreCore
 from wigeondrift.systems.editing import (
     Accepted,
@@ -32,7 +32,7 @@
     Refused,
     Unavailable,
 )
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     TABLE_KEY,
     LimitRow,
     ServiceKind,
--- a/tests/machines/streams.py
+++ b/tests/machines/streams.py
@@ -10,8 +10,8 @@
     run_state_machine_as_test,
 )
 
-from wigeondrift.engine import EndEvent, FailureEvent, TokenEvent
 from wigeondrift.entities import Route, Stage
+from wigeondrift.entry.engine import EndEvent, FailureEvent, TokenEvent
 from wigeondrift.systems.streams import TokenStream, VersionChanged
 
 REQUEST = "rajkot-1.entry-0.1.7"
--- a/tests/order_control.py
+++ b/tests/order_control.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from wigeondrift.http_client import HttpClient
+from wigeondrift.wire.http_client import HttpClient
 
 
 def ask_order_control(address, document=None):
--- a/tests/order_faults.py
+++ b/tests/order_faults.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from tests.order_world import Trap
-from wigeondrift.service_memory import FaultMode
+from wigeondrift.entry.service_memory import FaultMode
 from wigeondrift.store.core import DownMode
 
 ENTRIES = 3
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -9,19 +9,19 @@
 import trio
 from trio.testing import MockClock
 
-from wigeondrift.claims import KeyClaimStore
 from wigeondrift.entities import Instance, Role
+from wigeondrift.entry.claims import KeyClaimStore
+from wigeondrift.entry.orders import OrderDesk, OrderJob, UpstreamChooser
+from wigeondrift.entry.service import KEY_HEADER, PlainService, ServiceCall
+from wigeondrift.entry.service_memory import FaultMode, MemoryPlainService, Switches
+from wigeondrift.entry.settlement import Settlement, settle_claim
 from wigeondrift.errors import ErrorKind, RequestError, WigeondriftError
-from wigeondrift.orders import OrderDesk, OrderJob, UpstreamChooser
-from wigeondrift.service import KEY_HEADER, PlainService, ServiceCall
-from wigeondrift.service_memory import FaultMode, MemoryPlainService, Switches
 from wigeondrift.settings import RequestSettings
-from wigeondrift.settlement import Settlement, settle_claim
 from wigeondrift.store.contract import PlatformStore
 from wigeondrift.store.core import Faults, StoreCore
 from wigeondrift.store.memory import MemoryStore
-from wigeondrift.table import ServiceKind, ServiceRow
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import ServiceKind, ServiceRow
+from wigeondrift.table.tables import Tables
 from wigeondrift.timer import TrioClock
 
 ROWS_BY_NAME = {
--- a/tests/platform_cases.py
+++ b/tests/platform_cases.py
@@ -10,10 +10,10 @@
     PlatformUnavailable,
     RevisionConflict,
 )
-from wigeondrift.http_client import HttpClient
 from wigeondrift.store.core import VALUE_BYTES, DownMode, Faults
 from wigeondrift.store.http import HttpPlatformStore
 from wigeondrift.store.memory import MemoryStore
+from wigeondrift.wire.http_client import HttpClient
 from wigeondrift_emulator.platform import PlatformEmulator
 
 LONG_SECONDS = 30.0
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -12,9 +12,9 @@
 from trio.testing import MockClock
 
 from tests.router_world import make_configuration
-from wigeondrift.metrics import NullMetrics
 from wigeondrift.router.composition import RouterParts
 from wigeondrift.router.settings import Bounds, RouterSettings
+from wigeondrift.telemetry.metrics import NullMetrics
 from wigeondrift_emulator.memory_network import MemoryClient, MemoryNetwork
 from wigeondrift_emulator.revision_server import RevisionServer
 
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -7,11 +7,11 @@
 import trio
 from trio.testing import MockClock, memory_stream_pair
 
-from wigeondrift.http_server import HttpServer
-from wigeondrift.metrics import NullMetrics
 from wigeondrift.platform.configuration import decode_configuration
 from wigeondrift.router.composition import RouterParts
 from wigeondrift.router.settings import Bounds, RouterSettings
+from wigeondrift.telemetry.metrics import NullMetrics
+from wigeondrift.wire.http_server import HttpServer
 from wigeondrift_emulator.memory_network import MemoryClient, MemoryNetwork
 from wigeondrift_emulator.model_server import ModelServer
 from wigeondrift_emulator.revision_server import RevisionServer
--- /dev/null
+++ b/wigeondrift/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: watches the platform and gossips with its peers."""
--- a/wigeondrift/agent.py
+++ b/wigeondrift/agent/agent.py
@@ -9,19 +9,19 @@
 import msgspec
 import trio
 
+from wigeondrift.agent.loads import POLL_SECONDS, LoadPoller, choose_polled
+from wigeondrift.agent.shell import carry_out
+from wigeondrift.agent.watcher import Watcher, choose_watch_wait
 from wigeondrift.application import Component
 from wigeondrift.errors import SettingsError
-from wigeondrift.events import Event, configure_logging, log_event
-from wigeondrift.loads import POLL_SECONDS, LoadPoller, choose_polled
-from wigeondrift.messages import Status, StatusRequest
-from wigeondrift.post import PostOffice
 from wigeondrift.settings import AgentSettings, load_settings
-from wigeondrift.shell import carry_out
 from wigeondrift.store.contract import PlatformStore
 from wigeondrift.systems.actions import Actions
 from wigeondrift.systems.control import AgentControl
+from wigeondrift.telemetry.events import Event, configure_logging, log_event
 from wigeondrift.timer import Clock, TimerService
-from wigeondrift.watcher import Watcher, choose_watch_wait
+from wigeondrift.wire.messages import Status, StatusRequest
+from wigeondrift.wire.post import PostOffice
 
 EXIT_SETTINGS = 2
 
--- a/wigeondrift/loads.py
+++ b/wigeondrift/agent/loads.py
@@ -6,7 +6,7 @@
 
 from wigeondrift.entities import Instance, InstanceState, LoadReport, Role
 from wigeondrift.errors import TransportError
-from wigeondrift.http_client import HttpClient
+from wigeondrift.wire.http_client import HttpClient
 
 POLL_SECONDS = 0.5
 POLL_TIMEOUT_SECONDS = 1.0
--- a/wigeondrift/shell.py
+++ b/wigeondrift/agent/shell.py
@@ -2,9 +2,9 @@
 
 import logging
 
-from wigeondrift.events import Event, log_event
-from wigeondrift.post import PostOffice
 from wigeondrift.systems.actions import Actions
+from wigeondrift.telemetry.events import Event, log_event
+from wigeondrift.wire.post import PostOffice
 
 WARNINGS = frozenset(
     {Event.TABLE_REFUSED, Event.PLATFORM_LOST, Event.AGENT_LOST, Event.PEER_LOST}
--- a/wigeondrift/watcher.py
+++ b/wigeondrift/agent/watcher.py
@@ -9,7 +9,7 @@
 from wigeondrift.errors import PlatformError
 from wigeondrift.store.contract import InstanceList, PlatformStore, Versioned
 from wigeondrift.systems.control import PLATFORM_LIST, PLATFORM_TABLE
-from wigeondrift.table import TABLE_KEY
+from wigeondrift.table.rows import TABLE_KEY
 
 LEAST_WATCH_SECONDS = 2.0
 WATCH_GRACE_SECONDS = 2.0
--- a/wigeondrift/catalogue.py
+++ b/wigeondrift/catalogue.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from wigeondrift.errors import ANSWERS_BY_KIND
-from wigeondrift.events import Event
+from wigeondrift.telemetry.events import Event
 
 DOCS = Path(__file__).parent.parent / "docs"
 
@@ -28,9 +28,9 @@
 EVENTS_HEAD = """\
 # Log events
 
-Made by `python -m wigeondrift.catalogue` from `wigeondrift.events`. Each line of the
-log is a JSON object with `event` (the number) and `event_name`. A refused request is
-logged as event 2000 with its `kind`, whose own number is in ERRORS.md.
+Made by `python -m wigeondrift.catalogue` from `wigeondrift.telemetry.events`. Each line
+of the log is a JSON object with `event` (the number) and `event_name`. A refused
+request is logged as event 2000 with its `kind`, whose own number is in ERRORS.md.
 
 | number | name | meaning |
 |---|---|---|
--- a/wigeondrift/composition.py
+++ b/wigeondrift/composition.py
@@ -5,25 +5,21 @@
 import time
 from collections.abc import Callable
 
-from wigeondrift.agent import Agent
+from wigeondrift.agent.agent import Agent
+from wigeondrift.agent.loads import LoadPoller
 from wigeondrift.application import Application
-from wigeondrift.claims import KeyClaimStore
-from wigeondrift.engine_http import HttpEngine
-from wigeondrift.events import configure_logging
-from wigeondrift.gate import make_gate
-from wigeondrift.gateway import Gateway
-from wigeondrift.generation import Generator
-from wigeondrift.http_client import HttpClient
-from wigeondrift.link import Link
-from wigeondrift.loads import LoadPoller
-from wigeondrift.metrics import FLUSH_INTERVAL_SECONDS, Metrics, make_metrics
-from wigeondrift.model_api import ModelApi
-from wigeondrift.orders import OrderDesk
-from wigeondrift.policy import Policy
-from wigeondrift.request_ids import RequestIds
-from wigeondrift.runs import make_runs
-from wigeondrift.service_api import ServiceApi
-from wigeondrift.service_http import HttpPlainService
+from wigeondrift.entry.claims import KeyClaimStore
+from wigeondrift.entry.engine_http import HttpEngine
+from wigeondrift.entry.gate import make_gate
+from wigeondrift.entry.gateway import Gateway
+from wigeondrift.entry.generation import Generator
+from wigeondrift.entry.model_api import ModelApi
+from wigeondrift.entry.orders import OrderDesk
+from wigeondrift.entry.policy import Policy
+from wigeondrift.entry.request_ids import RequestIds
+from wigeondrift.entry.runs import make_runs
+from wigeondrift.entry.service_api import ServiceApi
+from wigeondrift.entry.service_http import HttpPlainService
 from wigeondrift.settings import AgentSettings, EntrySettings
 from wigeondrift.store.contract import PlatformStore
 from wigeondrift.store.http import HttpPlatformStore
@@ -31,9 +27,13 @@
 from wigeondrift.systems.control import AgentControl
 from wigeondrift.systems.quarantine import Quarantine
 from wigeondrift.systems.routing import Routing
-from wigeondrift.tables import Tables
+from wigeondrift.table.tables import Tables
+from wigeondrift.telemetry.events import configure_logging
+from wigeondrift.telemetry.metrics import FLUSH_INTERVAL_SECONDS, Metrics, make_metrics
+from wigeondrift.telemetry.tracing import Tracer, make_tracer
 from wigeondrift.timer import Clock, TimerService, TrioClock, WallClock
-from wigeondrift.tracing import Tracer, make_tracer
+from wigeondrift.wire.http_client import HttpClient
+from wigeondrift.wire.link import Link
 
 AGENT_STOP_SECONDS = 5.0
 DEMAND_SECONDS = 0.25
--- /dev/null
+++ b/wigeondrift/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: takes callers' requests and forwards them on its own interface."""
--- a/wigeondrift/accounts.py
+++ b/wigeondrift/entry/accounts.py
@@ -3,7 +3,7 @@
 import hashlib
 
 from wigeondrift.errors import ErrorKind, RequestError
-from wigeondrift.tables import Tables
+from wigeondrift.table.tables import Tables
 
 SCHEME = "bearer "
 
--- a/wigeondrift/answers.py
+++ b/wigeondrift/entry/answers.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
+from wigeondrift.entry.service import OUTCOME_HEADER, REQUEST_ID_HEADER
 from wigeondrift.errors import Outcome, RequestError
-from wigeondrift.http_server import Exchange
-from wigeondrift.service import OUTCOME_HEADER, REQUEST_ID_HEADER
+from wigeondrift.wire.http_server import Exchange
 
 JSON_TYPE = ("Content-Type", "application/json")
 
--- a/wigeondrift/breaker.py
+++ b/wigeondrift/entry/breaker.py
@@ -6,7 +6,7 @@
 import trio
 
 from wigeondrift.errors import PlatformError, PlatformUnavailable
-from wigeondrift.events import LOGGER_NAME, Event, log_event
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 
 PROBE_INTERVAL_SECONDS = 0.5
 PROBE_TIMEOUT_SECONDS = 3.0
--- a/wigeondrift/claim.py
+++ b/wigeondrift/entry/claim.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
+from wigeondrift.entry.service import ServiceAnswer
 from wigeondrift.errors import Outcome
-from wigeondrift.service import ServiceAnswer
 
 CLAIM_PREFIX = "wigeondrift/claims/"
 ANSWER_BYTES = 65536
--- a/wigeondrift/claims.py
+++ b/wigeondrift/entry/claims.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from wigeondrift.claim import Claim, ClaimState, parse_claim, serialize_claim
+from wigeondrift.entry.claim import Claim, ClaimState, parse_claim, serialize_claim
 from wigeondrift.errors import (
     PlatformRefused,
     PlatformThrottled,
--- a/wigeondrift/engine_http.py
+++ b/wigeondrift/entry/engine_http.py
@@ -5,16 +5,16 @@
 
 import msgspec
 
-from wigeondrift.engine import (
+from wigeondrift.entities import LoadReport
+from wigeondrift.entry.engine import (
     CancelRequest,
     Engine,
     EngineEvent,
     EngineRefused,
     GenerateRequest,
 )
-from wigeondrift.entities import LoadReport
 from wigeondrift.errors import ConnectionLost, ProtocolViolation
-from wigeondrift.http_client import ClientResponse, HttpClient
+from wigeondrift.wire.http_client import ClientResponse, HttpClient
 
 LINE_BYTES = 1048576
 HEAD_TIMEOUT_SECONDS = 1.5
--- a/wigeondrift/engine_memory.py
+++ b/wigeondrift/entry/engine_memory.py
@@ -6,13 +6,13 @@
 
 import trio
 
-from wigeondrift.engine import (
+from wigeondrift.entities import LoadReport
+from wigeondrift.entry.engine import (
     CancelRequest,
     Engine,
     EngineEvent,
     GenerateRequest,
 )
-from wigeondrift.entities import LoadReport
 from wigeondrift.errors import ConnectFailed, ConnectionSilent
 
 HEAD_TIMEOUT_SECONDS = 1.5
--- a/wigeondrift/gate.py
+++ b/wigeondrift/entry/gate.py
@@ -5,15 +5,15 @@
 
 import trio
 
-from wigeondrift.policy import Policy
+from wigeondrift.entry.policy import Policy
 from wigeondrift.systems.admission import (
     Admission,
     RowDemand,
     Ticket,
     TicketState,
 )
+from wigeondrift.telemetry.tracing import Span
 from wigeondrift.timer import Clock, TimerService
-from wigeondrift.tracing import Span
 
 TICK_SECONDS = 0.02
 
--- a/wigeondrift/gateway.py
+++ b/wigeondrift/entry/gateway.py
@@ -6,27 +6,27 @@
 import msgspec
 import trio
 
-from wigeondrift.accounts import Accounts
-from wigeondrift.address import parse_address
-from wigeondrift.answers import make_headers, respond_error, respond_json
 from wigeondrift.application import Component
+from wigeondrift.entry.accounts import Accounts
+from wigeondrift.entry.answers import make_headers, respond_error, respond_json
+from wigeondrift.entry.gate import Gate
+from wigeondrift.entry.model_api import Call, ModelApi
+from wigeondrift.entry.request_ids import RequestIds
+from wigeondrift.entry.runs import RunDesk
+from wigeondrift.entry.service_api import PATH_PREFIX, ServiceApi
 from wigeondrift.errors import ConnectionLost, ErrorKind, Outcome, RequestError
-from wigeondrift.events import LOGGER_NAME, Event, log_event
-from wigeondrift.gate import Gate
-from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
-from wigeondrift.metrics import Metric, Metrics
-from wigeondrift.model_api import Call, ModelApi
-from wigeondrift.request_ids import RequestIds
-from wigeondrift.runs import RunDesk
-from wigeondrift.service_api import PATH_PREFIX, ServiceApi
 from wigeondrift.settings import EntrySettings
-from wigeondrift.tables import Tables
-from wigeondrift.tracing import (
+from wigeondrift.table.tables import Tables
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.telemetry.metrics import Metric, Metrics
+from wigeondrift.telemetry.tracing import (
     TRACEPARENT_HEADER,
     Span,
     Tracer,
     check_traceparent,
 )
+from wigeondrift.wire.address import parse_address
+from wigeondrift.wire.http_server import Exchange, HttpLimits, HttpServer
 
 BACKLOG = 1024
 LAST_WORDS_SECONDS = 1.0
--- a/wigeondrift/generation.py
+++ b/wigeondrift/entry/generation.py
@@ -8,14 +8,14 @@
 import xxhash
 
 from wigeondrift.application import Component
-from wigeondrift.engine import (
+from wigeondrift.entities import Route
+from wigeondrift.entry.engine import (
     UNREACHABLE_REASON,
     CancelRequest,
     Engine,
     EngineEvent,
     EngineRefused,
 )
-from wigeondrift.entities import Route
 from wigeondrift.errors import (
     ConnectFailed,
     ConnectionLost,
@@ -23,17 +23,17 @@
     ProtocolViolation,
     TransportError,
 )
-from wigeondrift.events import LOGGER_NAME, Event, log_event
-from wigeondrift.messages import SuspectNews
-from wigeondrift.metrics import Metric, Metrics, NullMetrics
 from wigeondrift.settings import RequestSettings
 from wigeondrift.systems.quarantine import Quarantine, Run
 from wigeondrift.systems.recovery import Failure, Recovery
 from wigeondrift.systems.retries import RetryBudget
 from wigeondrift.systems.routing import Routing
 from wigeondrift.systems.streams import TokenStream
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.telemetry.metrics import Metric, Metrics, NullMetrics
+from wigeondrift.telemetry.tracing import PassingTracer, Span, Tracer
 from wigeondrift.timer import Clock
-from wigeondrift.tracing import PassingTracer, Span, Tracer
+from wigeondrift.wire.messages import SuspectNews
 
 PREFIX_CHARACTERS = 1024
 FIRST_TOKEN_SECONDS = 20.0
--- a/wigeondrift/entry.py
+++ b/wigeondrift/entry/main.py
@@ -9,8 +9,13 @@
 
 from wigeondrift.application import Application
 from wigeondrift.errors import SettingsError
-from wigeondrift.events import LOGGER_NAME, Event, configure_logging, log_event
 from wigeondrift.settings import EntrySettings, load_settings
+from wigeondrift.telemetry.events import (
+    LOGGER_NAME,
+    Event,
+    configure_logging,
+    log_event,
+)
 
 EXIT_SETTINGS = 2
 EXIT_BOUND = 3
--- a/wigeondrift/model_api.py
+++ b/wigeondrift/entry/model_api.py
@@ -7,13 +7,13 @@
 import msgspec
 import trio
 
-from wigeondrift import completions
-from wigeondrift.answers import (
+from wigeondrift.entry import completions
+from wigeondrift.entry.answers import (
     make_error_document,
     make_headers,
     respond_json,
 )
-from wigeondrift.completions import (
+from wigeondrift.entry.completions import (
     AnswerFormat,
     AnyRequest,
     ChatFormat,
@@ -21,19 +21,19 @@
     CompletionFormat,
     CompletionRequest,
 )
+from wigeondrift.entry.gate import Gate
+from wigeondrift.entry.generation import GenerationJob, Generator
+from wigeondrift.entry.runs import RunDesk, RunReader, RunWriter
 from wigeondrift.errors import ErrorKind, Outcome, RequestError
-from wigeondrift.events import LOGGER_NAME, Event, log_event
-from wigeondrift.gate import Gate
-from wigeondrift.generation import GenerationJob, Generator
-from wigeondrift.http_server import Exchange
-from wigeondrift.metrics import Metric, Metrics
-from wigeondrift.runs import RunDesk, RunReader, RunWriter
 from wigeondrift.settings import RequestSettings
 from wigeondrift.systems.joining import RunKey
 from wigeondrift.systems.quarantine import make_fingerprint
-from wigeondrift.table import ServiceKind
-from wigeondrift.tables import Tables
-from wigeondrift.tracing import Tracer
+from wigeondrift.table.rows import ServiceKind
+from wigeondrift.table.tables import Tables
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.telemetry.metrics import Metric, Metrics
+from wigeondrift.telemetry.tracing import Tracer
+from wigeondrift.wire.http_server import Exchange
 
 EVENT_STREAM_TYPE = ("Content-Type", "text/event-stream; charset=utf-8")
 NO_CACHE = ("Cache-Control", "no-cache")
--- a/wigeondrift/orders.py
+++ b/wigeondrift/entry/orders.py
@@ -10,15 +10,23 @@
 import trio
 
 from wigeondrift.application import Component
-from wigeondrift.breaker import Breaker
-from wigeondrift.claim import (
+from wigeondrift.entities import Instance
+from wigeondrift.entry.breaker import Breaker
+from wigeondrift.entry.claim import (
     CLAIM_PREFIX,
     Claim,
     ClaimState,
     make_claim_name,
 )
-from wigeondrift.claims import Acquisition, ClaimStore, StoredClaim, conclude
-from wigeondrift.entities import Instance
+from wigeondrift.entry.claims import Acquisition, ClaimStore, StoredClaim, conclude
+from wigeondrift.entry.service import (
+    FENCING_HEADER,
+    KEY_HEADER,
+    REQUEST_ID_HEADER,
+    PlainService,
+    ServiceAnswer,
+    ServiceCall,
+)
 from wigeondrift.errors import (
     ConnectFailed,
     ConnectionLost,
@@ -28,15 +36,6 @@
     PlatformRefused,
     RequestError,
 )
-from wigeondrift.events import LOGGER_NAME, Event, log_event
-from wigeondrift.service import (
-    FENCING_HEADER,
-    KEY_HEADER,
-    REQUEST_ID_HEADER,
-    PlainService,
-    ServiceAnswer,
-    ServiceCall,
-)
 from wigeondrift.settings import RequestSettings
 from wigeondrift.systems.ordering import (
     SEND_WINDOW_SECONDS,
@@ -49,8 +48,9 @@
     refuse_by_claim,
 )
 from wigeondrift.systems.retries import RetryBudget
-from wigeondrift.table import ServiceKind, ServiceRow
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import ServiceKind, ServiceRow
+from wigeondrift.table.tables import Tables
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.timer import Clock
 
 RECORD_WAIT_SECONDS = 0.25
--- a/wigeondrift/policy.py
+++ b/wigeondrift/entry/policy.py
@@ -7,7 +7,7 @@
 from wigeondrift.systems.fairness import FairQueue
 from wigeondrift.systems.routing import Routing
 from wigeondrift.systems.shares import Limit, get_limit
-from wigeondrift.tables import Tables
+from wigeondrift.table.tables import Tables
 
 
 class Policy:
--- a/wigeondrift/runs.py
+++ b/wigeondrift/entry/runs.py
@@ -7,9 +7,9 @@
 import trio
 
 from wigeondrift.errors import ErrorKind, Outcome, RequestError
-from wigeondrift.events import LOGGER_NAME
 from wigeondrift.settings import EntrySettings
 from wigeondrift.systems.joining import Joining, JoiningRules, Run, RunKey
+from wigeondrift.telemetry.events import LOGGER_NAME
 from wigeondrift.timer import Clock, TimerService
 
 TICK_SECONDS = 0.1
--- a/wigeondrift/service_api.py
+++ b/wigeondrift/entry/service_api.py
@@ -2,23 +2,23 @@
 
 import logging
 
-from wigeondrift.answers import make_headers
-from wigeondrift.errors import ErrorKind, RequestError
-from wigeondrift.events import LOGGER_NAME, Event, log_event
-from wigeondrift.gate import Gate
-from wigeondrift.http_server import Request
-from wigeondrift.metrics import Metric, Metrics
-from wigeondrift.model_api import Call
-from wigeondrift.orders import OrderDesk, OrderJob, OrderResult
-from wigeondrift.service import (
+from wigeondrift.entry.answers import make_headers
+from wigeondrift.entry.gate import Gate
+from wigeondrift.entry.model_api import Call
+from wigeondrift.entry.orders import OrderDesk, OrderJob, OrderResult
+from wigeondrift.entry.service import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     ServiceAnswer,
     ServiceCall,
 )
-from wigeondrift.table import ServiceKind, ServiceRow
-from wigeondrift.tables import Tables
-from wigeondrift.tracing import Tracer
+from wigeondrift.errors import ErrorKind, RequestError
+from wigeondrift.table.rows import ServiceKind, ServiceRow
+from wigeondrift.table.tables import Tables
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.telemetry.metrics import Metric, Metrics
+from wigeondrift.telemetry.tracing import Tracer
+from wigeondrift.wire.http_server import Request
 
 PATH_PREFIX = "/services/"
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
--- a/wigeondrift/service_http.py
+++ b/wigeondrift/entry/service_http.py
@@ -3,9 +3,9 @@
 import h11
 import trio
 
+from wigeondrift.entry.service import PlainService, ServiceAnswer, ServiceCall
 from wigeondrift.errors import ConnectFailed, ConnectionLost, ProtocolViolation
-from wigeondrift.http_client import ClientChannel, Headers, HttpClient
-from wigeondrift.service import PlainService, ServiceAnswer, ServiceCall
+from wigeondrift.wire.http_client import ClientChannel, Headers, HttpClient
 
 ANSWER_BYTES = 4 * 1048576
 CONNECTION_HEADERS = frozenset(
--- a/wigeondrift/service_memory.py
+++ b/wigeondrift/entry/service_memory.py
@@ -5,8 +5,7 @@
 import msgspec
 import trio
 
-from wigeondrift.errors import ConnectFailed, ConnectionLost
-from wigeondrift.service import (
+from wigeondrift.entry.service import (
     FENCING_HEADER,
     KEY_HEADER,
     OUTCOME_HEADER,
@@ -15,6 +14,7 @@
     ServiceAnswer,
     ServiceCall,
 )
+from wigeondrift.errors import ConnectFailed, ConnectionLost
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
--- a/wigeondrift/settlement.py
+++ b/wigeondrift/entry/settlement.py
@@ -5,14 +5,14 @@
 import msgspec
 import trio
 
-from wigeondrift.claim import (
+from wigeondrift.entry.claim import (
     CLAIM_PREFIX,
     Claim,
     ClaimState,
     make_claim_name,
     parse_claim,
 )
-from wigeondrift.claims import ClaimStore, StoredClaim
+from wigeondrift.entry.claims import ClaimStore, StoredClaim
 from wigeondrift.errors import (
     Outcome,
     PlatformThrottled,
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -172,7 +172,7 @@
     Parameters
     ----------
     problems : sequence of Problem
-        All that was found, see ``wigeondrift.table_check``.
+        All that was found, see ``wigeondrift.table.table_check``.
     """
 
     def __init__(self, problems: Sequence[object]) -> None:
--- /dev/null
+++ b/wigeondrift/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's tool and the operations that it wraps."""
--- a/wigeondrift/ctl.py
+++ b/wigeondrift/operator/ctl.py
@@ -7,11 +7,6 @@
 import cyclopts
 import trio
 
-from wigeondrift.address import parse_address
-from wigeondrift.ctl_access import DryRun, ExitCode
-from wigeondrift.ctl_orders import orders_app
-from wigeondrift.ctl_settings import settings_app
-from wigeondrift.ctl_table import service_app, table_app, team_app
 from wigeondrift.errors import (
     PlatformError,
     SettingsError,
@@ -19,9 +14,14 @@
     TransportError,
     UsageError,
 )
-from wigeondrift.rendering import Printer
+from wigeondrift.operator.ctl_access import DryRun, ExitCode
+from wigeondrift.operator.ctl_orders import orders_app
+from wigeondrift.operator.ctl_settings import settings_app
+from wigeondrift.operator.ctl_table import service_app, table_app, team_app
+from wigeondrift.operator.rendering import Printer
+from wigeondrift.operator.status import ask_status
 from wigeondrift.settings_rules import check_address
-from wigeondrift.status import ask_status
+from wigeondrift.wire.address import parse_address
 
 app = cyclopts.App(name="wigeondriftctl", help=__doc__)
 for part in (table_app, team_app, service_app, orders_app, settings_app):
--- a/wigeondrift/ctl_access.py
+++ b/wigeondrift/operator/ctl_access.py
@@ -8,13 +8,12 @@
 import cyclopts
 import trio
 
-from wigeondrift.editor import PATIENCE_SECONDS, TableEditor
 from wigeondrift.errors import (
     UsageError,
 )
-from wigeondrift.http_client import HttpClient
-from wigeondrift.order_porcelain import OrderOperator
-from wigeondrift.porcelain import Operator
+from wigeondrift.operator.editor import PATIENCE_SECONDS, TableEditor
+from wigeondrift.operator.order_porcelain import OrderOperator
+from wigeondrift.operator.porcelain import Operator
 from wigeondrift.settings_rules import check_address
 from wigeondrift.store.contract import PlatformStore
 from wigeondrift.store.http import HttpPlatformStore
@@ -25,6 +24,7 @@
     Unavailable,
     Unknown,
 )
+from wigeondrift.wire.http_client import HttpClient
 
 ResultType = TypeVar("ResultType")
 
--- a/wigeondrift/ctl_orders.py
+++ b/wigeondrift/operator/ctl_orders.py
@@ -4,13 +4,13 @@
 
 import cyclopts
 
-from wigeondrift.ctl_access import NO_ACCESS, Access, ExitCode
+from wigeondrift.entry.settlement import Settlement, SettlementRefused
 from wigeondrift.errors import (
     PlatformUnavailable,
 )
-from wigeondrift.order_porcelain import ClaimReport
-from wigeondrift.rendering import Printer, format_time
-from wigeondrift.settlement import Settlement, SettlementRefused
+from wigeondrift.operator.ctl_access import NO_ACCESS, Access, ExitCode
+from wigeondrift.operator.order_porcelain import ClaimReport
+from wigeondrift.operator.rendering import Printer, format_time
 
 orders_app = cyclopts.App(
     name="orders", help="Show and settle the claims of non-idempotent calls."
--- a/wigeondrift/ctl_settings.py
+++ b/wigeondrift/operator/ctl_settings.py
@@ -6,11 +6,11 @@
 import cyclopts
 import msgspec
 
-from wigeondrift.ctl_access import DryRun, ExitCode
 from wigeondrift.errors import (
     SettingsError,
 )
-from wigeondrift.rendering import Printer
+from wigeondrift.operator.ctl_access import DryRun, ExitCode
+from wigeondrift.operator.rendering import Printer
 from wigeondrift.settings import AgentSettings, EntrySettings, load_settings
 
 SETTINGS_BY_NAME = {"entry": EntrySettings, "agent": AgentSettings}
--- a/wigeondrift/ctl_table.py
+++ b/wigeondrift/operator/ctl_table.py
@@ -9,18 +9,22 @@
 import cyclopts
 import msgspec
 
-from wigeondrift.ctl_access import (
+from wigeondrift.errors import UsageError
+from wigeondrift.operator.ctl_access import (
     EXIT_CODES_BY_RESULT,
     NO_ACCESS,
     Access,
     DryRun,
     ExitCode,
 )
-from wigeondrift.declaration import load_declaration, save_csv, serialize_declaration
-from wigeondrift.edits import CellChange
-from wigeondrift.errors import UsageError
-from wigeondrift.porcelain import EditReport, Operator, list_history, make_grid
-from wigeondrift.rendering import Printer
+from wigeondrift.operator.declaration import (
+    load_declaration,
+    save_csv,
+    serialize_declaration,
+)
+from wigeondrift.operator.edits import CellChange
+from wigeondrift.operator.porcelain import EditReport, Operator, list_history, make_grid
+from wigeondrift.operator.rendering import Printer
 from wigeondrift.systems.editing import (
     Accepted,
     Conflicted,
--- a/wigeondrift/declaration.py
+++ b/wigeondrift/operator/declaration.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from wigeondrift.edits import SECTIONS_BY_FIELD
 from wigeondrift.errors import SettingsError
-from wigeondrift.table import LimitRow, ServiceRow, Table, TeamRow
+from wigeondrift.operator.edits import SECTIONS_BY_FIELD
+from wigeondrift.table.rows import LimitRow, ServiceRow, Table, TeamRow
 from wigeondrift.validation import Fault, find_faults
 
 JSON_INDENT = 2
--- a/wigeondrift/editor.py
+++ b/wigeondrift/operator/editor.py
@@ -4,17 +4,17 @@
 
 import trio
 
-from wigeondrift.edits import Edit
 from wigeondrift.errors import (
     PlatformRefused,
     PlatformThrottled,
     PlatformUnavailable,
     RevisionConflict,
 )
+from wigeondrift.operator.edits import Edit
 from wigeondrift.store.contract import PlatformStore
 from wigeondrift.systems.editing import EditResult, EditRun, ReadTable
-from wigeondrift.table import TABLE_KEY, Table
-from wigeondrift.table_check import load_table
+from wigeondrift.table.rows import TABLE_KEY, Table
+from wigeondrift.table.table_check import load_table
 
 PATIENCE_SECONDS = 10.0
 PAUSE_SECONDS = 0.05
--- a/wigeondrift/edits.py
+++ b/wigeondrift/operator/edits.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from wigeondrift.table import Change, Table
+from wigeondrift.table.rows import Change, Table
 
 HISTORY_CHANGES = 100
 HISTORY_CELLS = 8
--- a/wigeondrift/order_porcelain.py
+++ b/wigeondrift/operator/order_porcelain.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from wigeondrift.claim import CLAIM_PREFIX, Claim, ClaimState, make_claim_name
-from wigeondrift.claims import KeyClaimStore
+from wigeondrift.entry.claim import CLAIM_PREFIX, Claim, ClaimState, make_claim_name
+from wigeondrift.entry.claims import KeyClaimStore
+from wigeondrift.entry.settlement import Settlement, list_unsettled, settle_named_claim
 from wigeondrift.errors import Outcome, UsageError
-from wigeondrift.porcelain import get_user
-from wigeondrift.settlement import Settlement, list_unsettled, settle_named_claim
+from wigeondrift.operator.porcelain import get_user
 from wigeondrift.store.contract import PlatformStore
 from wigeondrift.timer import TrioClock
 
--- a/wigeondrift/porcelain.py
+++ b/wigeondrift/operator/porcelain.py
@@ -8,17 +8,17 @@
 
 import msgspec
 
-from wigeondrift.declaration import parse_cell
-from wigeondrift.editor import TableEditor, TableVersion
-from wigeondrift.edits import (
+from wigeondrift.errors import TableError, UsageError
+from wigeondrift.operator.declaration import parse_cell
+from wigeondrift.operator.editor import TableEditor, TableVersion
+from wigeondrift.operator.edits import (
     Cell,
     CellChange,
     Edit,
     diff_tables,
 )
-from wigeondrift.errors import TableError, UsageError
 from wigeondrift.systems.editing import Accepted, EditResult
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     Change,
     LimitRow,
     ServiceKind,
@@ -26,7 +26,7 @@
     Table,
     TeamRow,
 )
-from wigeondrift.table_check import check_table
+from wigeondrift.table.table_check import check_table
 
 KEY_BYTES_MIN = 16
 
--- a/wigeondrift/rendering.py
+++ b/wigeondrift/operator/rendering.py
@@ -9,9 +9,9 @@
 import rich.console
 import rich.table
 
-from wigeondrift.edits import CellChange, CellConflict
-from wigeondrift.porcelain import Grid, GridCell
-from wigeondrift.table import Change
+from wigeondrift.operator.edits import CellChange, CellConflict
+from wigeondrift.operator.porcelain import Grid, GridCell
+from wigeondrift.table.rows import Change
 
 PLAIN_WIDTH = 200
 ID_LETTERS = 12
--- a/wigeondrift/status.py
+++ b/wigeondrift/operator/status.py
@@ -4,8 +4,8 @@
 import trio
 
 from wigeondrift.errors import ConnectionLost
-from wigeondrift.messages import Status, StatusRequest
-from wigeondrift.post import PostOffice
+from wigeondrift.wire.messages import Status, StatusRequest
+from wigeondrift.wire.post import PostOffice
 
 STATUS_SECONDS = 2.0
 
--- a/wigeondrift/platform/requests.py
+++ b/wigeondrift/platform/requests.py
@@ -1,9 +1,9 @@
 """Headers of callers' requests and upstreams' answers, in both directions."""
 
 from wigeondrift.entities import Route
-from wigeondrift.http_server import Request
 from wigeondrift.router.calls import CallerRequest, Headers, UpstreamHead
 from wigeondrift.router.dialect import Dialect
+from wigeondrift.wire.http_server import Request
 
 REQUEST_ID = "wigeondrift-request-id"
 DEADLINE = "wigeondrift-deadline-remaining"
--- a/wigeondrift/platform/store.py
+++ b/wigeondrift/platform/store.py
@@ -17,8 +17,8 @@
     RevisionConflict,
     TransportError,
 )
-from wigeondrift.http_client import HttpClient
 from wigeondrift.store.revisions import Item, Page, RevisionStore
+from wigeondrift.wire.http_client import HttpClient
 
 # Answers take 4 ms; a store that is slowed sixtyfold still answers in time.
 CALL_TIMEOUT_SECONDS = 0.7
--- a/wigeondrift/platform/upstreams.py
+++ b/wigeondrift/platform/upstreams.py
@@ -9,9 +9,9 @@
     TransportError,
     UpstreamEntryError,
 )
-from wigeondrift.http_client import HttpClient
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import RunnerReport, Upstream
+from wigeondrift.wire.http_client import HttpClient
 
 UPSTREAMS_PREFIX = "servers/"
 STATE_READY = "ready"
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -11,15 +11,15 @@
     TransportError,
     WigeondriftError,
 )
-from wigeondrift.http_client import ClientResponse, HttpClient
-from wigeondrift.http_server import Exchange
-from wigeondrift.metrics import Metric, Metrics
 from wigeondrift.router.calls import UpstreamHead
 from wigeondrift.router.choice import Choice, Reservation
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.dialect import Dialect
 from wigeondrift.router.entities import RequestKind, Upstream
 from wigeondrift.router.journey import AttemptFailed, Journey, Progress
+from wigeondrift.telemetry.metrics import Metric, Metrics
+from wigeondrift.wire.http_client import ClientResponse, HttpClient
+from wigeondrift.wire.http_server import Exchange
 
 # Silence of a stream after which its runners are asked, in seconds: several times the
 # usual pause, and well below the two seconds after which callers leave.
--- a/wigeondrift/router/choice.py
+++ b/wigeondrift/router/choice.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.router.entities import EngineSpec, ServiceSpec, Upstream
 from wigeondrift.systems.chains import ChainBook, Offer, RouteDemand
 from wigeondrift.systems.directory import Directory
@@ -14,6 +13,7 @@
 from wigeondrift.systems.placement import BYTES_PER_MB
 from wigeondrift.systems.reach import Reach
 from wigeondrift.systems.room import RoomLedger
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 
 # Cost of an upstream in another failure domain, as part of its slots in use.
 FAR_LOAD = 0.5
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -8,9 +8,6 @@
 
 from wigeondrift.application import Application
 from wigeondrift.errors import SettingsError
-from wigeondrift.events import configure_bounded_logging
-from wigeondrift.http_client import HttpClient
-from wigeondrift.metrics import Metrics, PrometheusMetrics
 from wigeondrift.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from wigeondrift.platform.requests import READINESS_PATH, PlatformDialect
 from wigeondrift.platform.settings import SETTINGS_VARIABLE, parse_settings
@@ -49,7 +46,10 @@
 from wigeondrift.systems.exchange import UsageExchange
 from wigeondrift.systems.freshness import Freshness
 from wigeondrift.systems.relays import RelayTable
+from wigeondrift.telemetry.events import configure_bounded_logging
+from wigeondrift.telemetry.metrics import Metrics, PrometheusMetrics
 from wigeondrift.timer import TimerService, TrioClock
+from wigeondrift.wire.http_client import HttpClient
 
 # Descriptors kept for connections to upstreams, the store and the files of a process.
 RESERVED_DESCRIPTORS = 1000
--- a/wigeondrift/router/dialect.py
+++ b/wigeondrift/router/dialect.py
@@ -3,8 +3,8 @@
 import abc
 
 from wigeondrift.entities import Route
-from wigeondrift.http_server import Request
 from wigeondrift.router.calls import CallerRequest, Headers, UpstreamHead
+from wigeondrift.wire.http_server import Request
 
 
 class Dialect(abc.ABC):
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -7,9 +7,6 @@
 import trio
 
 from wigeondrift.errors import CallerGone, ConnectionLost, ErrorKind, RequestError
-from wigeondrift.events import LOGGER_NAME, Event, log_event
-from wigeondrift.http_server import Exchange
-from wigeondrift.metrics import Metric, Metrics
 from wigeondrift.router.attempt import PROMISES, STREAM_SILENCE_SECONDS, Sender
 from wigeondrift.router.calls import CallerRequest
 from wigeondrift.router.choice import Choice
@@ -21,6 +18,9 @@
 from wigeondrift.router.settings import Bounds
 from wigeondrift.router.waiting import WaitingRoom
 from wigeondrift.systems.repeats import RepeatBudget
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.telemetry.metrics import Metric, Metrics
+from wigeondrift.wire.http_server import Exchange
 
 # Part of a caller's patience that a stream may wait for room: late is better than
 # refused, and the rest is for reading the prompt.
--- a/wigeondrift/router/listeners.py
+++ b/wigeondrift/router/listeners.py
@@ -5,13 +5,13 @@
 
 import trio
 
-from wigeondrift.address import parse_address
 from wigeondrift.application import Component
-from wigeondrift.events import LOGGER_NAME, Event, log_event
-from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
-from wigeondrift.metrics import PrometheusMetrics
 from wigeondrift.router.forwarding import Forwarder
 from wigeondrift.router.replica import Replica
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.telemetry.metrics import PrometheusMetrics
+from wigeondrift.wire.address import parse_address
+from wigeondrift.wire.http_server import Exchange, HttpLimits, HttpServer
 
 # Time for the balancer to notice that the router is no longer ready: two of its
 # questions a second apart, and the connections on their way.
--- a/wigeondrift/router/membership.py
+++ b/wigeondrift/router/membership.py
@@ -7,9 +7,9 @@
 
 from wigeondrift.application import Component
 from wigeondrift.errors import LeaseEnded, PlatformError, RevisionConflict
-from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.router.replica import OWN_PREFIX, Replica
 from wigeondrift.store.revisions import RevisionStore
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 
 ROUTERS_PREFIX = OWN_PREFIX + "routers/"
 # Registrations outlive short outages; a router that left is forgotten after this time,
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -12,13 +12,13 @@
 import msgspec
 import trio
 
-from wigeondrift.address import parse_address
 from wigeondrift.application import Component
-from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.router.choice import Choice
 from wigeondrift.router.membership import Membership
 from wigeondrift.systems.exchange import Member, Message, UsageExchange
 from wigeondrift.systems.room import PeerUsage
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.wire.address import parse_address
 
 DATAGRAM_BYTES = 60000
 SEND_SECONDS = 0.1
--- a/wigeondrift/router/planner.py
+++ b/wigeondrift/router/planner.py
@@ -17,13 +17,13 @@
     RevisionConflict,
     TransportError,
 )
-from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import EngineSpec, RunnerReport, Upstream
 from wigeondrift.router.replica import OWN_PREFIX, Replica
 from wigeondrift.store.revisions import RevisionStore
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.placement import Placement, Range
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 
 LEADER_KEY = OWN_PREFIX + "planner"
 # The lease is short, so that another router plans soon after the leader's end.
--- a/wigeondrift/router/relay.py
+++ b/wigeondrift/router/relay.py
@@ -19,9 +19,6 @@
     RelayFailed,
     TransportError,
 )
-from wigeondrift.events import LOGGER_NAME, Event, log_event
-from wigeondrift.http_client import HttpClient
-from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
 from wigeondrift.router.replica import Replica
 from wigeondrift.router.settings import Bounds
 from wigeondrift.router.sources import (
@@ -35,6 +32,9 @@
 )
 from wigeondrift.store.revisions import Item
 from wigeondrift.systems.relays import RelayTable
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.wire.http_client import HttpClient
+from wigeondrift.wire.http_server import Exchange, HttpLimits, HttpServer
 
 # An answer of a relay in the own failure domain takes a few milliseconds.
 ANSWER_MARGIN_SECONDS = 0.4
--- a/wigeondrift/router/reload.py
+++ b/wigeondrift/router/reload.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from wigeondrift.errors import SettingsError
-from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.router.settings import RouterSettings
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 
 # The file may change without a signal, in seconds.
 LOOK_SECONDS = 1.0
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -13,13 +13,13 @@
     PlatformError,
     UpstreamEntryError,
 )
-from wigeondrift.events import LOGGER_NAME, Event, log_event
 from wigeondrift.router.entities import Configuration, Upstream
 from wigeondrift.router.sources import ChangeSource
 from wigeondrift.store.revisions import Item, RevisionStore
 from wigeondrift.systems.changes import ChangeLog
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.freshness import Freshness
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 
 # Pause after a failed call, in seconds: short beside the bound on keys.
 RETRY_SECONDS = 0.25
--- a/wigeondrift/store/http.py
+++ b/wigeondrift/store/http.py
@@ -12,7 +12,6 @@
     RevisionConflict,
     TransportError,
 )
-from wigeondrift.http_client import HttpClient
 from wigeondrift.store.calls import (
     NAMES_BY_CALL,
     PATH_PREFIX,
@@ -32,6 +31,7 @@
     WatchCall,
 )
 from wigeondrift.store.contract import InstanceList, PlatformStore, Versioned
+from wigeondrift.wire.http_client import HttpClient
 
 CALL_TIMEOUT_SECONDS = 2.0
 REUSE_SECONDS = 5.0
--- a/wigeondrift/systems/actions.py
+++ b/wigeondrift/systems/actions.py
@@ -1,7 +1,7 @@
 """What the control systems ask their shell to do."""
 
-from wigeondrift.events import Event
-from wigeondrift.messages import Message
+from wigeondrift.telemetry.events import Event
+from wigeondrift.wire.messages import Message
 
 
 class Send:
--- a/wigeondrift/systems/admission.py
+++ b/wigeondrift/systems/admission.py
@@ -16,7 +16,7 @@
 from wigeondrift.systems.capacity import get_entry_slots
 from wigeondrift.systems.fairness import FairQueue
 from wigeondrift.systems.shares import Limit
-from wigeondrift.tables import Tables
+from wigeondrift.table.tables import Tables
 
 CAPACITY_INTERVAL_SECONDS = 0.25
 REASONS_BY_KIND = {
--- a/wigeondrift/systems/attachment.py
+++ b/wigeondrift/systems/attachment.py
@@ -5,8 +5,14 @@
 from collections.abc import Callable, Iterable
 
 from wigeondrift.entities import Instance, LoadReport, Role
-from wigeondrift.events import Event
-from wigeondrift.messages import (
+from wigeondrift.store.contract import InstanceList, Versioned
+from wigeondrift.systems.actions import Actions
+from wigeondrift.systems.deaths import DeathLog
+from wigeondrift.systems.leaving import LeaveMarks, Mark
+from wigeondrift.systems.replica import Replica, Verdict
+from wigeondrift.table.tables import HeldSlice, Tables
+from wigeondrift.telemetry.events import Event
+from wigeondrift.wire.messages import (
     Demand,
     DemandNews,
     Hello,
@@ -21,12 +27,6 @@
     TableNews,
     Want,
 )
-from wigeondrift.store.contract import InstanceList, Versioned
-from wigeondrift.systems.actions import Actions
-from wigeondrift.systems.deaths import DeathLog
-from wigeondrift.systems.leaving import LeaveMarks, Mark
-from wigeondrift.systems.replica import Replica, Verdict
-from wigeondrift.tables import HeldSlice, Tables
 
 AGENT_TIMEOUT_SECONDS = 2.0
 RESET_SECONDS = 2.0
--- a/wigeondrift/systems/capacity.py
+++ b/wigeondrift/systems/capacity.py
@@ -3,8 +3,8 @@
 import math
 
 from wigeondrift.entities import Instance, Role
-from wigeondrift.table import ServiceKind, ServiceRow
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import ServiceKind, ServiceRow
+from wigeondrift.table.tables import Tables
 
 
 def count_slots(tables: Tables, service: str) -> int:
--- a/wigeondrift/systems/control.py
+++ b/wigeondrift/systems/control.py
@@ -7,8 +7,20 @@
 import msgspec
 
 from wigeondrift.entities import Instance, LoadReport, Role
-from wigeondrift.events import Event
-from wigeondrift.messages import (
+from wigeondrift.store.contract import InstanceList, Versioned
+from wigeondrift.systems.actions import Actions
+from wigeondrift.systems.deaths import DeathLog
+from wigeondrift.systems.leaving import LeaveMarks, Mark
+from wigeondrift.systems.membership import Membership, Peer
+from wigeondrift.systems.replica import Replica, Verdict
+from wigeondrift.systems.shares import (
+    ROWS,
+    ShareOwner,
+    choose_owner,
+    choose_report_seconds,
+)
+from wigeondrift.telemetry.events import Event
+from wigeondrift.wire.messages import (
     Demand,
     DemandNews,
     Digest,
@@ -23,18 +35,6 @@
     TableNews,
     Want,
 )
-from wigeondrift.store.contract import InstanceList, Versioned
-from wigeondrift.systems.actions import Actions
-from wigeondrift.systems.deaths import DeathLog
-from wigeondrift.systems.leaving import LeaveMarks, Mark
-from wigeondrift.systems.membership import Membership, Peer
-from wigeondrift.systems.replica import Replica, Verdict
-from wigeondrift.systems.shares import (
-    ROWS,
-    ShareOwner,
-    choose_owner,
-    choose_report_seconds,
-)
 
 ENTRY_TIMEOUT_SECONDS = 3.0
 ENTRIES = 64
--- a/wigeondrift/systems/deaths.py
+++ b/wigeondrift/systems/deaths.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from wigeondrift.messages import SuspectNews
+from wigeondrift.wire.messages import SuspectNews
 
 KEEP_SECONDS = 600.0
 SPREAD_SECONDS = 30.0
--- a/wigeondrift/systems/editing.py
+++ b/wigeondrift/systems/editing.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from wigeondrift.edits import (
+from wigeondrift.errors import TableError
+from wigeondrift.operator.edits import (
     CellConflict,
     Edit,
     apply_edit,
@@ -15,10 +16,9 @@
     find_conflicts,
     has_change,
 )
-from wigeondrift.errors import TableError
 from wigeondrift.store.contract import Versioned
-from wigeondrift.table import Table, serialize_table
-from wigeondrift.table_check import Problem, check_table, load_table
+from wigeondrift.table.rows import Table, serialize_table
+from wigeondrift.table.table_check import Problem, check_table, load_table
 
 
 class ReadTable(msgspec.Struct, frozen=True):
--- a/wigeondrift/systems/membership.py
+++ b/wigeondrift/systems/membership.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 
 from wigeondrift.entities import Instance, Role
-from wigeondrift.events import Event
-from wigeondrift.messages import Digest, PeerSample
 from wigeondrift.systems.actions import Actions
+from wigeondrift.telemetry.events import Event
+from wigeondrift.wire.messages import Digest, PeerSample
 
 FANOUT = 3
 SAMPLES = 4
--- a/wigeondrift/systems/ordering.py
+++ b/wigeondrift/systems/ordering.py
@@ -8,11 +8,11 @@
 import enum
 import hashlib
 
-from wigeondrift.claim import Claim, ClaimState
+from wigeondrift.entry.claim import Claim, ClaimState
+from wigeondrift.entry.service import OUTCOME_HEADER, ServiceAnswer, ServiceCall
 from wigeondrift.errors import ErrorKind, Outcome, RequestError
-from wigeondrift.service import OUTCOME_HEADER, ServiceAnswer, ServiceCall
 from wigeondrift.systems.retries import RetryBudget
-from wigeondrift.table import ServiceRow
+from wigeondrift.table.rows import ServiceRow
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 SEND_WINDOW_SECONDS = 8.0
--- a/wigeondrift/systems/quarantine.py
+++ b/wigeondrift/systems/quarantine.py
@@ -2,8 +2,8 @@
 
 import xxhash
 
-from wigeondrift.messages import SuspectNews
-from wigeondrift.tables import Tables
+from wigeondrift.table.tables import Tables
+from wigeondrift.wire.messages import SuspectNews
 
 SUSPECT_SECONDS = 300.0
 QUARANTINE_SECONDS = 600.0
--- a/wigeondrift/systems/recovery.py
+++ b/wigeondrift/systems/recovery.py
@@ -5,11 +5,11 @@
 
 from wigeondrift.entities import Route
 from wigeondrift.errors import ErrorKind, Outcome, RequestError
-from wigeondrift.messages import SuspectNews
 from wigeondrift.systems.quarantine import Quarantine, Run
 from wigeondrift.systems.retries import RetryBudget
 from wigeondrift.systems.routing import Routing
 from wigeondrift.systems.streams import TokenStream
+from wigeondrift.wire.messages import SuspectNews
 
 ROUTE_WAIT_SECONDS = 5.0
 TRIAL_WAIT_SECONDS = 20.0
--- a/wigeondrift/systems/replica.py
+++ b/wigeondrift/systems/replica.py
@@ -5,8 +5,8 @@
 
 from wigeondrift.entities import Instance
 from wigeondrift.errors import TableError
-from wigeondrift.table import Table
-from wigeondrift.table_check import load_table
+from wigeondrift.table.rows import Table
+from wigeondrift.table.table_check import load_table
 
 SETTLE_SECONDS = 1.0
 SETTLE_LIMIT_SECONDS = 3.0
--- a/wigeondrift/systems/routing.py
+++ b/wigeondrift/systems/routing.py
@@ -9,8 +9,8 @@
 from wigeondrift.systems.health import Health
 from wigeondrift.systems.latencies import Latencies
 from wigeondrift.systems.loads import Loads
-from wigeondrift.table import LimitRow, ServiceRow
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import LimitRow, ServiceRow
+from wigeondrift.table.tables import Tables
 
 NOT_PREFERRED_SECONDS = 0.03
 WAIT_SECONDS = 2.0
--- a/wigeondrift/systems/shares.py
+++ b/wigeondrift/systems/shares.py
@@ -18,9 +18,9 @@
 import msgspec
 import xxhash
 
-from wigeondrift.messages import Demand, DemandNews, Slice, SliceNews
-from wigeondrift.table import LimitRow, Table
-from wigeondrift.tables import Tables
+from wigeondrift.table.rows import LimitRow, Table
+from wigeondrift.table.tables import Tables
+from wigeondrift.wire.messages import Demand, DemandNews, Slice, SliceNews
 
 REPORT_SECONDS = 0.5
 VALIDITY_REPORTS = 6
--- a/wigeondrift/systems/streams.py
+++ b/wigeondrift/systems/streams.py
@@ -4,14 +4,14 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from wigeondrift.engine import (
+from wigeondrift.entities import Route
+from wigeondrift.entry.engine import (
     EndEvent,
     EngineEvent,
     FailureEvent,
     GenerateRequest,
     TokenEvent,
 )
-from wigeondrift.entities import Route
 
 
 class Drop(enum.StrEnum):
--- /dev/null
+++ b/wigeondrift/table/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' table: its types, checks and the state made from it."""
--- a/wigeondrift/table_check.py
+++ b/wigeondrift/table/table_check.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from wigeondrift.errors import TableError
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     TABLE_BYTES,
     ServiceKind,
     ServiceRow,
--- a/wigeondrift/tables.py
+++ b/wigeondrift/table/tables.py
@@ -1,8 +1,8 @@
 """Tables of one process that its systems run over."""
 
 from wigeondrift.entities import Instance, InstanceState, LoadReport, Role
-from wigeondrift.messages import Slice
-from wigeondrift.table import Table
+from wigeondrift.table.rows import Table
+from wigeondrift.wire.messages import Slice
 
 
 class HeldSlice:
--- /dev/null
+++ b/wigeondrift/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Log events, metrics and traces."""
--- a/wigeondrift/metrics.py
+++ b/wigeondrift/telemetry/metrics.py
@@ -5,7 +5,7 @@
 
 import statsd
 
-from wigeondrift.address import parse_address
+from wigeondrift.wire.address import parse_address
 
 FLUSH_INTERVAL_SECONDS = 1.0
 PREFIX = "wigeondrift"
--- a/wigeondrift/otlp.py
+++ b/wigeondrift/telemetry/otlp.py
@@ -11,7 +11,7 @@
     TraceContextTextMapPropagator,
 )
 
-from wigeondrift.tracing import TRACEPARENT_HEADER, Attribute, Span, Tracer
+from wigeondrift.telemetry.tracing import TRACEPARENT_HEADER, Attribute, Span, Tracer
 
 EXPORT_TIMEOUT_SECONDS = 5
 QUEUE_SPANS = 4096
--- a/wigeondrift/tracing.py
+++ b/wigeondrift/telemetry/tracing.py
@@ -92,6 +92,6 @@
     """
     if not base_url:
         return PassingTracer()
-    from wigeondrift.otlp import OtlpTracer
+    from wigeondrift.telemetry.otlp import OtlpTracer
 
     return OtlpTracer(base_url, instance_id)
--- a/wigeondrift/http_client.py
+++ b/wigeondrift/wire/http_client.py
@@ -10,13 +10,13 @@
 import h11
 import trio
 
-from wigeondrift.address import parse_address
 from wigeondrift.errors import (
     ConnectFailed,
     ConnectionLost,
     ConnectionSilent,
     ProtocolViolation,
 )
+from wigeondrift.wire.address import parse_address
 
 READ_SIZE_BYTES = 65536
 BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
--- a/wigeondrift/link.py
+++ b/wigeondrift/wire/link.py
@@ -4,16 +4,16 @@
 
 import trio
 
+from wigeondrift.agent.shell import carry_out
 from wigeondrift.application import Component
 from wigeondrift.errors import PlatformError
-from wigeondrift.messages import SuspectNews
-from wigeondrift.post import PostOffice
-from wigeondrift.shell import carry_out
 from wigeondrift.store.contract import PlatformStore
 from wigeondrift.systems.actions import Actions
 from wigeondrift.systems.attachment import Attachment, SuspectListener
-from wigeondrift.table import TABLE_KEY
+from wigeondrift.table.rows import TABLE_KEY
 from wigeondrift.timer import Clock, TimerService
+from wigeondrift.wire.messages import SuspectNews
+from wigeondrift.wire.post import PostOffice
 
 LINK_SECONDS = 0.5
 DIRECT_CALL_SECONDS = 2.0
--- a/wigeondrift/messages.py
+++ b/wigeondrift/wire/messages.py
@@ -47,7 +47,7 @@
     version : int
         Platform revision of the table.
     table : bytes
-        Serialized table, see ``wigeondrift.table``.
+        Serialized table, see ``wigeondrift.table.rows``.
     """
 
     version: int
--- a/wigeondrift/post.py
+++ b/wigeondrift/wire/post.py
@@ -3,8 +3,8 @@
 import pynng
 import trio
 
-from wigeondrift.messages import Message, parse_message, serialize_message
-from wigeondrift.packing import pack, unpack
+from wigeondrift.wire.messages import Message, parse_message, serialize_message
+from wigeondrift.wire.packing import pack, unpack
 
 MESSAGE_BYTES = 4 * 1048576
 SEND_QUEUE_MESSAGES = 64
--- a/wigeondrift_emulator/demo.py
+++ b/wigeondrift_emulator/demo.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from wigeondrift.completions import CompletionRequest
+from wigeondrift.entry.completions import CompletionRequest
 from wigeondrift_emulator.stack import (
     MODEL,
     PLAIN,
@@ -184,7 +184,7 @@
     DemoFailed
         If it exits with an error.
     """
-    command = [sys.executable, "-m", "wigeondrift.ctl", *arguments]
+    command = [sys.executable, "-m", "wigeondrift.operator", *arguments]
     done = subprocess.run(
         [*command, "--platform", stack.operator_address],
         capture_output=True,
--- a/wigeondrift_emulator/engine.py
+++ b/wigeondrift_emulator/engine.py
@@ -1,7 +1,7 @@
 """Emulated model engine: many runners, each at its own address, in one process.
 
-Besides the HTTP form of ``wigeondrift.engine``, runners take ``POST /forward`` (one
-token through one later stage) and ``GET /kv?text`` with ``POST /kv`` (export and
+Besides the HTTP form of ``wigeondrift.entry.engine``, runners take ``POST /forward``
+(one token through one later stage) and ``GET /kv?text`` with ``POST /kv`` (export and
 import of KV cache). The control address takes ``POST /control`` with a
 ``ControlOrder`` and answers ``GET /ledger`` with tokens run by runner and request.
 """
@@ -16,12 +16,12 @@
 import msgspec
 import trio
 
-from wigeondrift.address import parse_address
-from wigeondrift.engine import CancelRequest, EngineRefused, GenerateRequest
 from wigeondrift.entities import Stage
+from wigeondrift.entry.engine import CancelRequest, EngineRefused, GenerateRequest
 from wigeondrift.errors import ProtocolViolation, TransportError
-from wigeondrift.http_client import HttpClient
-from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
+from wigeondrift.wire.address import parse_address
+from wigeondrift.wire.http_client import HttpClient
+from wigeondrift.wire.http_server import Exchange, HttpLimits, HttpServer
 from wigeondrift_emulator.control import ControlOrder, carry_out
 from wigeondrift_emulator.links import Links, LinkSettings
 from wigeondrift_emulator.runner import Cluster, KvState, Runner, RunnerSettings
--- a/wigeondrift_emulator/memory_network.py
+++ b/wigeondrift_emulator/memory_network.py
@@ -4,8 +4,8 @@
 from trio.testing import memory_stream_pair
 
 from wigeondrift.errors import ConnectFailed
-from wigeondrift.http_client import ClientChannel, HttpClient
-from wigeondrift.http_server import Handler, HttpServer
+from wigeondrift.wire.http_client import ClientChannel, HttpClient
+from wigeondrift.wire.http_server import Handler, HttpServer
 
 
 class MemoryNetwork:
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -3,7 +3,7 @@
 import msgspec
 import trio
 
-from wigeondrift.http_server import Exchange, Request
+from wigeondrift.wire.http_server import Exchange, Request
 
 EVENT_SECONDS = 0.02
 SEAL = ("Wigeondrift-Response-Seal", "stand-in")
--- a/wigeondrift_emulator/network.py
+++ b/wigeondrift_emulator/network.py
@@ -10,13 +10,13 @@
 from collections.abc import Callable
 
 from wigeondrift.errors import PlatformError
-from wigeondrift.messages import serialize_message
-from wigeondrift.packing import pack
 from wigeondrift.store.core import StoreCore
 from wigeondrift.systems.actions import Actions, Notice
 from wigeondrift.systems.attachment import Attachment
 from wigeondrift.systems.control import PLATFORM_LIST, PLATFORM_TABLE, AgentControl
-from wigeondrift.table import TABLE_KEY
+from wigeondrift.table.rows import TABLE_KEY
+from wigeondrift.wire.messages import serialize_message
+from wigeondrift.wire.packing import pack
 
 FRAME_BYTES = 8 + 52 + 52
 PLATFORM_RETRY_SECONDS = 1.0
--- a/wigeondrift_emulator/orders.py
+++ b/wigeondrift_emulator/orders.py
@@ -11,11 +11,8 @@
 import msgspec
 import trio
 
-from wigeondrift.address import parse_address
-from wigeondrift.events import Event, configure_logging, log_event
-from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
-from wigeondrift.service import ServiceCall
-from wigeondrift.service_memory import (
+from wigeondrift.entry.service import ServiceCall
+from wigeondrift.entry.service_memory import (
     AnswerLost,
     LedgerEntry,
     OrderLedger,
@@ -23,6 +20,9 @@
     UpstreamDied,
     serve_call,
 )
+from wigeondrift.telemetry.events import Event, configure_logging, log_event
+from wigeondrift.wire.address import parse_address
+from wigeondrift.wire.http_server import Exchange, HttpLimits, HttpServer
 
 CONTROL_PATH = "/control"
 JSON_HEADERS = [("Content-Type", "application/json")]
--- a/wigeondrift_emulator/platform.py
+++ b/wigeondrift_emulator/platform.py
@@ -25,7 +25,6 @@
 import msgspec
 import trio
 
-from wigeondrift.address import parse_address
 from wigeondrift.entities import InstanceState
 from wigeondrift.errors import (
     ConnectionLost,
@@ -34,8 +33,6 @@
     PlatformUnavailable,
     RevisionConflict,
 )
-from wigeondrift.events import Event, configure_logging, log_event
-from wigeondrift.http_server import Exchange, HttpLimits, HttpServer
 from wigeondrift.store.calls import (
     CALLS_BY_NAME,
     PATH_PREFIX,
@@ -60,6 +57,9 @@
 )
 from wigeondrift.store.core import Faults, StoreCore
 from wigeondrift.store.memory import MemoryStore
+from wigeondrift.telemetry.events import Event, configure_logging, log_event
+from wigeondrift.wire.address import parse_address
+from wigeondrift.wire.http_server import Exchange, HttpLimits, HttpServer
 
 BODY_BYTES = 2 * 1048576
 CONNECTIONS = 16384
--- a/wigeondrift_emulator/revision_server.py
+++ b/wigeondrift_emulator/revision_server.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from wigeondrift.http_server import Exchange
+from wigeondrift.wire.http_server import Exchange
 
 PAGE_ITEMS = 50
 
--- a/wigeondrift_emulator/runner.py
+++ b/wigeondrift_emulator/runner.py
@@ -7,9 +7,9 @@
 import trio
 import xxhash
 
-from wigeondrift.engine import CancelRequest, EngineRefused, GenerateRequest
-from wigeondrift.engine_memory import MemoryRunner
 from wigeondrift.entities import LoadReport
+from wigeondrift.entry.engine import CancelRequest, EngineRefused, GenerateRequest
+from wigeondrift.entry.engine_memory import MemoryRunner
 from wigeondrift.errors import ConnectFailed
 from wigeondrift_emulator.links import Links
 from wigeondrift_emulator.session import Session
--- a/wigeondrift_emulator/session.py
+++ b/wigeondrift_emulator/session.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from wigeondrift.engine import (
+from wigeondrift.entities import Stage
+from wigeondrift.entry.engine import (
     UNREACHABLE_REASON,
     EndEvent,
     EngineEvent,
@@ -12,8 +13,7 @@
     GenerateRequest,
     TokenEvent,
 )
-from wigeondrift.engine_memory import MemorySession
-from wigeondrift.entities import Stage
+from wigeondrift.entry.engine_memory import MemorySession
 from wigeondrift.errors import ConnectFailed, ConnectionLost, TransportError
 from wigeondrift_emulator.slots import Ticket
 from wigeondrift_emulator.tokens import (
--- a/wigeondrift_emulator/stack.py
+++ b/wigeondrift_emulator/stack.py
@@ -12,10 +12,9 @@
 
 from wigeondrift.entities import Instance, Role
 from wigeondrift.errors import TransportError
-from wigeondrift.http_client import HttpClient
 from wigeondrift.store.calls import InstancesUpdate
 from wigeondrift.store.http import HttpPlatformStore
-from wigeondrift.table import (
+from wigeondrift.table.rows import (
     TABLE_KEY,
     LimitRow,
     ServiceKind,
@@ -24,6 +23,7 @@
     TeamRow,
     serialize_table,
 )
+from wigeondrift.wire.http_client import HttpClient
 from wigeondrift_emulator.control import ControlOrder
 from wigeondrift_emulator.links import LinkSettings
 from wigeondrift_emulator.processes import (
