--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -130,6 +130,11 @@
             await trio.sleep(PATIENCE_SECONDS)
             load.cancel()
             await self._check_recovery()
+            self.broken += [
+                f"ended: {name} ended by itself"
+                for name, program in self._deployment.routers_by_name.items()
+                if program.has_failed
+            ]
             nursery.cancel_scope.cancel()
         self.broken += find_broken(
             [call for call in self.callers.calls if call.ended_at],
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -80,10 +80,13 @@
         self.log = tempfile.NamedTemporaryFile(suffix=".log")  # noqa: SIM115
         self.popen: subprocess.Popen | None = None
         self.is_paused = False
+        # Set before the soak ends the process or asks it to end.
+        self.may_end = False
         self.start()
 
     def start(self) -> None:
         """Start the program, its output going on in the same file."""
+        self.may_end = False
         self.popen = subprocess.Popen(
             self._command,
             stdin=subprocess.DEVNULL,
@@ -102,6 +105,11 @@
         if self.is_running:
             self.popen.send_signal(number)
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether its process ended by itself."""
+        return not self.is_running and not self.may_end
+
     def pause(self) -> None:
         """Stop the process from running until ``go_on``."""
         self.is_paused = True
@@ -115,6 +123,7 @@
 
     def kill(self) -> None:
         """End the process and wait for its end."""
+        self.may_end = True
         self.signal(signal.SIGKILL)
         self.popen.wait()
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -72,6 +72,7 @@
         router = self._deployment.routers_by_name[name]
         self._stopping.add(name)
         self._note(f"SIGTERM {name}")
+        router.may_end = True
         router.signal(signal.SIGTERM)
         with trio.move_on_after(STOP_SECONDS):
             while router.is_running:
