Let a fault of the program's own cost one request, not the process

The connection's handler now logs the error with its trace, answers 500 if nothing was sent, and closes the connection.

Two scenarios failed first, one with the error in the choice of a route, one within an attempt's tasks.

--- a/tests/features/router.feature
+++ b/tests/features/router.feature
@@ -195,3 +195,16 @@
     When a caller asks for a draft
     And 6 seconds pass
     Then no idle connection is left
+
+  Scenario Outline: An error of the router's own costs one request, not the process
+    Given the router fails at its next <call>
+    When a caller asks for a draft
+    Then the answer bears no promise
+    When a caller asks for a draft
+    Then the status is 200
+    And the events are 0 to 5
+
+    Examples:
+      | call   |
+      | choice |
+      | answer |
--- a/tests/features/steps/router_steps.py
+++ b/tests/features/steps/router_steps.py
@@ -580,3 +580,21 @@
         assert world.parts.client.idle == 0
 
     run_to_here(context, check)
+
+
+@given("the router fails at its next {call}")
+def fail_once(context, call):
+    async def fail(world):
+        owner, name = {
+            "choice": (world.parts.choice, "choose_chain"),
+            "answer": (world.parts.choice, "note_answer"),
+        }[call]
+        sound = getattr(type(owner), name)
+
+        def broken(*arguments):
+            setattr(type(owner), name, sound)
+            raise RuntimeError("a fault of the router's own")
+
+        setattr(type(owner), name, broken)
+
+    context.steps.append(fail)
--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -30,6 +30,7 @@
     STOPPED = 1005, "The process ends."
     SETTINGS_REFUSED = 1006, "The settings did not pass their checks."
     REQUEST_REFUSED = 2000, "A request was answered with an error; see its kind."
+    HANDLER_FAILED = 2001, "A fault of the program's own ended a request."
     REQUEST_DONE = 2100, "A request was answered whole."
     STREAM_RESUMED = 2101, "A broken or silent token stream goes on over a new route."
     STREAM_EVENT_DROPPED = 2102, "An engine event of another attempt or index."
--- a/wigeondrift/wire/http_server.py
+++ b/wigeondrift/wire/http_server.py
@@ -1,12 +1,15 @@
 """HTTP/1.1 server over trio streams, framed by h11."""
 
+import logging
 import os
+import traceback
 from collections.abc import Awaitable, Callable, Iterable
 
 import h11
 import trio
 
 from wigeondrift.errors import ConnectionLost, ErrorKind, RequestError
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 
 READ_SIZE_BYTES = 65536
 DRAIN_SECONDS = 1.0
@@ -317,7 +320,8 @@
             exchange = Exchange(
                 request, connection, stream, limits, lambda: self._leaving
             )
-            await self._handler(exchange)
+            if not await self._handle(exchange):
+                return
             reusable = (
                 connection.our_state is h11.DONE and connection.their_state is h11.DONE
             )
@@ -325,6 +329,30 @@
                 return
             connection.start_next_cycle()
 
+    async def _handle(self, exchange: Exchange) -> bool:
+        """Handle one request; false if the connection is to end.
+
+        A fault of this program's own costs the request that met it, not the process.
+        """
+        try:
+            await self._handler(exchange)
+            return True
+        except (ConnectionLost, trio.BrokenResourceError, trio.ClosedResourceError):
+            raise
+        except Exception as error:
+            log_event(
+                logging.getLogger(LOGGER_NAME),
+                logging.ERROR,
+                Event.HANDLER_FAILED,
+                path=exchange.request.path,
+                reason="".join(traceback.format_exception(error)),
+                answered=exchange.started,
+            )
+            if not exchange.started:
+                internal = RequestError(ErrorKind.INTERNAL, "the request failed")
+                await self._on_error(exchange, internal)
+            return False
+
     async def _await_first_byte(
         self, connection: h11.Connection, stream: trio.abc.Stream
     ) -> bool:
