--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -1,12 +1,8 @@
 """Starts the programs of one soak, reads what they tell, and ends them by their ids."""
 
 import os
-import signal
-import subprocess
-import sys
 import tempfile
 import time
-from pathlib import Path
 
 import msgspec
 import trio
@@ -15,8 +11,8 @@
 from soak.proxy import Proxy
 from wigeondrift.errors import TransportError
 from wigeondrift.wire.http_client import HttpClient
+from wigeondrift_emulator.processes import Process
 
-ROOT = Path(__file__).parent.parent
 HOST = "soak.example"
 MODELS = (("r1", "0-40"), ("r2", "40-80"), ("r3", "0-40"), ("r4", "40-80"))
 MEMBERS = ("m1", "m2")
@@ -71,65 +67,53 @@
     }
 
 
-class Program:
-    """One program and its process, which may be started again."""
+class Program(Process):
+    """One program, which the soak pauses, ends and starts again.
+
+    Attributes
+    ----------
+    may_end : bool
+        Set before the soak ends the process or asks it to end.
+    is_paused : bool
+    """
+
+    __slots__ = ("is_paused", "may_end")
 
     def __init__(self, module: str, arguments: list[str], **environment: str) -> None:
-        self._command = [sys.executable, "-m", module, *arguments]
-        self._environment = {**os.environ, "PYTHONPATH": str(ROOT), **environment}
-        self.log = tempfile.NamedTemporaryFile(suffix=".log")  # noqa: SIM115
-        self.popen: subprocess.Popen | None = None
-        self.is_paused = False
-        # Set before the soak ends the process or asks it to end.
+        super().__init__(module, arguments, **environment)
         self.may_end = False
-        self.start()
+        self.is_paused = False
 
-    def start(self) -> None:
-        """Start the program, its output going on in the same file."""
+    @property
+    def has_failed(self) -> bool:
+        """Whether the process ended by itself."""
+        return not self.is_running and not self.may_end
+
+    def restart(self) -> None:
+        """Start the program again."""
         self.may_end = False
-        self.popen = subprocess.Popen(
-            self._command,
-            stdin=subprocess.DEVNULL,
-            stdout=self.log,
-            stderr=subprocess.STDOUT,
-            env=self._environment,
-        )
+        super().restart()
 
-    @property
-    def is_running(self) -> bool:
-        """Whether its process has not ended."""
-        return self.popen.poll() is None
+    def kill(self) -> None:
+        """End the process and wait for its end."""
+        self.may_end = True
+        super().kill()
 
     def signal(self, number: int) -> None:
         """Send a signal, if the process runs."""
         if self.is_running:
-            self.popen.send_signal(number)
-
-    @property
-    def has_failed(self) -> bool:
-        """Whether its process ended by itself."""
-        return not self.is_running and not self.may_end
+            super().signal(number)
 
     def pause(self) -> None:
         """Stop the process from running until ``go_on``."""
         self.is_paused = True
-        self.signal(signal.SIGSTOP)
+        super().pause()
 
     def go_on(self) -> None:
         """Let a paused process run."""
         if self.is_paused:
             self.is_paused = False
-            self.signal(signal.SIGCONT)
-
-    def kill(self) -> None:
-        """End the process and wait for its end."""
-        self.may_end = True
-        self.signal(signal.SIGKILL)
-        self.popen.wait()
-
-    def read_lines(self) -> list[bytes]:
-        """Return the whole lines that it has written."""
-        return Path(self.log.name).read_bytes().splitlines()
+            super().go_on()
 
 
 class Deployment:
@@ -255,8 +239,8 @@
         return [
             msgspec.json.decode(line, type=Run)
             for program in self.upstreams_by_id.values()
-            for line in program.read_lines()
-            if line.startswith(b'{"id"') and line.endswith(b"}")
+            for line in program.log.splitlines()
+            if line.startswith('{"id"') and line.endswith("}")
         ]
 
     def list_programs(self) -> list[Program]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -79,7 +79,7 @@
                 await trio.sleep(RESTART_SECONDS / 3)
         router.kill()
         await trio.sleep(RESTART_SECONDS)
-        router.start()
+        router.restart()
         self._stopping.discard(name)
 
     async def _hang_up(self) -> None:
@@ -131,7 +131,7 @@
         self._note(f"SIGKILL {name}")
         programs[name].kill()
         await self._last()
-        programs[name].start()
+        programs[name].restart()
         self._stopping.discard(name)
 
     async def _pause(self) -> None:
--- a/wigeondrift_emulator/processes.py
+++ b/wigeondrift_emulator/processes.py
@@ -79,24 +79,43 @@
         Its command line.
     address : str, optional
         ``host:port`` at which it is reached.
+    **environment : str
+        Variables besides the own ones.
     """
 
-    __slots__ = ("_log", "address", "popen")
+    __slots__ = ("_command", "_environment", "_log", "address", "popen")
 
     def __init__(
-        self, module: str, arguments: Sequence[str], address: str | None = None
+        self,
+        module: str,
+        arguments: Sequence[str],
+        address: str | None = None,
+        **environment: str,
     ) -> None:
         self.address = address
         self._log = tempfile.NamedTemporaryFile(suffix=".log")  # noqa: SIM115
-        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
-        self.popen = subprocess.Popen(
-            [sys.executable, "-m", module, *arguments],
+        self._command = [sys.executable, "-m", module, *arguments]
+        self._environment = {**os.environ, "PYTHONPATH": str(ROOT), **environment}
+        self.popen = self._start()
+
+    def _start(self) -> subprocess.Popen:
+        return subprocess.Popen(
+            self._command,
             stdin=subprocess.DEVNULL,
             stdout=self._log,
             stderr=self._log,
-            env=environment,
+            env=self._environment,
         )
 
+    def restart(self) -> None:
+        """Start the program again after its end; its output goes on in one file."""
+        self.popen = self._start()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.popen.poll() is None
+
     @property
     def log(self) -> str:
         """Whole output so far."""
@@ -126,7 +145,7 @@
 
     def kill(self) -> None:
         """End the process at once."""
-        if self.popen.poll() is None:
+        if self.is_running:
             self.popen.kill()
         self.popen.wait()
 
