Count deaths beside an external one as one across failure domains

Cause: a fingerprint was refused after two deaths in two failure domains, also when an upstream that did not run it had died at the same moment, because only deaths within one domain counted as correlated. Now an upstream's death is external if every request that ran on it completed elsewhere, and deaths of a fingerprint near an external one count as one, whatever their domains. Ruled out: any other death near by as the evidence.

--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -40,6 +40,11 @@
     When another upstream dies running "b", and 0.1 seconds later "u1" and "u2"
     Then "a" is refused: no
 
+  Scenario: Deaths beside that of a request which did not complete count as two
+    Given runners "u1" in "rajkot" and "u2" in "morbi" that run "a"
+    When another upstream dies running only "b", and 0.1 seconds later "u1" and "u2"
+    Then "a" is refused: yes
+
   Scenario: Deaths long after that of another upstream count as two
     Given runners "u1" in "rajkot" and "u2" in "morbi" that run "a"
     When another upstream dies running "b", and 5 seconds later "u1" and "u2"
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -120,27 +120,38 @@
 @when('"{one}" dies and "{two}" {seconds:g} seconds later')
 def record_both_deaths(context, one, two, seconds):
     for runner in (one, two):
-        run = context.quarantine.begin_run(context.name, (runner,))
-        run.has_started = True
-        context.quarantine.record_death(run, runner, context.now)
-        context.quarantine.end_run(run)
+        record_death(context, context.name, runner)
         context.now += seconds
 
 
+def record_death(context, name, runner):
+    run = context.quarantine.begin_run(name, (runner,))
+    run.has_started = True
+    context.quarantine.record_death(run, runner, context.now)
+    context.quarantine.end_run(run)
+
+
 @when(
     'another upstream dies running "{other}", and {before:g} seconds later "{one}"'
     ' and "{two}"'
 )
 def record_preceding_death(context, other, before, one, two):
-    run = context.quarantine.begin_run(other, ("u9",))
-    run.has_started = True
-    context.quarantine.record_death(run, "u9", context.now)
-    context.quarantine.end_run(run)
+    record_death(context, other, "u9")
     context.quarantine.record_success(other, context.now)
     context.now += before
     record_both_deaths(context, one, two, 0.1)
 
 
+@when(
+    'another upstream dies running only "{other}", and {before:g} seconds later'
+    ' "{one}" and "{two}"'
+)
+def record_preceding_unresolved_death(context, other, before, one, two):
+    record_death(context, other, "u9")
+    context.now += before
+    record_both_deaths(context, one, two, 0.1)
+
+
 @then('"{name}" is refused: {refused}')
 def check_refused(context, name, refused):
     assert list_refused(context) == ([name] if refused == "yes" else [])
--- a/wigeondrift/systems/quarantine.py
+++ b/wigeondrift/systems/quarantine.py
@@ -6,6 +6,8 @@
 and is refused.
 """
 
+from typing import NamedTuple
+
 import xxhash
 
 from wigeondrift.table.tables import Tables
@@ -63,6 +65,48 @@
         self.is_exclusive = False
 
 
+class _Death(NamedTuple):
+    """A death that is attributed to a fingerprint.
+
+    Attributes
+    ----------
+    age : float
+        Seconds since the death; only differences of ages are meaningful.
+    failure_domain : str
+    is_own : bool
+        Whether this instance observed it, and not only others reported it.
+    is_widespread : bool
+        Whether another upstream died at that time for a cause that is no request.
+    """
+
+    age: float
+    failure_domain: str
+    is_own: bool
+    is_widespread: bool
+
+
+def _get_correlation_seconds(is_own: bool) -> float:
+    """Return the time within which two deaths may have a common cause, in seconds.
+
+    Messages of other instances arrive with a jitter, so the time is longer for the
+    deaths that they report.
+    """
+    if is_own:
+        return CORRELATED_DEATHS_SECONDS
+    return CORRELATED_DEATHS_SECONDS + GOSSIP_JITTER_SECONDS
+
+
+def _is_correlated(earlier: _Death, later: _Death) -> bool:
+    """Return whether two deaths of a fingerprint may have a common cause."""
+    if earlier.age - later.age >= _get_correlation_seconds(
+        earlier.is_own and later.is_own
+    ):
+        return False
+    if earlier.is_widespread and later.is_widespread:
+        return True
+    return earlier.failure_domain == later.failure_domain
+
+
 class FactSet:
     """Grow-only set of facts, each active for a fixed time.
 
@@ -108,6 +152,14 @@
             if now - added_at <= self._seconds
         ]
 
+    def has(self, name: str, detail: str) -> bool:
+        """Return whether a fact is in the set, also if it is no longer active."""
+        return (name, detail) in self._added_at_by_fact
+
+    def list_all(self) -> list[tuple[str, str]]:
+        """Return all facts, also those that are no longer active."""
+        return list(self._added_at_by_fact)
+
     def expire(self, now: float) -> None:
         """Drop facts that have been inactive for ``seconds``."""
         for fact, added_at in list(self._added_at_by_fact.items()):
@@ -369,27 +421,51 @@
         """Count the deaths of a fingerprint, correlated ones as one.
 
         Deaths in one failure domain at about the same time have a common cause that is
-        not the request. Messages of other instances arrive with a jitter, so a wider
-        window applies to the deaths that they report.
+        not the request. The same holds across domains if an upstream that did not run
+        the request died at that time as well.
         """
+        upstreams = self._upstreams_by_fingerprint[fingerprint]
+        external_ages = self._list_external_death_ages(upstreams)
         deaths = sorted(
             (
-                self._get_domain(upstream),
-                -self._deaths.get_age(fingerprint, upstream, 0.0),
-                upstream in self._observed_deaths,
-            )
-            for upstream in self._upstreams_by_fingerprint[fingerprint]
+                self._make_death(fingerprint, upstream, external_ages)
+                for upstream in upstreams
+            ),
+            key=lambda death: (-death.age, death.failure_domain),
         )
-        count = 0
-        last_domain, last_at, last_own = "", 0.0, False
-        for domain, at, own in deaths:
-            window = CORRELATED_DEATHS_SECONDS
-            if not (own and last_own):
-                window += GOSSIP_JITTER_SECONDS
-            is_correlated = count and domain == last_domain and at - last_at < window
-            count += 0 if is_correlated else 1
-            last_domain, last_at, last_own = domain, at, own
-        return count
+        return sum(
+            not any(_is_correlated(earlier, death) for earlier in deaths[:index])
+            for index, death in enumerate(deaths)
+        )
+
+    def _make_death(
+        self, fingerprint: str, upstream: str, external_ages: list[float]
+    ) -> _Death:
+        age = self._deaths.get_age(fingerprint, upstream, 0.0)
+        is_own = upstream in self._observed_deaths
+        is_widespread = any(
+            abs(age - external_age) < _get_correlation_seconds(is_own)
+            for external_age in external_ages
+        )
+        return _Death(age, self._get_domain(upstream), is_own, is_widespread)
+
+    def _list_external_death_ages(self, upstreams: set[str]) -> list[float]:
+        """Return the ages of deaths that no request caused, other than ``upstreams``.
+
+        No request caused a death if all that ran on the upstream completed elsewhere.
+        """
+        ages_by_upstream: dict[str, float] = {}
+        uncleared = set(upstreams)
+        for fingerprint, upstream in self._deaths.list_all():
+            age = self._deaths.get_age(fingerprint, upstream, 0.0)
+            ages_by_upstream[upstream] = age
+            if not self._cleared.has(fingerprint, upstream):
+                uncleared.add(upstream)
+        return [
+            age
+            for upstream, age in ages_by_upstream.items()
+            if upstream not in uncleared
+        ]
 
     def _get_domain(self, upstream: str) -> str:
         """Return the failure domain of an upstream, or its name if unknown."""
