Order messages between routers without the time of day; accept known peers only

Cause: a router numbered its usage messages by the time of day, so that after a step back of its clock or a restart behind it, peers took its messages for old ones, and of the two collectors that send one sum the one with the later clock silenced the other. Datagrams were taken from any sender, with any number, and an undecodable text, an address without a port in a router's entry or deep nesting ended the task or the process. Now each process counts from zero under a random incarnation, and messages are ordered only within one. The sender must be a known peer and name itself, and each field must be finite, not negative and bounded. Ruled out: the incarnation from the start time, which is the time of day again. Tests: peers.feature, 18 scenarios.

--- /dev/null
+++ b/tests/features/peers.feature
@@ -0,0 +1,51 @@
+Feature: Messages between routers
+
+  Scenario: A restarted router is heard at once, whatever its clock says
+    Given a ledger that applied message 5000 of "east-2", which uses 40 cells
+    When message 1 of a new process of "east-2" arrives, which uses 70 cells
+    Then the ledger counts 70 cells
+
+  Scenario: A message that arrives again or late is ignored
+    Given a ledger that applied message 5000 of "east-2", which uses 40 cells
+    When message 4999 of the same process of "east-2" arrives, which uses 70 cells
+    Then the ledger counts 40 cells
+
+  Scenario: Both collectors of a domain are heard, also with clocks hours apart
+    Given a ledger that applied message 9000000 of "sum:west", which uses 40 cells
+    When message 1 of a new process of "sum:west" arrives, which uses 70 cells
+    And message 9000001 of the same process of "sum:west" arrives, which uses 50 cells
+    And message 2 of a new process of "sum:west" arrives, which uses 60 cells
+    Then the ledger counts 60 cells
+
+  Scenario: No module of the router reads the time of day
+    Then no module below wigeondrift/router, systems or platform reads the time of day
+
+  Scenario Outline: A bad datagram is ignored, and the next message is applied
+    Given a router that listens for the usage of "east-2"
+    When a datagram from <sender> brings <datagram>
+    And "east-2" sends its usage of 70 cells
+    Then the ledger counts 70 cells
+
+    Examples:
+      | sender     | datagram                      |
+      | "east-2"   | bytes that are no message     |
+      | "east-2"   | text that is not UTF-8        |
+      | "east-2"   | arrays nested 20000 deep      |
+      | "east-2"   | usage that is not a number    |
+      | "east-2"   | usage that is infinite        |
+      | "east-2"   | usage that is negative        |
+      | "east-2"   | the usage of "east-3"         |
+      | a stranger | the usage of "east-2"         |
+      | a stranger | a far sequence number         |
+
+  Scenario Outline: A router's entry that can't be used is no peer
+    Given a list of routers with the entry <entry>
+    Then the router has no peers
+
+    Examples:
+      | entry                                                        |
+      | {"address": "10.0.0.1", "failure_domain": "east"}            |
+      | {"address": "10.0.0.1:http", "failure_domain": "east"}       |
+      | {"address": "10.0.0.1:999999999", "failure_domain": "east"}  |
+      | {"address": 5, "failure_domain": "east"}                     |
+      | [[[                                                          |
--- /dev/null
+++ b/tests/features/steps/peers_steps.py
@@ -0,0 +1,177 @@
+"""Steps on the messages between routers, some of them over real datagram sockets."""
+
+import random
+import re
+import socket
+from pathlib import Path
+
+import msgspec
+import trio
+from behave import given, then, when
+
+from wigeondrift.router.membership import Membership, RouterEntry
+from wigeondrift.router.peers import PeerExchange
+from wigeondrift.router.selector import UpstreamSelector
+from wigeondrift.store.revisions import Item
+from wigeondrift.systems.cache_usage import CacheLedger, PeerUsage, Usage
+from wigeondrift.systems.directory import Directory
+from wigeondrift.systems.exchange import UsageExchange
+
+PACKAGE = Path(__file__).parent.parent.parent.parent / "wigeondrift"
+WALL_CLOCK_PATTERN = re.compile(r"time\.time|time_ns|datetime|CLOCK_REALTIME")
+HOST = "127.0.0.1"
+RUNNER = "u1"
+WAIT_SECONDS = 5.0
+POLL_SECONDS = 0.01
+
+
+def make_usage(name, sequence, cells, incarnation=1):
+    return PeerUsage(name, sequence, {RUNNER: Usage(cells, 1)}, incarnation)
+
+
+@given(
+    'a ledger that applied message {sequence:d} of "{name}", which uses {cells:d} cells'
+)
+def make_ledger(context, sequence, name, cells):
+    context.ledger = CacheLedger(lambda runner: 1e9)
+    assert context.ledger.apply_peer_usage(make_usage(name, sequence, cells), 0.0)
+
+
+@when(
+    'message {sequence:d} of a new process of "{name}" arrives, which uses'
+    " {cells:d} cells"
+)
+def apply_new_message(context, sequence, name, cells):
+    context.ledger.apply_peer_usage(make_usage(name, sequence, cells, 2), 0.5)
+
+
+@when(
+    'message {sequence:d} of the same process of "{name}" arrives, which uses'
+    " {cells:d} cells"
+)
+def apply_message(context, sequence, name, cells):
+    context.ledger.apply_peer_usage(make_usage(name, sequence, cells), 0.5)
+
+
+@then("no module below wigeondrift/router, systems or platform reads the time of day")
+def check_clocks(context):
+    for folder in ("router", "systems", "platform"):
+        for module in (PACKAGE / folder).glob("*.py"):
+            found = WALL_CLOCK_PATTERN.search(module.read_text())
+            assert found is None, (module, found)
+
+
+class Peers:
+    """Stand-in for the membership: the routers that this one knows."""
+
+    def __init__(self, addresses_by_name):
+        self._peers = {
+            name: RouterEntry(address, "east")
+            for name, address in addresses_by_name.items()
+        }
+
+    def list_peers(self):
+        return self._peers
+
+
+def make_socket():
+    endpoint = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    endpoint.bind((HOST, 0))
+    return endpoint
+
+
+@given('a router that listens for the usage of "{name}"')
+def make_router(context, name):
+    context.name = name
+    context.datagrams = []
+
+
+@when('"{name}" sends its usage of {cells:d} cells')
+def send_usage(context, name, cells):
+    context.datagrams.append((True, msgspec.msgpack.encode(make_usage(name, 7, cells))))
+
+
+@when("a datagram from {sender} brings {datagram}")
+def send_bad_datagram(context, sender, datagram):
+    name = context.name
+    text = b"\x94" + b"\xa2\xff\xfe" + b"\x01\x80\x00"
+    makers = {
+        "bytes that are no message": lambda: b"\xc1\x00\x00",
+        "text that is not UTF-8": lambda: text,
+        "arrays nested 20000 deep": lambda: b"\x95\xa1a\x01\x80\x00" + b"\x91" * 20000,
+        "usage that is not a number": lambda: make_usage(name, 1, float("nan")),
+        "usage that is infinite": lambda: make_usage(name, 1, float("inf")),
+        "usage that is negative": lambda: make_usage(name, 1, -5.0),
+        'the usage of "east-3"': lambda: make_usage("east-3", 1, 900.0),
+        'the usage of "east-2"': lambda: make_usage("east-2", 1, 900.0),
+        "a far sequence number": lambda: make_usage("east-2", 2**60, 900.0),
+    }
+    data = makers[datagram]()
+    if not isinstance(data, bytes):
+        data = msgspec.msgpack.encode(data)
+    context.datagrams.append((sender != "a stranger", data))
+
+
+async def exchange_datagrams(context):
+    known, stranger, probe = make_socket(), make_socket(), make_socket()
+    port = probe.getsockname()[1]
+    probe.close()
+    address = f"{HOST}:{known.getsockname()[1]}"
+    selector = UpstreamSelector(Directory(1.2), "east", random.Random(1))
+    context.ledger = selector.ledger
+    exchange = PeerExchange(
+        selector,
+        Peers({context.name: address}),
+        UsageExchange("east-1", "east", 100.0, selector.ledger),
+        "east-1",
+        HOST,
+        port,
+    )
+    exchange.update_peers()
+    async with trio.open_nursery() as nursery:
+        await exchange.start(nursery)
+        for is_known, data in context.datagrams:
+            (known if is_known else stranger).sendto(data, (HOST, port))
+        with trio.move_on_after(WAIT_SECONDS):
+            while selector.ledger.get_usage(RUNNER).cells != 70.0:
+                await trio.sleep(POLL_SECONDS)
+        nursery.cancel_scope.cancel()
+    await exchange.close()
+    known.close()
+    stranger.close()
+
+
+@then("the ledger counts {cells:d} cells")
+def check_cells(context, cells):
+    if hasattr(context, "datagrams"):
+        trio.run(exchange_datagrams, context)
+    assert context.ledger.get_usage(RUNNER).cells == cells
+
+
+class Replica:
+    """Stand-in for the copy of the store, with the entries of routers alone."""
+
+    def __init__(self, items):
+        self.router_items_by_key = items
+        self._callbacks = []
+
+    def subscribe(self, callback):
+        self._callbacks.append(callback)
+
+    def notify(self):
+        for callback in self._callbacks:
+            callback()
+
+
+@given("a list of routers with the entry {entry}")
+def make_router_list(context, entry):
+    item = Item("wigeondrift/routers/east-2", entry.encode(), 5)
+    replica = Replica({item.key: item})
+    own = RouterEntry("10.0.0.9:70", "east")
+    context.membership = Membership(None, replica, "east-1", own)
+    replica.notify()
+
+
+@then("the router has no peers")
+def check_no_peers(context):
+    assert context.membership.list_peers() == {}
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -63,9 +63,7 @@
     context.steps.append(step)
 
 
-@when(
-    "an upstream is listed, and removed with the first change for {quiet:g} seconds"
-)
+@when("an upstream is listed, and removed with the first change for {quiet:g} seconds")
 def list_and_remove_upstream(context, quiet):
     entry = {"service": "desk", "address": "10.2.0.1:80", "zone": "east"}
 
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -55,6 +55,7 @@
 RESERVED_DESCRIPTORS = 1000
 MIN_CONNECTIONS = 64
 METRICS_PORT = 9464
+INCARNATION_BITS = 62
 MAX_IDLE_PER_ADDRESS = 32
 # Interval at which idle connections that are too old are closed.
 PRUNE_SECONDS = 1.0
@@ -228,6 +229,7 @@
         settings.failure_domain,
         settings.link_mbps,
         parts.selector.ledger,
+        random.getrandbits(INCARNATION_BITS),
     )
     peers = PeerExchange(
         parts.selector,
--- a/wigeondrift/router/membership.py
+++ b/wigeondrift/router/membership.py
@@ -10,6 +10,7 @@
 from wigeondrift.router.replica import ROUTER_KEYS_PREFIX, Replica
 from wigeondrift.store.revisions import RevisionStore
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.wire.address import parse_address
 
 ROUTER_ENTRIES_PREFIX = ROUTER_KEYS_PREFIX + "routers/"
 # Long enough for a registration to outlive short outages. A router that died is
@@ -98,8 +99,10 @@
             if name == key or name == self._instance_id or item.value is None:
                 continue
             try:
-                peers[name] = msgspec.json.decode(item.value, type=RouterEntry)
-            except msgspec.MsgspecError as error:
+                entry = msgspec.json.decode(item.value, type=RouterEntry)
+                parse_address(entry.address)
+                peers[name] = entry
+            except (msgspec.MsgspecError, ValueError, RecursionError) as error:
                 log_event(
                     self._logger,
                     logging.WARNING,
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -6,7 +6,6 @@
 
 import logging
 import random
-import time
 from collections.abc import Iterable
 
 import msgspec
@@ -49,6 +48,7 @@
         "_instance_id",
         "_logger",
         "_membership",
+        "_names_by_address",
         "_port",
         "_sequence",
         "_socket",
@@ -69,8 +69,8 @@
         self._instance_id = instance_id
         self._host = host
         self._port = port
-        # Also increases over restarts, so that peers accept the new process's messages.
-        self._sequence = time.time_ns() // 1_000_000
+        self._names_by_address: dict[tuple[str, int], str] = {}
+        self._sequence = 0
         self._socket: trio.socket.SocketType | None = None
         self._logger = logging.getLogger(LOGGER_NAME)
 
@@ -78,6 +78,9 @@
         """Update the list of peers; called when it may have changed."""
         peers = self._membership.list_peers()
         self._selector.peer_count = len(peers)
+        self._names_by_address = {
+            parse_address(peer.address): name for name, peer in peers.items()
+        }
         self._exchange.set_peers(
             {
                 name: Member(peer.failure_domain, peer.link_mbps)
@@ -102,9 +105,8 @@
     async def _receive(self) -> None:
         while True:
             try:
-                data, _ = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-                usage = msgspec.msgpack.decode(data, type=PeerUsage)
-            except (OSError, msgspec.MsgspecError) as error:
+                data, sender = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as error:
                 log_event(
                     self._logger,
                     logging.DEBUG,
@@ -113,15 +115,40 @@
                 )
                 await trio.sleep(SEND_SECONDS)
                 continue
-            await self._send_all(
-                self._exchange.handle_usage(usage, trio.current_time())
-            )
+            usage = self._decode(data, sender)
+            if usage is not None:
+                await self._send_all(
+                    self._exchange.handle_usage(usage, trio.current_time())
+                )
+
+    def _decode(self, data: bytes, sender: tuple[str, int]) -> PeerUsage | None:
+        """Return a peer's message; None if it is no message of a known peer."""
+        name = self._names_by_address.get(sender[:2])
+        try:
+            usage = msgspec.msgpack.decode(data, type=PeerUsage)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            reason = str(error)
+        else:
+            # Sums have names of their own.
+            is_own_name = ":" in usage.instance_id or usage.instance_id == name
+            if name is not None and is_own_name and usage.is_plausible:
+                return usage
+            reason = "not sent by this peer, or out of bounds"
+        log_event(
+            self._logger,
+            logging.DEBUG,
+            Event.PEER_UNREADABLE,
+            peer=name or "",
+            subject=f"{sender[0]}:{sender[1]}",
+            reason=reason,
+        )
+        return None
 
     async def _send(self) -> None:
         while True:
             now = trio.current_time()
             self._selector.ledger.expire_peers(now)
-            self._sequence = max(self._sequence + 1, time.time_ns() // 1_000_000)
+            self._sequence += 1
             sent = await self._send_all(
                 self._exchange.list_messages(self._sequence, now)
             )
--- a/wigeondrift/systems/cache_usage.py
+++ b/wigeondrift/systems/cache_usage.py
@@ -1,5 +1,6 @@
 """Accounting of the runners' KV cache in cells, one cell per token and layer."""
 
+import math
 from typing import NamedTuple
 
 import msgspec
@@ -10,7 +11,11 @@
 # Time after which the usage of a peer that sends no messages counts as zero, in
 # seconds: by then its requests have been cut off, or it cannot start new ones.
 PEER_EXPIRY_SECONDS = 3.0
-
+# Processes whose last sequence number is kept for one name: two collectors send the sum
+# of a domain under one name, and either may have been restarted.
+MAX_INCARNATIONS_PER_NAME = 4
+# Messages with larger values are rejected.
+MAX_REPORTED_VALUE = 1e15
 
 # Name prefixes of aggregated messages: the sum of one failure domain, and the sum of
 # all routers, which includes the usage that this router reported. Instance names
@@ -56,6 +61,14 @@
             round(self.pending_prefill_tokens),
         )
 
+    @property
+    def is_plausible(self) -> bool:
+        """Whether each field is finite, not negative and within bounds."""
+        return all(
+            math.isfinite(value) and 0.0 <= value <= MAX_REPORTED_VALUE
+            for value in self
+        )
+
     def subtract_clamped(self, other: "Usage") -> "Usage":
         """Return the difference with each field clamped at zero."""
         return Usage(
@@ -74,13 +87,21 @@
     instance_id : str
         Instance of the router, or the prefixed name of a sum.
     sequence : int
-        Increases with each message, also across restarts.
+        Increases with each message of one incarnation.
     usage_by_id : dict of str to Usage
+    incarnation : int
+        Random number of the process that made the message.
     """
 
     instance_id: str
     sequence: int
     usage_by_id: dict[str, Usage]
+    incarnation: int = 0
+
+    @property
+    def is_plausible(self) -> bool:
+        """Whether the message is one that a router may have made."""
+        return all(used.is_plausible for used in self.usage_by_id.values())
 
 
 _NO_USAGE = Usage()
@@ -100,6 +121,7 @@
         "_own_by_id",
         "_peer_sum_by_id",
         "_peers_by_id",
+        "_sequences_by_name",
         "_total_without_own_by_id",
     )
 
@@ -108,6 +130,8 @@
         self._own_by_id: dict[str, Usage] = {}
         self._peers_by_id: dict[str, tuple[float, PeerUsage]] = {}
         self._peer_sum_by_id: dict[str, Usage] = {}
+        # Last sequence number of each incarnation, the latest heard last.
+        self._sequences_by_name: dict[str, dict[int, int]] = {}
         # Total of all routers minus the own usage at the time the total arrived.
         self._total_without_own_by_id: dict[str, Usage] | None = None
 
@@ -182,11 +206,22 @@
         return _make_message(name, sequence, summed)
 
     def apply_peer_usage(self, usage: PeerUsage, now: float) -> bool:
-        """Apply a peer's message; return false if a newer one was already applied."""
+        """Apply a peer's message; return false if a newer one was already applied.
+
+        Only messages of one incarnation are ordered by their sequence numbers. A
+        message of another one was made by a restarted process or by the other
+        collector, and the clocks of two processes can't be compared.
+        """
         known = self._peers_by_id.get(usage.instance_id)
-        is_recent = known is not None and now - known[0] < PEER_EXPIRY_SECONDS
-        if is_recent and known[1].sequence >= usage.sequence:
+        if known is None or now - known[0] >= PEER_EXPIRY_SECONDS:
+            self._sequences_by_name.pop(usage.instance_id, None)
+        sequences = self._sequences_by_name.setdefault(usage.instance_id, {})
+        if sequences.get(usage.incarnation, -1) >= usage.sequence:
             return False
+        sequences.pop(usage.incarnation, None)
+        sequences[usage.incarnation] = usage.sequence
+        if len(sequences) > MAX_INCARNATIONS_PER_NAME:
+            del sequences[next(iter(sequences))]
         self._peers_by_id[usage.instance_id] = (now, usage)
         if usage.instance_id.startswith(TOTAL_PREFIX):
             self._total_without_own_by_id = {
@@ -205,6 +240,7 @@
         ]
         for name in silent:
             del self._peers_by_id[name]
+            self._sequences_by_name.pop(name, None)
             if name.startswith(TOTAL_PREFIX):
                 self._total_without_own_by_id = None
         if silent:
--- a/wigeondrift/systems/exchange.py
+++ b/wigeondrift/systems/exchange.py
@@ -49,6 +49,8 @@
     link_mbps : float
         Bandwidth of its link, in Mbit/s.
     ledger : CacheLedger
+    incarnation : int
+        Random number of this process.
 
     Attributes
     ----------
@@ -59,6 +61,7 @@
     __slots__ = (
         "_domain",
         "_domain_peers",
+        "_incarnation",
         "_is_domain_large",
         "_is_collector",
         "_ledger",
@@ -70,11 +73,17 @@
     )
 
     def __init__(
-        self, name: str, failure_domain: str, link_mbps: float, ledger: CacheLedger
+        self,
+        name: str,
+        failure_domain: str,
+        link_mbps: float,
+        ledger: CacheLedger,
+        incarnation: int = 0,
     ) -> None:
         self._name = name
         self._domain = failure_domain
         self._ledger = ledger
+        self._incarnation = incarnation
         self._members = {name: Member(failure_domain, link_mbps)}
         self._sum_due_at = 0.0
         self._was_idle = False
@@ -107,7 +116,7 @@
         Parameters
         ----------
         sequence : int
-            Increases with each call, also across restarts.
+            Increases with each call.
         now : float
             Current time in seconds.
         """
@@ -124,6 +133,8 @@
         if self._is_collector and now >= self._sum_due_at:
             self._sum_due_at = now + SUM_INTERVAL_SECONDS
             messages.extend(self._list_sums(sequence))
+        for message in messages:
+            message.usage.incarnation = self._incarnation
         return messages
 
     def _list_sums(self, sequence: int) -> list[Message]:
--- a/wigeondrift/wire/address.py
+++ b/wigeondrift/wire/address.py
@@ -1,5 +1,7 @@
 """Addresses of the form ``host:port``."""
 
+MAX_PORT_DIGITS = 5
+
 
 def parse_address(address: str) -> tuple[str, int]:
     """Split ``host:port`` into host and port number.
@@ -7,7 +9,9 @@
     Raises
     ------
     ValueError
-        If the port is missing or is not a number.
+        If the host or the port is missing or the port is not a valid number.
     """
     host, _, port = address.rpartition(":")
+    if not host or not port.isascii() or len(port) > MAX_PORT_DIGITS:
+        raise ValueError(f"bad address {address[:80]!r}")
     return host.strip("[]"), int(port)
