Bound and check what callers, upstreams and the store send

Now numbers are decoded in one place with a bound, progress is an event with a new id, 64 KB without one end an attempt, interim responses are bounded, and other exceptions on a connection end the connection. A task of a component that fails is started again with back-off and logged (event 1007). The silence after which a stream resumes without a suspect follows the callers' time-out of the route in place of 1.6 s for all, so that slow sound streams of a route with longer pauses go on. Still open: the 4 MB bodies of many upstreams at once are not bounded for the process.

--- /dev/null
+++ b/tests/features/malformed.feature
@@ -0,0 +1,93 @@
+Feature: Malformed, endless and stalled input costs one request, not the process
+
+  Scenario Outline: A caller's header that is no number is refused by its name
+    Given a platform with two members of a plain service
+    When a caller sends a "status" request whose header <header> is "<value>"
+    Then the status is 400
+    And the response names "<header>"
+    And no upstream started a request
+
+    Examples:
+      | header                         | value       |
+      | wigeondrift-deadline-remaining | 5000 digits |
+      | wigeondrift-deadline-remaining | 400 digits  |
+      | wigeondrift-deadline-remaining | soon        |
+      | wigeondrift-token-counts       | 5000 digits |
+      | wigeondrift-token-counts       | 400 digits  |
+      | last-event-id                  | 5000 digits |
+
+  Scenario Outline: A request with an unusual method gets an answer
+    Given a platform with two members of a plain service
+    When a caller sends a <method> request to "<path>"
+    Then the status is <status>
+    And the response is complete
+
+    Examples:
+      | method  | path      | status |
+      | HEAD    | /nowhere/ | 404    |
+      | HEAD    | /status/  | 401    |
+      | CONNECT | /nowhere/ | 404    |
+
+  Scenario Outline: An upstream's answer without an end is given up
+    Given an upstream that answers with <answer>
+    When a client requests a page of it
+    Then the client fails and has used at most 3 times its limit of memory
+
+    Examples:
+      | answer                        |
+      | an endless status line        |
+      | an endless header             |
+      | endless interim responses     |
+      | an endless chunk extension    |
+      | an endless body               |
+
+  Scenario Outline: A response header with a very long number is ignored
+    Given an upstream that answers with <answer>
+    When a client requests a page of it
+    Then the client gets the page
+
+    Examples:
+      | answer                        |
+      | a very long keep-alive time   |
+
+  Scenario Outline: Event data without a new id is bounded
+    Then an event stream of <data> fails after at most 65536 bytes
+
+    Examples:
+      | data                          |
+      | one endless event             |
+      | endless comments              |
+      | an id of 5000 digits          |
+
+  Scenario: Events are found wherever the data is split
+    Then random events in random pieces come out complete and in order
+
+  Scenario: A stream whose runner sends bytes but no events goes on elsewhere
+    Given a platform with two members of a plain service
+    And runners of two replicas of the model
+    And the first stage of the first replica has the fault "dribble"
+    When a caller requests a stream
+    Then the events are 0 to 5
+    And the response is complete
+
+  Scenario Outline: An entry that names no usable upstream is reported
+    Then the entry <entry> is not decoded
+
+    Examples:
+      | entry                                                              |
+      | {"service":"a","address":"h:²","zone":"z","state":"ready"}         |
+      | {"service":"a","address":"h:99999999","zone":"z","state":"ready"}  |
+      | {"service":"a","address":":80","zone":"z","state":"ready"}         |
+      | layers from -5                                                     |
+      | layers to 1e30                                                     |
+      | arrays nested 20000 deep                                           |
+
+  Scenario: A task that fails is started again, and the others go on
+    Given an application with a task that fails twice
+    When it runs for 1 second
+    Then the task was started 3 times and the other task ran on
+
+  Scenario: A timer's callback that fails is called again, and the others go on
+    Given a timer with a callback that fails
+    When it runs for 1 second
+    Then each callback was called 10 times
--- /dev/null
+++ b/tests/features/steps/malformed_steps.py
@@ -0,0 +1,243 @@
+"""Steps on input that is malformed, endless or stalled."""
+
+import random
+import tracemalloc
+
+import trio
+from behave import given, then, when
+from trio.testing import MockClock
+
+from tests.features.steps.router_steps import queue_check
+from wigeondrift.application import Application, Component, SupervisedNursery
+from wigeondrift.errors import ProtocolViolation, TransportError, UpstreamEntryError
+from wigeondrift.platform.upstreams import decode_upstream
+from wigeondrift.router.event_stream import EventBuffer
+from wigeondrift.timer import TimerService, TrioClock
+from wigeondrift.wire.http_client import HttpClient
+
+HOST = "127.0.0.1"
+BLOCK = b"x" * 65536
+HEAD = b"HTTP/1.1 200 OK\r\n"
+PAGE = b"page"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+PIECES_BY_ANSWER = {
+    "an endless status line": (b"HTTP/1.1 200 ", BLOCK),
+    "an endless header": (HEAD + b"X-Long: ", BLOCK),
+    "endless interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+    "an endless chunk extension": (CHUNKED + b"4;", BLOCK),
+    "an endless body": (HEAD + b"\r\n", BLOCK),
+    "a very long keep-alive time": (
+        HEAD
+        + b"Keep-Alive: timeout="
+        + b"9" * 5000
+        + b"\r\nContent-Length: 4\r\n\r\n"
+        + PAGE,
+        b"",
+    ),
+}
+BODY_LIMIT_BYTES = 4 * 1048576
+
+
+def make_value(text):
+    digits, _, unit = text.partition(" ")
+    return "9" * int(digits) if unit == "digits" else text
+
+
+@when('a caller sends a "{route}" request whose header {header} is "{value}"')
+def send_bad_header(context, route, header, value):
+    async def step(world):
+        answer = await world.call(f"/{route}/1", headers=[(header, make_value(value))])
+        context.answers.append(answer)
+
+    context.steps.append(step)
+
+
+@then('the response names "{text}"')
+def check_named(context, text):
+    def check(world):
+        assert text in context.answers[0].body.decode(), context.answers[0].body
+
+    queue_check(context, check)
+
+
+@when('a caller sends a {method} request to "{path}"')
+def send_method(context, method, path):
+    async def step(world):
+        context.answers.append(await world.call(path, method=method, key=""))
+
+    context.steps.append(step)
+
+
+@given("an upstream that answers with {answer}")
+def make_upstream(context, answer):
+    context.pieces = PIECES_BY_ANSWER[answer]
+
+
+async def serve_pieces(context, stream):
+    first, repeated = context.pieces
+    try:
+        await stream.receive_some(65536)
+        await stream.send_all(first)
+        while repeated:
+            await stream.send_all(repeated)
+        await trio.sleep_forever()
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        context.closed = True
+
+
+@when("a client requests a page of it")
+def request_page(context):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host=HOST)
+            address = f"{HOST}:{listeners[0].socket.getsockname()[1]}"
+
+            async def serve(stream):
+                await serve_pieces(context, stream)
+
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            client = HttpClient()
+            try:
+                async with client.request(
+                    address, "GET", "/", head_timeout=60.0
+                ) as response:
+                    context.result = await response.read(BODY_LIMIT_BYTES)
+            except TransportError as error:
+                context.result = error
+            await client.close()
+            nursery.cancel_scope.cancel()
+
+    tracemalloc.start()
+    trio.run(main)
+    context.peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+
+
+@then("the client fails and has used at most {factor:d} times its limit of memory")
+def check_failure(context, factor):
+    assert isinstance(context.result, TransportError), context.result
+    assert context.peak_bytes < factor * BODY_LIMIT_BYTES, context.peak_bytes
+
+
+@then("the client gets the page")
+def check_page(context):
+    assert context.result == PAGE
+
+
+@then("an event stream of {data} fails after at most {limit:d} bytes")
+def check_stream_bound(context, data, limit):
+    piece = {
+        "one endless event": b"data: " + b"x" * 1000,
+        "endless comments": b": still here\n\n",
+        "an id of 5000 digits": b"id: " + b"9" * 5000 + b"\n\n",
+    }[data]
+    buffer = EventBuffer()
+    sent = 0
+    try:
+        while sent <= 2 * limit:
+            sent += len(piece)
+            buffer.feed(piece)
+    except ProtocolViolation:
+        assert sent <= limit + len(piece)
+        return
+    raise AssertionError("the buffer accepted all")
+
+
+@then("random events in random pieces come out complete and in order")
+def check_pieces(context):
+    rng = random.Random(11)
+    for _ in range(200):
+        ends = [rng.choice([b"\n\n", b"\r\n\r\n"]) for _ in range(12)]
+        data = b"".join(b"id: %d\ndata: t" % n + end for n, end in enumerate(ends))
+        buffer, received, rest = EventBuffer(), b"", data
+        while rest:
+            size = rng.randint(1, 9)
+            received += buffer.feed(rest[:size])
+            rest = rest[size:]
+        assert received == data
+        assert buffer.last_id == 11
+        assert not buffer.has_pending
+
+
+@then("the entry {entry} is not decoded")
+def check_entry(context, entry):
+    layers = '{"service":"a","address":"h:80","zone":"z","state":"ready","layers":%s}'
+    data = {
+        "layers from -5": layers % '{"from":-5,"to":3}',
+        "layers to 1e30": layers % '{"from":0,"to":1e30}',
+        "arrays nested 20000 deep": layers % ("[" * 20000),
+    }.get(entry, entry)
+    try:
+        decode_upstream("u1", data.encode())
+    except UpstreamEntryError:
+        return
+    raise AssertionError("the entry was decoded")
+
+
+class FailingTask(Component):
+    def __init__(self):
+        self.starts = 0
+        self.ticks = 0
+
+    async def start(self, nursery):
+        nursery.start_soon(self._fail)
+        nursery.start_soon(self._tick)
+
+    async def _fail(self):
+        self.starts += 1
+        if self.starts <= 2:
+            raise KeyError("malformed")
+        await trio.sleep_forever()
+
+    async def _tick(self):
+        while True:
+            self.ticks += 1
+            await trio.sleep(0.1)
+
+
+@given("an application with a task that fails twice")
+def make_application(context):
+    context.component = FailingTask()
+    context.main = Application([context.component], 1.0).run
+
+
+@given("a timer with a callback that fails")
+def make_timer(context):
+    context.calls_by_name = {"bad": 0, "good": 0}
+    timer = TimerService(TrioClock())
+
+    async def fail(now):
+        context.calls_by_name["bad"] += 1
+        raise ValueError("malformed")
+
+    async def count(now):
+        context.calls_by_name["good"] += 1
+
+    timer.subscribe("bad", 0.1, fail)
+    timer.subscribe("good", 0.1, count)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            await timer.start(SupervisedNursery(nursery))
+
+    context.main = main
+
+
+@when("it runs for {seconds:d} second")
+def run_for(context, seconds):
+    async def main():
+        with trio.move_on_after(seconds - 0.01):
+            await context.main()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+@then("the task was started {count:d} times and the other task ran on")
+def check_restarts(context, count):
+    assert context.component.starts == count
+    assert context.component.ticks == 10, context.component.ticks
+
+
+@then("each callback was called {count:d} times")
+def check_callbacks(context, count):
+    assert set(context.calls_by_name.values()) == {count}, context.calls_by_name
--- a/wigeondrift/application.py
+++ b/wigeondrift/application.py
@@ -1,11 +1,21 @@
 """Life cycle of a process: components that are started and stopped in order."""
 
 import abc
+import logging
 import signal
-from collections.abc import Callable, Sequence
+import traceback
+from collections.abc import Awaitable, Callable, Sequence
 
 import trio
 
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+
+# Pauses before a failed task is started again; they double with each failure in a row.
+FIRST_RESTART_SECONDS = 0.1
+MAX_RESTART_SECONDS = 5.0
+# Time after which a task that fails counts as having worked in between.
+STABLE_TASK_SECONDS = 30.0
+
 
 class Component(abc.ABC):
     """Component of an application with life cycle hooks."""
@@ -23,6 +33,58 @@
         return None
 
 
+def log_task_failure(task: str, pause: float, error: Exception) -> None:
+    """Log an unexpected exception of a task that runs again after ``pause`` seconds."""
+    log_event(
+        logging.getLogger(LOGGER_NAME),
+        logging.ERROR,
+        Event.TASK_FAILED,
+        task=task,
+        restarts_in=pause,
+        reason="".join(traceback.format_exception(error)),
+    )
+
+
+class SupervisedNursery:
+    """Starts tasks that are restarted after an unexpected exception.
+
+    One bad message or state then costs a pause of one component, not the process.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Runs the tasks.
+    """
+
+    __slots__ = ("_nursery",)
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+
+    def start_soon(
+        self, function: Callable[..., Awaitable[None]], *args: object
+    ) -> None:
+        """Run a coroutine function until it returns."""
+        self._nursery.start_soon(self._run, function, args)
+
+    async def _run(
+        self, function: Callable[..., Awaitable[None]], args: tuple[object, ...]
+    ) -> None:
+        pause = FIRST_RESTART_SECONDS
+        while True:
+            started_at = trio.current_time()
+            try:
+                await function(*args)
+                return
+            except Exception as error:
+                if trio.current_time() - started_at >= STABLE_TASK_SECONDS:
+                    pause = FIRST_RESTART_SECONDS
+                name = getattr(function, "__qualname__", repr(function))
+                log_task_failure(name, pause, error)
+            await trio.sleep(pause)
+            pause = min(2.0 * pause, MAX_RESTART_SECONDS)
+
+
 class Application:
     """Starts, stops and closes the components of one process.
 
@@ -60,8 +122,9 @@
         """Run the components until a planned stop has ended."""
         try:
             async with trio.open_nursery() as nursery:
+                supervised = SupervisedNursery(nursery)
                 for component in self._components:
-                    await component.start(nursery)
+                    await component.start(supervised)
                 await self.stop_requested.wait()
                 await self._stop_components()
                 nursery.cancel_scope.cancel()
--- a/wigeondrift/platform/configuration.py
+++ b/wigeondrift/platform/configuration.py
@@ -125,7 +125,7 @@
     try:
         wire = msgspec.json.decode(data, type=_WireConfiguration)
         routes = [_make_route(route) for route in wire.routes]
-    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, KeyError, ValueError, RecursionError) as error:
         raise ConfigurationError(f"the configuration can't be read: {error}") from error
     return Configuration(
         wire.version,
--- a/wigeondrift/platform/requests.py
+++ b/wigeondrift/platform/requests.py
@@ -1,9 +1,11 @@
 """The platform's headers of callers' requests and upstreams' responses."""
 
 from wigeondrift.entities import Route
+from wigeondrift.errors import ErrorKind, RequestError
 from wigeondrift.router.calls import CallerRequest, Headers, UpstreamHead
 from wigeondrift.router.header_codec import HeaderCodec
 from wigeondrift.wire.http_server import Request
+from wigeondrift.wire.numbers import parse_whole_number
 
 REQUEST_ID = "wigeondrift-request-id"
 DEADLINE = "wigeondrift-deadline-remaining"
@@ -58,14 +60,20 @@
     __slots__ = ()
 
     def decode_request(self, request: Request, now: float) -> CallerRequest:
-        """Decode a caller's request that arrived at the time ``now``, in seconds."""
+        """Decode a caller's request that arrived at the time ``now``, in seconds.
+
+        Raises
+        ------
+        RequestError
+            If a header that must be a number is not one.
+        """
         get = request.headers_by_name.get
         authorization = get("authorization", "")
         key = ""
         if authorization[: len(BEARER)].lower() == BEARER:
             key = authorization[len(BEARER) :].strip()
         prompt, _, answer_limit = get(TOKEN_COUNTS, "").partition(",")
-        remaining_ms = _parse_int(get(DEADLINE, ""))
+        remaining_ms = _parse_number(DEADLINE, get(DEADLINE, ""))
         return CallerRequest(
             request_id=get(REQUEST_ID, ""),
             method=request.method,
@@ -76,10 +84,10 @@
             key=key,
             arrived_at=now,
             caller_timeout=None if remaining_ms is None else remaining_ms / 1000.0,
-            prompt_tokens=_parse_int(prompt) or 0,
-            answer_limit=_parse_int(answer_limit) or 0,
-            answer_estimate=_parse_int(get(LENGTH_HINT, "")) or 0,
-            last_event_id=_parse_int(get(LAST_EVENT_ID, "")),
+            prompt_tokens=_parse_number(TOKEN_COUNTS, prompt) or 0,
+            answer_limit=_parse_number(TOKEN_COUNTS, answer_limit) or 0,
+            answer_estimate=parse_whole_number(get(LENGTH_HINT, "")) or 0,
+            last_event_id=_parse_number(LAST_EVENT_ID, get(LAST_EVENT_ID, "")),
             headers=request.headers,
         )
 
@@ -108,7 +116,7 @@
     def decode_head(self, status: int, headers: Headers) -> UpstreamHead:
         """Decode the head of an upstream's response; header names are in lower case."""
         values = dict(headers)
-        load = [_parse_int(part) for part in values.get(LOAD, "").split(",")]
+        load = [parse_whole_number(part) for part in values.get(LOAD, "").split(",")]
         return UpstreamHead(
             status=status,
             headers=[pair for pair in headers if pair[0] not in DROPPED_HEADERS],
@@ -130,5 +138,13 @@
     )
 
 
-def _parse_int(text: str) -> int | None:
-    return int(text) if text.isascii() and text.strip().isdigit() else None
+def _parse_number(header: str, text: str) -> int | None:
+    """Return the value of a caller's header, or None if it is empty."""
+    if not text.strip():
+        return None
+    number = parse_whole_number(text)
+    if number is None:
+        raise RequestError(
+            ErrorKind.MALFORMED_REQUEST, f"the header {header} is not a whole number"
+        )
+    return number
--- a/wigeondrift/platform/store.py
+++ b/wigeondrift/platform/store.py
@@ -37,7 +37,12 @@
     def decode(self) -> Item:
         if self.removed or self.value is None:
             return Item(self.key, None, self.revision)
-        return Item(self.key, base64.b64decode(self.value), self.revision)
+        try:
+            value = base64.b64decode(self.value)
+        except ValueError:
+            # Whoever reads the item logs that it is not usable.
+            value = b""
+        return Item(self.key, value, self.revision)
 
 
 class _RangeAnswer(msgspec.Struct):
@@ -178,7 +183,7 @@
 def _decode(body: bytes, kind: type[AnswerType]) -> AnswerType:
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise PlatformUnavailable(f"the answer can't be read: {error}") from error
 
 
--- a/wigeondrift/platform/upstreams.py
+++ b/wigeondrift/platform/upstreams.py
@@ -11,6 +11,7 @@
 )
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import RunnerReport, Upstream
+from wigeondrift.wire.address import parse_address
 from wigeondrift.wire.http_client import HttpClient
 
 UPSTREAMS_PREFIX = "servers/"
@@ -19,6 +20,10 @@
 JSON_HEADERS = [("Content-Type", "application/json")]
 # A report takes no slot of the runner, so a live runner responds within milliseconds.
 CALL_TIMEOUT_SECONDS = 0.6
+# More layers than any model has.
+MAX_LAYERS = 10_000
+# Far more than a report of a runner's slots takes.
+MAX_BODY_BYTES = 262144
 STATUSES_ACCEPTED = frozenset({200, 202})
 
 
@@ -59,14 +64,14 @@
     """
     try:
         wire = msgspec.json.decode(data, type=_WireEntry)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        parse_address(wire.address)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise UpstreamEntryError(f"{upstream_id}: {error}") from error
     if wire.state not in (STATE_READY, STATE_DRAINING):
         raise UpstreamEntryError(f"{upstream_id}: unknown state {wire.state}")
-    host, separator, port = wire.address.rpartition(":")
-    if not (separator and host and port.isdigit()):
-        raise UpstreamEntryError(f"{upstream_id}: bad address {wire.address}")
     layers = wire.layers or _WireLayers()
+    if not 0 <= layers.first <= layers.to <= MAX_LAYERS:
+        raise UpstreamEntryError(f"{upstream_id}: bad layers {layers}")
     return Upstream(
         upstream_id=upstream_id,
         service=wire.service,
@@ -92,7 +97,7 @@
     """
     try:
         wire = msgspec.json.decode(data, type=_WireReport)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ProtocolViolation(f"the report can't be read: {error}") from error
     layers = wire.layers or _WireLayers()
     return RunnerReport(
@@ -156,6 +161,6 @@
                 async with self._client.request(
                     upstream.address, method, target, headers, body
                 ) as response:
-                    return response.status, await response.read()
+                    return response.status, await response.read(MAX_BODY_BYTES)
         except trio.TooSlowError as error:
             raise TransportError(f"{upstream.address} did not respond") from error
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -15,20 +15,25 @@
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import RequestKind, Upstream
 from wigeondrift.router.header_codec import HeaderCodec
-from wigeondrift.router.request_context import AttemptFailed, Progress, RequestContext
+from wigeondrift.router.request_context import (
+    AttemptFailed,
+    Progress,
+    RequestContext,
+    get_caller_idle_timeout,
+)
 from wigeondrift.router.selector import Reservation, UpstreamSelector
 from wigeondrift.telemetry.metrics import Metric, Metrics
 from wigeondrift.wire.http_client import ClientResponse, HttpClient
 from wigeondrift.wire.http_server import Exchange
 
-# Time without data after which the runners of a stream are queried for stalls. It is
-# several times the usual pause, and well below the two seconds after which callers
-# abandon a stream. The second value holds before the first event.
+# Time without a new event after which the runners of a stream are queried for stalls.
+# It is several times the usual pause, and well below the two seconds after which
+# callers abandon a stream. The second value holds before the first event.
 STREAM_SILENCE_SECONDS = 0.6
 FIRST_EVENT_SILENCE_SECONDS = 0.9
-# Time without data after which a stream resumes at another route even if no runner is
-# known to be at fault.
-MAX_SILENCE_SECONDS = 1.6
+# Fraction of the callers' idle timeout without a new event after which a stream resumes
+# at another route even if no runner is known to be at fault.
+MAX_SILENCE_SHARE = 0.8
 # Interval at which the runners of a silent stream are queried.
 SILENCE_CHECK_SECONDS = 0.2
 # Fraction of the remaining time that a safe request waits for the response of one
@@ -163,19 +168,20 @@
         can_resume = (
             context.rule.is_idempotent and context.attempts < context.rule.attempts
         )
+        max_silence = MAX_SILENCE_SHARE * get_caller_idle_timeout(context.rule)
         while True:
             limit = FIRST_EVENT_SILENCE_SECONDS
             if progress.has_events:
                 limit = STREAM_SILENCE_SECONDS
-            last_data_at = progress.last_data_at
-            if trio.current_time() < last_data_at + limit:
-                await trio.sleep_until(last_data_at + limit)
+            last_event_at = progress.last_event_at
+            if trio.current_time() < last_event_at + limit:
+                await trio.sleep_until(last_event_at + limit)
                 continue
             suspects = await self._find_suspects(upstream, context.call.request_id)
-            if progress.last_data_at != last_data_at:
+            if progress.last_event_at != last_event_at:
                 continue
-            silence = trio.current_time() - last_data_at
-            is_lost = progress.has_events and silence >= MAX_SILENCE_SECONDS
+            silence = trio.current_time() - last_event_at
+            is_lost = progress.has_events and silence >= max_silence
             if can_resume and (suspects or is_lost):
                 progress.suspects = suspects or (upstream.upstream_id,)
                 scope.cancel()
@@ -295,24 +301,26 @@
         events = context.events
         events.restart()
         async for data in response.iter_data():
-            now = trio.current_time()
-            if progress.has_events:
-                gap = now - progress.last_data_at
-                context.longest_gap = max(gap, context.longest_gap or 0.0)
-            progress.last_data_at = now
+            known_id = events.last_id
             complete_events = events.feed(data)
             if not complete_events:
                 continue
-            if reservation is not None and not progress.has_events:
-                reservation.record_prompt_read()
-            progress.has_events = True
+            now = trio.current_time()
+            # Bytes, comments and events without a new id may come from a runner that
+            # has stalled, so only a new id is progress.
+            if events.last_id != known_id:
+                if progress.has_events:
+                    gap = now - progress.last_event_at
+                    context.longest_gap = max(gap, context.longest_gap or 0.0)
+                elif reservation is not None:
+                    reservation.record_prompt_read()
+                progress.last_event_at = now
+                progress.has_events = True
             if exchange.started:
                 await _write_to_caller(exchange.send(complete_events))
             else:
-                context.first_event_at = progress.last_data_at
-                self._metrics.timing(
-                    Metric.FIRST_TOKEN, progress.last_data_at - context.call.arrived_at
-                )
+                context.first_event_at = now
+                self._metrics.timing(Metric.FIRST_TOKEN, now - context.call.arrived_at)
                 await _write_to_caller(
                     exchange.start(head.status, head.headers, complete_events)
                 )
--- a/wigeondrift/router/event_stream.py
+++ b/wigeondrift/router/event_stream.py
@@ -3,10 +3,15 @@
 import re
 
 from wigeondrift.errors import ProtocolViolation
+from wigeondrift.wire.numbers import MAX_DIGITS
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)")
-MAX_PENDING_BYTES = 1048576
+# Bytes of a separator that may have arrived before the rest of it.
+MAX_PARTIAL_END_BYTES = 3
+# Bytes without a new event id that are accepted. It bounds the memory of one stream; an
+# event takes a small part of it.
+MAX_UNIDENTIFIED_BYTES = 65536
 
 
 class EventBuffer:
@@ -23,10 +28,11 @@
         Id of the last complete event.
     """
 
-    __slots__ = ("_pending", "last_id")
+    __slots__ = ("_pending", "_unidentified_bytes", "last_id")
 
     def __init__(self, last_id: int | None = None) -> None:
-        self._pending = b""
+        self._pending = bytearray()
+        self._unidentified_bytes = 0
         self.last_id = last_id
 
     @property
@@ -40,23 +46,34 @@
         Raises
         ------
         ProtocolViolation
-            If an id does not increase or an event is too large.
+            If an id is invalid or does not increase, or too many bytes come without a
+            new id.
         """
-        buffered = self._pending + data
+        # The part searched before can only hold the first bytes of a separator.
+        searched = max(0, len(self._pending) - MAX_PARTIAL_END_BYTES)
+        self._pending += data
         end = 0
-        for match in EVENT_END.finditer(buffered):
+        for match in EVENT_END.finditer(self._pending, searched):
             end = match.end()
-        self._pending = buffered[end:]
-        if len(self._pending) > MAX_PENDING_BYTES:
-            raise ProtocolViolation("an event is too large")
-        events = buffered[:end]
+        events = bytes(self._pending[:end])
+        del self._pending[:end]
+        self._unidentified_bytes += len(events)
         for text in EVENT_ID.findall(events):
-            number = int(text)
-            if self.last_id is not None and number <= self.last_id:
-                raise ProtocolViolation("an event came twice or out of order")
-            self.last_id = number
+            self._apply_id(text)
+        if self._unidentified_bytes + len(self._pending) > MAX_UNIDENTIFIED_BYTES:
+            raise ProtocolViolation("too much data came without a new event id")
         return events
 
+    def _apply_id(self, text: bytes) -> None:
+        if len(text) > MAX_DIGITS:
+            raise ProtocolViolation("an event's id is too long")
+        number = int(text)
+        if self.last_id is not None and number <= self.last_id:
+            raise ProtocolViolation("an event came twice or out of order")
+        self.last_id = number
+        self._unidentified_bytes = 0
+
     def restart(self) -> None:
         """Drop the incomplete event; the next attempt continues after the last one."""
-        self._pending = b""
+        self._pending.clear()
+        self._unidentified_bytes = 0
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -29,7 +29,7 @@
 from wigeondrift.systems.repeats import RepeatBudget
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.telemetry.metrics import Metric, Metrics
-from wigeondrift.wire.http_server import Exchange
+from wigeondrift.wire.http_server import Exchange, respond_with_text
 
 # Fraction of the caller's idle timeout that a stream may wait for capacity. A late
 # response is better than a refusal; the rest of the time is needed for the prefill.
@@ -128,9 +128,21 @@
             completed.
         """
         now = trio.current_time()
-        call = self._header_codec.decode_request(exchange.request, now)
-        self.running += 1
         self._metrics.count(Metric.REQUESTS)
+        try:
+            call = self._header_codec.decode_request(exchange.request, now)
+        except RequestError as error:
+            log_event(
+                self._logger,
+                logging.INFO,
+                Event.REQUEST_REFUSED,
+                kind=error.kind.value,
+                reason=error.reason,
+                path=exchange.request.path,
+            )
+            await respond_with_text(exchange, error)
+            return
+        self.running += 1
         context = None
         outcome = "caller_closed"
         try:
--- a/wigeondrift/router/relay.py
+++ b/wigeondrift/router/relay.py
@@ -42,6 +42,8 @@
 # Shortest wait of a relay's watch for which relays are used; with a shorter one they
 # would save no calls to the store.
 MIN_WATCH_SECONDS = 0.5
+# Longest time for which a follower may ask a relay to hold a query.
+MAX_HOLD_SECONDS = 60.0
 CHANGES_PATH = "/changes"
 # One connection per follower, and as many again while the relays change.
 MAX_FOLLOWER_CONNECTIONS = 512
@@ -243,7 +245,7 @@
             raise RelayFailed(f"status {status}")
         try:
             answer = msgspec.msgpack.decode(body, type=ChangesReply)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise RelayFailed(f"the answer can't be read: {error}") from error
         # The relay can't have replied before this time.
         replied_at = asked_at + answer.held
@@ -320,7 +322,9 @@
         asked_at = replica.get_time()
         try:
             query = msgspec.msgpack.decode(exchange.request.body, type=ChangesQuery)
-        except msgspec.MsgspecError as error:
+            if not 0.0 <= query.wait <= MAX_HOLD_SECONDS:
+                raise ValueError("the wait is out of bounds")
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             reason = f"the question can't be read: {error}"
             await exchange.respond(400, [], reason.encode())
             return
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -135,20 +135,20 @@
 
     Attributes
     ----------
-    last_data_at : float
-        Time at which data last arrived, in seconds.
+    last_event_at : float
+        Time at which an event with a new id last arrived, or the start, in seconds.
     has_events : bool
-        Whether a complete event has arrived.
+        Whether an event with a new id has arrived.
     ended : bool
         Whether the attempt ended without being cancelled.
     suspects : tuple of str
         Runners for whose silence the attempt was cancelled.
     """
 
-    __slots__ = ("ended", "has_events", "last_data_at", "suspects")
+    __slots__ = ("ended", "has_events", "last_event_at", "suspects")
 
     def __init__(self) -> None:
-        self.last_data_at = trio.current_time()
+        self.last_event_at = trio.current_time()
         self.has_events = False
         self.ended = False
         self.suspects: tuple[str, ...] = ()
--- a/wigeondrift/timer.py
+++ b/wigeondrift/timer.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from wigeondrift.application import Component
+from wigeondrift.application import Component, log_task_failure
 
 Callback = Callable[[float], Awaitable[None]]
 
@@ -91,6 +91,10 @@
     async def _repeat(self, subscription: Subscription) -> None:
         due = trio.current_time()
         while True:
-            await subscription.callback(self._clock.now())
+            try:
+                await subscription.callback(self._clock.now())
+            except Exception as error:
+                # The other subscriptions go on, and this one is called again.
+                log_task_failure(subscription.name, subscription.interval, error)
             due = max(due + subscription.interval, trio.current_time())
             await trio.sleep_until(due)
--- a/wigeondrift/wire/http_client.py
+++ b/wigeondrift/wire/http_client.py
@@ -17,6 +17,7 @@
     ProtocolViolation,
 )
 from wigeondrift.wire.address import parse_address
+from wigeondrift.wire.numbers import parse_whole_number
 
 READ_SIZE_BYTES = 65536
 BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
@@ -35,6 +36,8 @@
 Headers = list[tuple[str, str]]
 
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout\s*=\s*(\d+)")
+# Interim responses (1xx) accepted before a response.
+MAX_INTERIM_RESPONSES = 8
 
 
 class ClientResponse:
@@ -114,10 +117,9 @@
         """
         seconds = MAX_IDLE_SECONDS
         announced = KEEP_ALIVE_TIMEOUT_PATTERN.search(keep_alive or "")
-        if announced is not None:
-            seconds = min(
-                seconds, KEEP_ALIVE_TIMEOUT_FRACTION * int(announced.group(1))
-            )
+        timeout = None if announced is None else parse_whole_number(announced.group(1))
+        if timeout is not None:
+            seconds = min(seconds, KEEP_ALIVE_TIMEOUT_FRACTION * timeout)
         self.usable_until = trio.current_time() + seconds
 
     @property
@@ -198,9 +200,21 @@
         return event
 
     async def read_head(self) -> ClientResponse:
-        """Return the response once its status line and headers have arrived."""
+        """Return the response once its status line and headers have arrived.
+
+        Raises
+        ------
+        ConnectionLost
+            If the connection breaks or the response is truncated.
+        ProtocolViolation
+            If interim responses come without end.
+        """
         event = await self.next_event()
+        interim_responses = 0
         while isinstance(event, h11.InformationalResponse):
+            interim_responses += 1
+            if interim_responses > MAX_INTERIM_RESPONSES:
+                raise ProtocolViolation("too many interim responses")
             event = await self.next_event()
         headers = [
             (name.decode("ascii"), value.decode("latin-1"))
--- a/wigeondrift/wire/http_server.py
+++ b/wigeondrift/wire/http_server.py
@@ -10,10 +10,12 @@
 
 from wigeondrift.errors import ConnectionLost, ErrorKind, RequestError
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.wire.numbers import MAX_DIGITS
 
 READ_SIZE_BYTES = 65536
 MAX_DRAIN_SECONDS = 1.0
 MAX_DRAIN_READS = 64
+METHOD_WITHOUT_RESPONSE_BODY = "HEAD"
 
 
 class HttpLimits:
@@ -148,7 +150,7 @@
         head = h11.Response(status_code=status, headers=[*headers, *framing])
         self.started = True
         data = self._connection.send(head)
-        if body:
+        if body and self.request.method != METHOD_WITHOUT_RESPONSE_BODY:
             data += self._connection.send(h11.Data(data=body))
         data += self._connection.send(h11.EndOfMessage())
         await self._write(data)
@@ -310,6 +312,14 @@
             await self._serve_requests(stream)
         except (ConnectionLost, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        except Exception as error:
+            # An error outside the handler ends the connection, not the process.
+            log_event(
+                logging.getLogger(LOGGER_NAME),
+                logging.ERROR,
+                Event.CONNECTION_FAILED,
+                reason="".join(traceback.format_exception(error)),
+            )
         finally:
             self._open_connections -= 1
             await trio.aclose_forcefully(stream)
@@ -416,7 +426,8 @@
         if b"transfer-encoding" in names:
             raise RequestError(ErrorKind.MALFORMED_REQUEST, "the body has two lengths")
         length = dict(head.headers)[b"content-length"]
-        if int(length) > self._limits.body_bytes:
+        # h11 has checked that these are digits; there may be too many to convert.
+        if len(length) > MAX_DIGITS or int(length) > self._limits.body_bytes:
             raise RequestError(ErrorKind.REQUEST_TOO_LARGE, "the body is too large")
 
     async def _read_events(
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -28,7 +28,8 @@
         ``reset`` (connection reset after some events, or at once if the answer is no
         stream), ``stall`` (sends some events, then nothing), ``error`` (status 500),
         ``unsigned`` (no response seal), ``foreign`` (id of another request),
-        ``split`` (stream ends within an event), ``silent`` (runs, never answers).
+        ``split`` (stream ends within an event), ``silent`` (runs, never answers),
+        ``dribble`` (sends some events, then only comments).
     events_before_fault : int
         Number of events sent before a fault.
     reported_stall_address : str
@@ -145,5 +146,13 @@
                 raise trio.BrokenResourceError
             if sent == self.events_before_fault and self.fault == "stall":
                 await trio.sleep_forever()
+            if sent == self.events_before_fault and self.fault == "dribble":
+                await self._send_comments(exchange)
             await exchange.send(b"id: %d\ndata: token %d\n\n" % (number, number))
         await exchange.finish()
+
+    async def _send_comments(self, exchange: Exchange) -> None:
+        """Send comments, which are no events, until the caller closes."""
+        while True:
+            await exchange.send(b": still here\n\n")
+            await trio.sleep(EVENT_SECONDS)
