Wake a router only when there is work

Cause: a router without any load woke 58 times a second (profile of a router of the large fleet in the 14 s before traffic, 807 wake-ups, 0.74 s with the profiler on): timers for waiting requests and missing upstreams each 0.05 and 0.1 s, the planner's two loops, and a usage message each 0.1 s; a collector sent sums of nothing four times a second to each member and summed up all peers' usage with each message it got. Now timers without work are not called, sums are computed when read, usage is sent when it changed or after 0.9 s, and sums of nothing are sent once. Ruled out for now: routes and choice.

--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -179,9 +179,16 @@
     def subscribe(self, timer: TimerService, reloader: Reloader) -> None:
         """Subscribe the components to the timer and to changes of the settings."""
         timer.subscribe("settings", RELOAD_SECONDS, reloader.poll)
-        timer.subscribe("expire", EXPIRE_SECONDS, self.replica.expire)
+        timer.subscribe(
+            "expire",
+            EXPIRE_SECONDS,
+            self.replica.expire,
+            self.replica.expiry_activity,
+        )
         timer.subscribe("prune", PRUNE_SECONDS, self.client.prune)
-        timer.subscribe("waiting", POLL_SECONDS, self.wait_queue.poll)
+        timer.subscribe(
+            "waiting", POLL_SECONDS, self.wait_queue.poll, self.wait_queue.activity
+        )
         reloader.subscribe(
             lambda settings: self.store.set_address(settings.store_address)
         )
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -21,6 +21,9 @@
 
 MAX_DATAGRAM_BYTES = 60000
 SEND_SECONDS = 0.1
+# Longest interval between two messages of a router that uses runners; several of them
+# fit in the time after which its peers ignore its usage.
+REPEAT_SECONDS = 0.9
 # Mean rates at which a router, and a collector of a large failure domain, send to their
 # peers. Together they average 12 KB/s, the bound on control traffic.
 SEND_BYTES_PER_SECOND = 6000.0
@@ -42,6 +45,7 @@
     """
 
     __slots__ = (
+        "_changed",
         "_selector",
         "_exchange",
         "_host",
@@ -71,9 +75,14 @@
         self._port = port
         self._names_by_address: dict[tuple[str, int], str] = {}
         self._sequence = 0
+        self._changed = trio.Event()
+        selector.ledger.subscribe(self._notify_sender)
         self._socket: trio.socket.SocketType | None = None
         self._logger = logging.getLogger(LOGGER_NAME)
 
+    def _notify_sender(self) -> None:
+        self._changed.set()
+
     def update_peers(self) -> None:
         """Update the list of peers; called when it may have changed."""
         peers = self._membership.list_peers()
@@ -146,6 +155,9 @@
 
     async def _send(self) -> None:
         while True:
+            with trio.move_on_after(REPEAT_SECONDS):
+                await self._changed.wait()
+            self._changed = trio.Event()
             now = trio.current_time()
             self._selector.ledger.expire_peers(now)
             self._sequence += 1
--- a/wigeondrift/router/planner.py
+++ b/wigeondrift/router/planner.py
@@ -34,6 +34,8 @@
 # store expires the lease by its own clock.
 LEASE_USABLE_SECONDS = 2.0
 TICK_SECONDS = 0.25
+# The same for a router that is not among the few that campaign first.
+SLOW_TICK_SECONDS = 1.0
 # The list of runners must have been unchanged for this long before the first placement.
 SETTLE_SECONDS = 1.0
 # Added to a multiple of the load time of an order. After that, the order is ignored if
@@ -88,6 +90,7 @@
     """
 
     __slots__ = (
+        "_change_count",
         "_skipped_until_by_id",
         "_list_changed_at",
         "_control",
@@ -129,6 +132,7 @@
         self._skipped_until_by_id: dict[str, float] = {}
         self._listed_ids: frozenset[str] = frozenset()
         self._list_changed_at = 0.0
+        self._change_count = -1
         self._stopping = False
         self._vacant_since = replica.get_time()
         self._logger = logging.getLogger(LOGGER_NAME)
@@ -139,6 +143,12 @@
         age = self._replica.get_time() - self._lease_asked_at
         return bool(self._lease) and age < LEASE_USABLE_SECONDS
 
+    @property
+    def _tick_seconds(self) -> float:
+        if self._lease or self._may_lead():
+            return TICK_SECONDS
+        return SLOW_TICK_SECONDS
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the leader election and the planning in ``nursery``."""
         nursery.start_soon(self._campaign)
@@ -169,7 +179,7 @@
                     self._lease_asked_at = asked_at
                 elif self._should_campaign():
                     await self._acquire_leadership()
-                await trio.sleep(RENEW_SECONDS if self._lease else TICK_SECONDS)
+                await trio.sleep(RENEW_SECONDS if self._lease else self._tick_seconds)
             except (LeaseEnded, RevisionConflict):
                 self._step_down("the lease ended")
                 await trio.sleep(RETRY_SECONDS)
@@ -206,7 +216,7 @@
 
     async def _run(self) -> None:
         while True:
-            await trio.sleep(TICK_SECONDS)
+            await trio.sleep(self._tick_seconds)
             self._track_listed_upstreams(trio.current_time())
             if self._lease and self.is_leader and not self._stopping:
                 await self._tick()
@@ -216,6 +226,9 @@
 
         Routers that are not the leader do so too, as they may become the leader.
         """
+        if self._directory.change_count == self._change_count:
+            return
+        self._change_count = self._directory.change_count
         ids = frozenset(self._directory.upstreams_by_id)
         if ids != self._listed_ids:
             self._listed_ids = ids
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -20,6 +20,7 @@
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.freshness import Freshness
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.timer import Activity
 
 # Pause after a failed request to the store; short compared to the bound on the
 # revocation of keys.
@@ -89,6 +90,8 @@
     unavailable_since : float or None
         Time of the first of the failed requests in a row, in seconds; None while the
         store responds.
+    expiry_activity : Activity
+        Whether upstreams that are no longer listed are still kept.
     """
 
     __slots__ = (
@@ -101,6 +104,7 @@
         "_subscribers",
         "_unreadable_by_id",
         "answered_at",
+        "expiry_activity",
         "configuration",
         "get_time",
         "change_log",
@@ -131,6 +135,7 @@
         self.router_items_by_key: dict[str, Item] = {}
         self.change_log = ChangeLog()
         self.answered_at = get_time()
+        self.expiry_activity = Activity()
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` after changes and when the store becomes unavailable."""
@@ -157,6 +162,8 @@
                 self._logger, logging.INFO, Event.UPSTREAM_GONE, upstream=upstream_id
             )
             self._notify()
+        if not self._directory.has_missing:
+            self.expiry_activity.end()
 
     async def _run(self) -> None:
         needs_all = True
@@ -329,5 +336,7 @@
             self._notify()
 
     def _notify(self) -> None:
+        if self._directory.has_missing:
+            self.expiry_activity.begin()
         for callback in self._subscribers:
             callback()
--- a/wigeondrift/router/wait_queue.py
+++ b/wigeondrift/router/wait_queue.py
@@ -8,6 +8,7 @@
 from wigeondrift.router.entities import ServiceSpec
 from wigeondrift.router.selector import Reservation, UpstreamSelector
 from wigeondrift.systems.chains import RouteDemand
+from wigeondrift.timer import Activity
 
 # Interval at which the queue is served, since capacity that peers release becomes known
 # only with their next usage message.
@@ -67,11 +68,17 @@
     Parameters
     ----------
     selector : UpstreamSelector
+
+    Attributes
+    ----------
+    activity : Activity
+        Whether requests wait.
     """
 
-    __slots__ = ("_selector", "_granted_at", "_waiters")
+    __slots__ = ("_granted_at", "_selector", "_waiters", "activity")
 
     def __init__(self, selector: UpstreamSelector) -> None:
+        self.activity = Activity()
         self._selector = selector
         self._granted_at: deque[float] = deque()
         self._waiters: list[Waiter] = []
@@ -123,6 +130,7 @@
             return None
         waiter = Waiter(service, demand, excluded, on_time_until)
         self._waiters.append(waiter)
+        self.activity.begin()
         try:
             with trio.move_on_at(wait_until):
                 await waiter.event.wait()
@@ -165,3 +173,5 @@
     async def poll(self, now: float) -> None:
         """Grant capacity that peers released; called by the timer."""
         self.grant_capacity()
+        if not self._waiters:
+            self.activity.end()
--- a/wigeondrift/systems/cache_usage.py
+++ b/wigeondrift/systems/cache_usage.py
@@ -1,6 +1,7 @@
 """Accounting of the runners' KV cache in cells, one cell per token and layer."""
 
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
@@ -118,6 +119,8 @@
 
     __slots__ = (
         "_get_capacity",
+        "_is_sum_stale",
+        "_on_change",
         "_own_by_id",
         "_peer_sum_by_id",
         "_peers_by_id",
@@ -129,12 +132,23 @@
         self._get_capacity = get_capacity
         self._own_by_id: dict[str, Usage] = {}
         self._peers_by_id: dict[str, tuple[float, PeerUsage]] = {}
+        # Computed when it is read: a collector gets many messages between two reads.
         self._peer_sum_by_id: dict[str, Usage] = {}
+        self._is_sum_stale = False
+        self._on_change: Callable[[], None] | None = None
         # Last sequence number of each incarnation, the latest heard last.
         self._sequences_by_name: dict[str, dict[int, int]] = {}
         # Total of all routers minus the own usage at the time the total arrived.
         self._total_without_own_by_id: dict[str, Usage] | None = None
 
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` when this router's or a peer's usage changes."""
+        self._on_change = callback
+
+    def _notify(self) -> None:
+        if self._on_change is not None:
+            self._on_change()
+
     def get_capacity(self, runner: Upstream) -> float:
         """Return the cells that fit in a runner's memory beside its weights."""
         return self._get_capacity(runner)
@@ -142,7 +156,7 @@
     def get_usage(self, upstream_id: str) -> Usage:
         """Return the usage of a runner by all routers."""
         own = self._own_by_id.get(upstream_id, _NO_USAGE)
-        peers = self._peer_sum_by_id.get(upstream_id)
+        peers = self._get_peer_sums().get(upstream_id)
         return own if peers is None else own.add(peers)
 
     def reserve(self, route: Route, tokens: float, prompt: float = 0.0) -> None:
@@ -160,11 +174,13 @@
             layers = stage.end_layer - stage.first_layer
             added = Usage(tokens * layers, 1, int(index == 0), prompt)
             self._change(stage.instance_id, added, 1)
+        self._notify()
 
     def record_prompt_read(self, route: Route, prompt: float) -> None:
         """Record that the prompt of a request has been prefilled."""
         for stage in route.stages:
             self._change(stage.instance_id, Usage(pending_prefill_tokens=prompt), -1)
+        self._notify()
 
     def release(self, route: Route, tokens: float, prompt: float = 0.0) -> None:
         """Release the resources of a request on a route.
@@ -175,6 +191,7 @@
             layers = stage.end_layer - stage.first_layer
             added = Usage(tokens * layers, 1, int(index == 0), prompt)
             self._change(stage.instance_id, added, -1)
+        self._notify()
 
     def _change(self, upstream_id: str, amount: Usage, sign: int) -> None:
         left = self._own_by_id.get(upstream_id, _NO_USAGE).add(amount, sign)
@@ -202,7 +219,7 @@
     def make_total(self, name: str, sequence: int) -> PeerUsage:
         """Return the message with the sum of all routers."""
         summed = dict(self._own_by_id)
-        _accumulate(summed, self._peer_sum_by_id)
+        _accumulate(summed, self._get_peer_sums())
         return _make_message(name, sequence, summed)
 
     def apply_peer_usage(self, usage: PeerUsage, now: float) -> bool:
@@ -228,7 +245,8 @@
                 name: used.subtract_clamped(self._own_by_id.get(name, _NO_USAGE))
                 for name, used in usage.usage_by_id.items()
             }
-        self._sum_peers()
+        self._is_sum_stale = True
+        self._notify()
         return True
 
     def expire_peers(self, now: float) -> None:
@@ -244,17 +262,22 @@
             if name.startswith(TOTAL_PREFIX):
                 self._total_without_own_by_id = None
         if silent:
-            self._sum_peers()
+            self._is_sum_stale = True
+
+    def _get_peer_sums(self) -> dict[str, Usage]:
+        if self._is_sum_stale:
+            self._is_sum_stale = False
+            self._peer_sum_by_id = self._sum_peers()
+        return self._peer_sum_by_id
 
-    def _sum_peers(self) -> None:
+    def _sum_peers(self) -> dict[str, Usage]:
         if self._total_without_own_by_id is not None:
             # The total already includes the messages of single routers.
-            self._peer_sum_by_id = self._total_without_own_by_id
-            return
+            return self._total_without_own_by_id
         summed: dict[str, Usage] = {}
         for _, message in self._peers_by_id.values():
             _accumulate(summed, message.usage_by_id)
-        self._peer_sum_by_id = summed
+        return summed
 
 
 def _make_message(name: str, sequence: int, usage_by_id: dict[str, Usage]) -> PeerUsage:
--- a/wigeondrift/systems/directory.py
+++ b/wigeondrift/systems/directory.py
@@ -62,6 +62,11 @@
         """Return whether live upstreams may still be missing from the list."""
         return now - self._recovered_at < REREGISTRATION_SECONDS
 
+    @property
+    def has_missing(self) -> bool:
+        """Whether entries that may have expired in an outage are still kept."""
+        return bool(self._missing_ids)
+
     def replace_all(self, upstreams: Iterable[Upstream], now: float) -> None:
         """Replace all entries by a complete list."""
         listed = {upstream.upstream_id: upstream for upstream in upstreams}
--- a/wigeondrift/systems/exchange.py
+++ b/wigeondrift/systems/exchange.py
@@ -68,7 +68,7 @@
         "_members",
         "_name",
         "_sum_due_at",
-        "_was_idle",
+        "_idle_names",
         "collectors_by_domain",
     )
 
@@ -86,7 +86,8 @@
         self._incarnation = incarnation
         self._members = {name: Member(failure_domain, link_mbps)}
         self._sum_due_at = 0.0
-        self._was_idle = False
+        # Names under which the last message said that nothing is used.
+        self._idle_names: set[str] = set()
         self.set_peers({})
 
     def set_peers(self, peers_by_name: Mapping[str, Member]) -> None:
@@ -120,22 +121,28 @@
         now : float
             Current time in seconds.
         """
-        messages = []
         own = self._ledger.make_own_message(self._name, sequence)
-        is_idle = not own.usage_by_id
         targets = self._domain_peers
         if self._is_domain_large:
             targets = self.collectors_by_domain[self._domain]
-        if not (is_idle and self._was_idle):
-            recipients = tuple(sorted(set(targets) - {self._name}))
-            messages.append(Message(recipients, own))
-        self._was_idle = is_idle
+        recipients = tuple(sorted(set(targets) - {self._name}))
+        messages = [Message(recipients, own)]
         if self._is_collector and now >= self._sum_due_at:
             self._sum_due_at = now + SUM_INTERVAL_SECONDS
             messages.extend(self._list_sums(sequence))
         for message in messages:
             message.usage.incarnation = self._incarnation
-        return messages
+        return [message for message in messages if self._has_news(message.usage)]
+
+    def _has_news(self, usage: PeerUsage) -> bool:
+        """Return false if a message repeats that nothing is used."""
+        name = usage.instance_id
+        if usage.usage_by_id:
+            self._idle_names.discard(name)
+            return True
+        is_known = name in self._idle_names
+        self._idle_names.add(name)
+        return not is_known
 
     def _list_sums(self, sequence: int) -> list[Message]:
         domain_sum = self._ledger.make_domain_sum(
--- a/wigeondrift/timer.py
+++ b/wigeondrift/timer.py
@@ -39,6 +39,32 @@
         return time.time()
 
 
+class Activity:
+    """Signal by which a subscriber says whether its callback has work.
+
+    A callback without work is not called, which saves the wake-ups of a process.
+    """
+
+    __slots__ = ("_event",)
+
+    def __init__(self) -> None:
+        self._event = trio.Event()
+
+    def begin(self) -> None:
+        """Let the callback be called."""
+        self._event.set()
+
+    def end(self) -> None:
+        """Stop calling the callback."""
+        if self._event.is_set():
+            self._event = trio.Event()
+
+    async def wait(self) -> None:
+        """Return once there is work."""
+        while not self._event.is_set():
+            await self._event.wait()
+
+
 class Subscription:
     """Periodic callback.
 
@@ -49,11 +75,20 @@
         Time between two calls, in seconds.
     callback : callable
         Coroutine function that takes the current time in seconds.
+    activity : Activity or None
+        Tells whether there is work; None if there always is.
     """
 
-    __slots__ = ("callback", "interval", "name")
+    __slots__ = ("activity", "callback", "interval", "name")
 
-    def __init__(self, name: str, interval: float, callback: Callback) -> None:
+    def __init__(
+        self,
+        name: str,
+        interval: float,
+        callback: Callback,
+        activity: Activity | None = None,
+    ) -> None:
+        self.activity = activity
         self.name = name
         self.interval = interval
         self.callback = callback
@@ -74,9 +109,19 @@
         self._clock = clock
         self.subscriptions_by_name: dict[str, Subscription] = {}
 
-    def subscribe(self, name: str, interval: float, callback: Callback) -> None:
-        """Register ``callback`` to run every ``interval`` seconds."""
-        self.subscriptions_by_name[name] = Subscription(name, interval, callback)
+    def subscribe(
+        self,
+        name: str,
+        interval: float,
+        callback: Callback,
+        activity: Activity | None = None,
+    ) -> None:
+        """Register ``callback`` to run every ``interval`` seconds.
+
+        With ``activity``, it runs only while there is work.
+        """
+        subscription = Subscription(name, interval, callback, activity)
+        self.subscriptions_by_name[name] = subscription
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Run all subscriptions in ``nursery``."""
@@ -91,6 +136,8 @@
     async def _repeat(self, subscription: Subscription) -> None:
         due = trio.current_time()
         while True:
+            if subscription.activity is not None:
+                await subscription.activity.wait()
             try:
                 await subscription.callback(self._clock.now())
             except Exception as error:
