Let each of many routers prefer a few routes

Now it draws two out of six routes that weighted rendezvous hashing gives it; all routers together still prefer routes in proportion to their rates, and if none of the two serves the request in time all routes are compared as before.

--- a/tests/machines/herd.py
+++ b/tests/machines/herd.py
@@ -93,7 +93,9 @@
         ledger = self._ledgers[number]
         demand = RouteDemand(self._prompt * 1.2, self._prompt, 0.2)
         rng = self._rng if self._samples_routes else None
-        offer = self._chain_sets[number].choose(demand, ledger, (), "zone-0", rng)
+        offer = self._chain_sets[number].choose(
+            demand, ledger, (), "zone-0", rng, f"r{number}"
+        )
         if offer is None:
             return None
         route = offer.chain.route
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -130,7 +130,9 @@
             self.freshness,
             get_time,
         )
-        self.selector = UpstreamSelector(self.directory, settings.failure_domain, rng)
+        self.selector = UpstreamSelector(
+            self.directory, settings.failure_domain, rng, settings.instance_id
+        )
         self.wait_queue = WaitQueue(self.selector)
         entry = RouterEntry(
             f"{settings.host}:{settings.peer_port}",
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -77,6 +77,8 @@
     failure_domain : str
         Failure domain of this router.
     rng : random.Random
+    instance_id : str
+        Name of this router.
 
     Attributes
     ----------
@@ -91,6 +93,7 @@
         "_chains_by_service",
         "_directory",
         "_failure_domain",
+        "_instance_id",
         "_chains_key_by_service",
         "_logger",
         "_rng",
@@ -104,8 +107,13 @@
     )
 
     def __init__(
-        self, directory: Directory, failure_domain: str, rng: random.Random
+        self,
+        directory: Directory,
+        failure_domain: str,
+        rng: random.Random,
+        instance_id: str = "",
     ) -> None:
+        self._instance_id = instance_id
         self._directory = directory
         self._failure_domain = failure_domain
         self._rng = rng
@@ -203,7 +211,7 @@
         """Reserve a route for a request; return None if none has capacity."""
         rng = self._rng if self.peer_count >= RANDOMIZED_ROUTES_MIN_PEERS else None
         offer = self.get_chains(service).choose(
-            demand, self.ledger, excluded, self._failure_domain, rng
+            demand, self.ledger, excluded, self._failure_domain, rng, self._instance_id
         )
         return None if offer is None else Reservation(offer, demand, self.ledger)
 
--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -6,6 +6,7 @@
 queued for prefill there, among the routes whose stages all have KV cache for it.
 """
 
+import hashlib
 import math
 import random
 from collections import Counter
@@ -46,10 +47,17 @@
 # fullest routes, and few enough that routers with the same outdated state do not all
 # select the same route.
 SAMPLED_ROUTES = 2
+# Routes that one router prefers, where many routers choose concurrently. A router that
+# uses few routes finds open connections to their first runners, and different routers
+# prefer different routes.
+PREFERRED_ROUTES = 6
 # Cache load at which the rates of routes are compared.
 REFERENCE_LOAD = 0.5
 # Mean fraction of its answer that a running request has in the KV cache.
 MEAN_ANSWER_FRACTION = 0.5
+HASH_BYTES = 8
+# Rate used for a route that can serve nothing, in requests per second.
+MIN_RATE = 1e-9
 
 StageCost = Callable[[Upstream, int], float]
 
@@ -240,10 +248,11 @@
         Runners that accept requests and are not avoided.
     """
 
-    __slots__ = ("_engine", "_routes_by_id", "chains")
+    __slots__ = ("_engine", "_preferred", "_routes_by_id", "chains")
 
     def __init__(self, engine: EngineSpec, runners: Iterable[Upstream]) -> None:
         self._engine = engine
+        self._preferred: list[Chain] | None = None
         self.chains: list[Chain] = []
         runners_by_version: dict[int, list[Upstream]] = {}
         for runner in runners:
@@ -334,14 +343,15 @@
         excluded: Iterable[str],
         failure_domain: str,
         rng: random.Random | None = None,
+        router: str = "",
     ) -> RouteOffer | None:
         """Return the cheapest route with capacity for a request, None if there is none.
 
         Routers that choose concurrently on the same outdated state would all select the
-        same route. With ``rng``, a few routes are therefore sampled in proportion to
-        their rates, and the cheapest of these is used. If none of them has capacity, or
-        if the lowest cost is not below ``LATE_EVENTS_PENALTY_SECONDS`` and events are
-        thus expected late, all routes are compared.
+        same route. With ``rng``, a few of the routes that this router prefers are
+        therefore sampled, and the cheapest of these is used. If none of them has
+        capacity, or if the lowest cost is not below ``LATE_EVENTS_PENALTY_SECONDS`` and
+        events are thus expected late, all routes are compared.
 
         Parameters
         ----------
@@ -354,21 +364,40 @@
             Failure domain of the caller.
         rng : random.Random, optional
             Given if many routers choose concurrently.
+        router : str
+            Name of this router, by which its preferred routes differ from others'.
         """
         excluded_ids = set(excluded)
         if rng is not None and len(self.chains) > SAMPLED_ROUTES:
-            weights = [self.get_rate(chain, ledger) for chain in self.chains]
-            if any(weights):
-                candidates = rng.choices(self.chains, weights, k=SAMPLED_ROUTES)
-                offer = self._choose_among(
-                    candidates, demand, ledger, excluded_ids, failure_domain
-                )
-                if offer is not None and offer.cost < LATE_EVENTS_PENALTY_SECONDS:
-                    return offer
+            preferred = self._list_preferred(ledger, router)
+            candidates = [rng.choice(preferred) for _ in range(SAMPLED_ROUTES)]
+            offer = self._choose_among(
+                candidates, demand, ledger, excluded_ids, failure_domain
+            )
+            if offer is not None and offer.cost < LATE_EVENTS_PENALTY_SECONDS:
+                return offer
         return self._choose_among(
             self.chains, demand, ledger, excluded_ids, failure_domain
         )
 
+    def _list_preferred(self, ledger: CacheLedger, router: str) -> list[Chain]:
+        """Return the routes that a router prefers.
+
+        Weighted rendezvous hashing: over all routers each route is preferred about in
+        proportion to its rate, and a change of one route leaves the others preferred.
+        """
+        if self._preferred is None:
+            scored = []
+            for chain in self.chains:
+                rate = self.get_rate(chain, ledger)
+                name = f"{router}/{chain.runners[0].upstream_id}".encode()
+                digest = hashlib.blake2b(name, digest_size=HASH_BYTES).digest()
+                fraction = (int.from_bytes(digest, "big") + 1) / 256**HASH_BYTES
+                scored.append((-math.log(fraction) / max(rate, MIN_RATE), chain))
+            scored.sort(key=lambda pair: pair[0])
+            self._preferred = [chain for _, chain in scored[:PREFERRED_ROUTES]]
+        return self._preferred
+
     def get_rate(self, chain: Chain, ledger: CacheLedger) -> float:
         """Return the requests per second that a route serves at the reference load."""
         if chain.rate is not None:
--- a/wigeondrift/systems/relays.py
+++ b/wigeondrift/systems/relays.py
@@ -17,7 +17,7 @@
 # Maximum followers of one relay: at 2 queries per second, each costs the relay about 2%
 # of a core.
 FOLLOWERS_PER_RELAY = 16
-# Time for which a router reads the store itself after all its relays failed, in seconds.
+# Time for which a router reads the store itself after all relays failed, in seconds.
 DIRECT_READ_SECONDS = 5.0
 # Time for which a router reads the store itself after its start, in seconds: routers
 # that start together know few of each other at first and would choose different relays.
