--- a/tests/features/relays.feature
+++ b/tests/features/relays.feature
@@ -71,3 +71,13 @@
       | 2       | 4.1   |
       | 8       | 2.6   |
       | 8       | 4.1   |
+
+  Scenario: The followers of a failed relay turn to another one
+    Given 40 routers of one failure domain
+    When the link to the first relay is "silent"
+    Then in 12 seconds no other router reads the store more than 1 times
+    And all have the configuration
+
+  Scenario: A start reads the store once for all
+    Given 40 routers of one failure domain
+    Then each has listed the store's items with one call
--- a/tests/features/router_decisions.feature
+++ b/tests/features/router_decisions.feature
@@ -174,3 +174,16 @@
 
   Scenario: The number of messages of a member does not grow with its domain
     Then a member of a domain of 60 sends no more messages than one of 20
+
+  Scenario: Routers that use nothing send nothing
+    Given domains of 3 20 routers that use nothing
+    When they exchange messages for 2 seconds
+    Then no message is sent in 5 more seconds
+
+  Scenario: A collector sums up its peers' usage when it is read, not at each message
+    Given a ledger that has got 40 messages
+    Then reading the usage of 3 runners has summed them up once
+
+  Scenario: A timer's callback without work is not called
+    Given a timer with a callback that has work for 0.5 of 2 seconds
+    Then the callback was called 5 times
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -100,6 +100,40 @@
     context.steps.append(step)
 
 
+@when('the link to the first relay is "{mode}"')
+def set_first_relay_link(context, mode):
+    async def step(world):
+        world.write(2)
+        await trio.sleep(6.0)
+        world.peer_links_by_name[world.relays[0]].set(mode)
+
+    context.steps.append(step)
+
+
+@then(
+    "in {seconds:d} seconds no other router reads the store more than {count:d} times"
+)
+def check_reads(context, seconds, count):
+    async def step(world):
+        for link in world.store_links_by_name.values():
+            link.calls = 0
+        await trio.sleep(seconds)
+        for name, link in world.store_links_by_name.items():
+            if name not in world.relays:
+                # It also renews the lease of its registration, once in 4 s.
+                assert link.calls <= count + seconds / 4 + 1, (name, link.calls)
+
+    context.steps.append(step)
+
+
+@then("each has listed the store's items with one call")
+def check_lists(context):
+    def check(world):
+        assert world.store.calls_by_name["kv-range"] == world.count
+
+    run(context, make_async_check(check))
+
+
 @when('the relays\' links to the store are "{mode}"')
 def set_store_links(context, mode):
     async def step(world):
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -2,10 +2,12 @@
 import re
 
 import msgspec
+import trio
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
+from trio.testing import MockClock
 
 from tests.machines import herd
 from tests.machines.usage import UsageWorld
@@ -30,6 +32,7 @@
 from wigeondrift.systems.placement import Placement
 from wigeondrift.systems.reach import Reachability
 from wigeondrift.systems.repeats import RepeatBudget
+from wigeondrift.timer import Activity, TimerService, TrioClock
 
 HEARTBEAT = 1.2
 PROMPT = 400.0
@@ -531,3 +534,70 @@
         return sum(len(message.recipients) for message in member.list_messages(1, 1.0))
 
     assert 0 < count(large) <= count(small), (count(large), count(small))
+
+
+@given("domains of {sizes} routers that use nothing")
+def make_idle_domains(context, sizes):
+    context.usage = UsageWorld([int(size) for size in sizes.split()])
+
+
+@then("no message is sent in {seconds:d} more seconds")
+def check_no_messages(context, seconds):
+    before = context.usage.messages
+    context.usage.run(seconds)
+    assert context.usage.messages == before
+
+
+class CountingLedger(CacheLedger):
+    """Ledger that counts how often it sums up its peers' usage."""
+
+    sums = 0
+
+    def _sum_peers(self):
+        self.sums += 1
+        return super()._sum_peers()
+
+
+@given("a ledger that has got {count:d} messages")
+def make_counting_ledger(context, count):
+    context.ledger = CountingLedger(lambda runner: 1e9)
+    for number in range(count):
+        usage = PeerUsage(f"east-{number}", 1, {"u1": Usage(10.0, 1)})
+        context.ledger.apply_peer_usage(usage, 1.0)
+
+
+@then("reading the usage of {count:d} runners has summed them up once")
+def check_sums(context, count):
+    for number in range(count):
+        context.ledger.get_usage(f"u{number}")
+    assert context.ledger.get_usage("u1").cells == 400.0
+    assert context.ledger.sums == 1
+
+
+@given("a timer with a callback that has work for {busy:g} of {seconds:d} seconds")
+def run_timer(context, busy, seconds):
+    context.calls = 0
+
+    async def main():
+        activity = Activity()
+        timer = TimerService(TrioClock())
+
+        async def count(now):
+            context.calls += 1
+
+        timer.subscribe("work", 0.1, count, activity)
+        async with trio.open_nursery() as nursery:
+            await timer.start(nursery)
+            await trio.sleep(1.0)
+            activity.begin()
+            await trio.sleep(busy - 0.05)
+            activity.end()
+            await trio.sleep(seconds - 1.0 - busy)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+@then("the callback was called {count:d} times")
+def check_calls(context, count):
+    assert context.calls == count, context.calls
--- a/wigeondrift/timer.py
+++ b/wigeondrift/timer.py
@@ -138,6 +138,7 @@
         while True:
             if subscription.activity is not None:
                 await subscription.activity.wait()
+                due = max(due, trio.current_time())
             try:
                 await subscription.callback(self._clock.now())
             except Exception as error:
