Bound the memory of all large bodies that a client receives together

Cause: a response may take 4 MB, and nothing bounded many at once: 40 upstreams that send without end took 140 MB (194 MB as the test first held their errors). Now bodies beyond 64 KB share 16 MB of a client; a small answer gets through meanwhile. Test: malformed.feature, 'Many endless answers at once'; fails before.

--- a/tests/features/malformed.feature
+++ b/tests/features/malformed.feature
@@ -41,6 +41,12 @@
       | an endless chunk extension    |
       | an endless body               |
 
+  Scenario: Many endless answers at once leave memory, and other answers get through
+    Given 40 upstreams that answer with an endless body, and one with a page
+    When a client requests a page of each
+    Then the client gets the page and an error of each other one
+    And it has used less than 48 MB
+
   Scenario Outline: A response header with a very long number is ignored
     Given an upstream that answers with <answer>
     When a client requests a page of it
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -119,6 +119,63 @@
     assert context.peak_bytes < factor * BODY_LIMIT_BYTES, context.peak_bytes
 
 
+@given("{count:d} upstreams that answer with an endless body, and one with a page")
+def make_upstreams(context, count):
+    context.endless_count = count
+
+
+@when("a client requests a page of each")
+def request_all(context):
+    context.results = []
+
+    async def serve_endless(stream):
+        context.pieces = PIECES_BY_ANSWER["an endless body"]
+        await serve_pieces(context, stream)
+
+    async def serve_page(stream):
+        await stream.receive_some(65536)
+        await stream.send_all(HEAD + b"Content-Length: 4\r\n\r\n" + PAGE)
+
+    async def request(client, address):
+        try:
+            async with client.request(address, "GET", "/") as response:
+                context.results.append(await response.read(BODY_LIMIT_BYTES))
+        except TransportError as error:
+            # The error itself would keep the body alive by its traceback.
+            context.results.append(type(error))
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            addresses = []
+            for serve in (serve_endless, serve_page):
+                listeners = await trio.open_tcp_listeners(0, host=HOST)
+                addresses.append(f"{HOST}:{listeners[0].socket.getsockname()[1]}")
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+            client = HttpClient()
+            async with trio.open_nursery() as requests:
+                for _ in range(context.endless_count):
+                    requests.start_soon(request, client, addresses[0])
+                requests.start_soon(request, client, addresses[1])
+            await client.close()
+            nursery.cancel_scope.cancel()
+
+    tracemalloc.start()
+    trio.run(main)
+    context.peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+
+
+@then("the client gets the page and an error of each other one")
+def check_results(context):
+    assert context.results.count(PAGE) == 1
+    assert len(context.results) == context.endless_count + 1
+
+
+@then("it has used less than {size:d} MB")
+def check_memory(context, size):
+    assert context.peak_bytes < size * 1048576, context.peak_bytes
+
+
 @then("the client gets the page")
 def check_page(context):
     assert context.result == PAGE
--- a/wigeondrift/wire/http_client.py
+++ b/wigeondrift/wire/http_client.py
@@ -36,10 +36,52 @@
 Headers = list[tuple[str, str]]
 
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout\s*=\s*(\d+)")
+# Largest body that needs no share of the memory for large bodies, and that memory for
+# all responses of a client together.
+SMALL_BODY_BYTES = 65536
+MAX_LARGE_BODIES_BYTES = 16 * 1048576
 # Interim responses (1xx) accepted before a response.
 MAX_INTERIM_RESPONSES = 8
 
 
+class BodyMemory:
+    """Memory that the large bodies of all responses of one client share.
+
+    It bounds what many servers that send without end can take of the process. Small
+    bodies are not counted, so that they are received also when it is used up.
+    """
+
+    __slots__ = ("_available",)
+
+    def __init__(self, size: int = MAX_LARGE_BODIES_BYTES) -> None:
+        self._available = size
+
+    def extend(self, reserved: int, length: int) -> int:
+        """Reserve memory for a body that has grown; return what it has reserved now.
+
+        Parameters
+        ----------
+        reserved : int
+            Bytes that the body has reserved so far.
+        length : int
+            Length of the body in bytes.
+
+        Raises
+        ------
+        ProtocolViolation
+            If the other bodies leave too little memory.
+        """
+        needed = max(0, length - SMALL_BODY_BYTES) - reserved
+        if needed > self._available:
+            raise ProtocolViolation("too many large answers are being received")
+        self._available -= needed
+        return reserved + needed
+
+    def release(self, reserved: int) -> None:
+        """Return reserved memory."""
+        self._available += reserved
+
+
 class ClientResponse:
     """Response to a client request; its body is read on demand.
 
@@ -51,9 +93,16 @@
         Headers with lower-case names, in the order received.
     """
 
-    __slots__ = ("_channel", "headers", "status")
+    __slots__ = ("_body_memory", "_channel", "headers", "status")
 
-    def __init__(self, status: int, headers: Headers, channel: "ClientChannel") -> None:
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        channel: "ClientChannel",
+        body_memory: BodyMemory,
+    ) -> None:
+        self._body_memory = body_memory
         self.status = status
         self.headers = headers
         self._channel = channel
@@ -71,15 +120,21 @@
         Raises
         ------
         ProtocolViolation
-            If the body is longer than ``limit`` bytes.
+            If the body is longer than ``limit`` bytes, or too many large bodies are
+            being received.
         ConnectionLost
             If the body is truncated.
         """
         body = bytearray()
-        async for data in self.iter_data():
-            body += data
-            if len(body) > limit:
-                raise ProtocolViolation("the answer is too large")
+        reserved = 0
+        try:
+            async for data in self.iter_data():
+                body += data
+                if len(body) > limit:
+                    raise ProtocolViolation("the answer is too large")
+                reserved = self._body_memory.extend(reserved, len(body))
+        finally:
+            self._body_memory.release(reserved)
         return bytes(body)
 
     async def iter_data(self) -> AsyncIterator[bytes]:
@@ -100,9 +155,12 @@
 class ClientChannel:
     """HTTP/1.1 client connection that carries one request at a time."""
 
-    __slots__ = ("_connection", "_stream", "usable_until")
+    __slots__ = ("_body_memory", "_connection", "_stream", "usable_until")
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self, stream: trio.abc.Stream, body_memory: BodyMemory | None = None
+    ) -> None:
+        self._body_memory = body_memory or BodyMemory()
         self._stream = stream
         self._connection = h11.Connection(h11.CLIENT)
         self.usable_until = math.inf
@@ -220,7 +278,7 @@
             (name.decode("ascii"), value.decode("latin-1"))
             for name, value in event.headers
         ]
-        return ClientResponse(event.status_code, headers, self)
+        return ClientResponse(event.status_code, headers, self, self._body_memory)
 
     async def close(self) -> None:
         """Close the connection immediately."""
@@ -238,7 +296,12 @@
         Maximum number of idle connections kept per address.
     """
 
-    __slots__ = ("_connect_timeout", "_idle_by_address", "_max_idle_per_address")
+    __slots__ = (
+        "_body_memory",
+        "_connect_timeout",
+        "_idle_by_address",
+        "_max_idle_per_address",
+    )
 
     def __init__(
         self, connect_timeout: float = 1.0, max_idle_per_address: int = 16
@@ -246,6 +309,7 @@
         self._connect_timeout = connect_timeout
         self._max_idle_per_address = max_idle_per_address
         self._idle_by_address: dict[str, list[ClientChannel]] = {}
+        self._body_memory = BodyMemory()
 
     async def connect(self, address: str) -> ClientChannel:
         """Open a new connection.
@@ -262,7 +326,7 @@
         except (OSError, trio.TooSlowError) as error:
             raise ConnectFailed(f"no connection to {address}") from error
         _enable_dead_peer_detection(stream)
-        return ClientChannel(stream)
+        return ClientChannel(stream, self._body_memory)
 
     @contextlib.asynccontextmanager
     async def request(
