Refuse at once while no route can serve a request

Now a runner that failed repeatedly until just now, or reports other layers than its entry lists, is not used even as a last resort, and a new request that no route can serve is refused at once; it is used again when a probe reaches it. Between two failed probes the penalty no longer ends. Ruled out: giving up a runner after one failed connection, since a full queue of new connections looks the same. Test: router.feature, 'While no first runner can be reached', fails before; 'Requests are served again' guards the way back.

--- a/tests/features/router.feature
+++ b/tests/features/router.feature
@@ -208,3 +208,17 @@
       | call   |
       | choice |
       | answer |
+
+  Scenario: While no first runner can be reached, requests are refused at once
+    Given no connection to the first runners of both replicas can be made
+    When callers request 40 streams within 4 seconds
+    Then those of the last 2 seconds are refused as not run within 0.1 seconds
+    And at most 24 connections to the first runners were tried
+
+  Scenario: Requests are served again once the first runners can be reached
+    Given no connection to the first runners of both replicas can be made
+    When callers request 40 streams within 4 seconds
+    And the first runners can be reached again for 2 seconds
+    And a caller requests a stream
+    Then the status is 200
+    And the events are 0 to 5
--- a/tests/features/steps/router_steps.py
+++ b/tests/features/steps/router_steps.py
@@ -601,3 +601,67 @@
         setattr(type(owner), name, raise_error)
 
     context.steps.append(fail)
+
+
+@given("no connection to the first runners of both replicas can be made")
+def cut_off_first_runners(context):
+    async def cut(world):
+        await world.parts.prober.start(world.nursery)
+        for name in FIRST_STAGES:
+            world.network.unreachable_addresses.add(world.address_of(name))
+
+    context.steps.append(cut)
+
+
+@when("callers request {count:d} streams within {seconds:d} seconds")
+def request_many_streams(context, count, seconds):
+    async def ask(world):
+        context.started_at = trio.current_time()
+
+        async def one(pause):
+            await trio.sleep(pause)
+            asked_at = trio.current_time() - context.started_at
+            answer = await world.call("/draft/1")
+            context.answers.append(answer)
+            context.asked_and_answer.append((asked_at, answer))
+
+        context.asked_and_answer = []
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(one, seconds * number / count)
+
+    queue_action(context, ask)
+
+
+@then(
+    "those of the last {seconds:d} seconds are refused as not run within"
+    " {limit:f} seconds"
+)
+def check_prompt_refusals(context, seconds, limit):
+    def check(world):
+        late = [a for asked_at, a in context.asked_and_answer if asked_at >= seconds]
+        assert late
+        for answer in late:
+            assert answer.status == 503, answer.status
+            assert answer.seconds <= limit, answer.seconds
+
+    queue_check(context, check)
+
+
+@then("at most {count:d} connections to the first runners were tried")
+def check_connects(context, count):
+    def check(world):
+        connects = world.network.connects_by_address
+        tried = sum(connects.get(world.address_of(n), 0) for n in FIRST_STAGES)
+        assert tried <= count, tried
+
+    queue_check(context, check)
+
+
+@when("the first runners can be reached again for {seconds:d} seconds")
+def restore_first_runners(context, seconds):
+    async def restore(world):
+        world.network.unreachable_addresses.clear()
+        await trio.sleep(seconds)
+
+    queue_action(context, restore)
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -340,6 +340,9 @@
 
     async def _try_chain(self, exchange: Exchange, context: RequestContext) -> None:
         rule, call = context.rule, context.call
+        if not context.may_have_run and not self._selector.has_route(context.service):
+            # Layers that are missing take seconds to load, longer than callers wait.
+            raise RequestError(ErrorKind.NO_ROUTE, "no route holds all layers")
         on_time_until = call.arrived_at + rule.objective
         wait_until = call.arrived_at + QUEUE_WAIT_SHARE * get_caller_idle_timeout(rule)
         if context.may_have_run:
--- a/wigeondrift/router/probing.py
+++ b/wigeondrift/router/probing.py
@@ -12,6 +12,9 @@
 
 # Interval between probes of one runner; the platform counts each probe.
 PROBE_SECONDS = 0.5
+# Longer than the time from one failed probe to the end of the next one, so that no
+# request is sent in between.
+UNREACHABLE_PENALTY_SECONDS = 1.5
 
 
 class Prober(Component):
@@ -78,11 +81,13 @@
         except TransportError as error:
             self._selector.record_unreachable(runner, str(error))
             health.extend_penalty(
-                runner.upstream_id, trio.current_time(), 2 * PROBE_SECONDS
+                runner.upstream_id, trio.current_time(), UNREACHABLE_PENALTY_SECONDS
             )
             return
         self._selector.record_answer(runner)
-        if not _is_as_listed(runner, report):
+        is_fit = _is_as_listed(runner, report)
+        self._selector.record_fitness(runner, is_fit)
+        if not is_fit:
             health.extend_penalty(
                 runner.upstream_id, trio.current_time(), 2 * PROBE_SECONDS
             )
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -100,6 +100,7 @@
         "_active_calls_by_id",
         "_reported_load_by_id",
         "_cache_capacity_by_key",
+        "_unfit_entry_by_id",
         "health",
         "ledger",
         "peer_count",
@@ -122,6 +123,8 @@
         self._cache_capacity_by_key: dict[tuple[str, int], float] = {}
         self._active_calls_by_id: dict[str, int] = {}
         self._reported_load_by_id: dict[str, tuple[float, float]] = {}
+        # Entries whose runners report other layers than listed.
+        self._unfit_entry_by_id: dict[str, Upstream] = {}
         self._logger = logging.getLogger(LOGGER_NAME)
         self.peer_count = 0
         self.health = Health()
@@ -145,27 +148,57 @@
     def get_chains(self, service: ServiceSpec) -> ChainSet:
         """Return the routes over the runners that are not avoided.
 
-        If those form no route, the avoided runners are used as well.
+        If those form no route, the avoided runners that may still serve are used too.
         """
         now = trio.current_time()
         runners = self._directory.list_service(service.name)
-        avoided = frozenset(
-            runner.upstream_id for runner in runners if self.is_avoided(runner, now)
+        avoided_runners = [r for r in runners if self.is_avoided(r, now)]
+        avoided = frozenset(r.upstream_id for r in avoided_runners)
+        failed = frozenset(
+            r.upstream_id for r in avoided_runners if self._is_failed(r, now)
         )
-        key = (self._directory.change_count, avoided, id(service.engine))
+        key = (self._directory.change_count, avoided, failed, id(service.engine))
         if key != self._chains_key_by_service.get(service.name):
             self._chains_key_by_service[service.name] = key
-            self._rebuild(service, runners, avoided)
+            self._rebuild(service, runners, avoided, failed)
         return self._chains_by_service[service.name]
 
+    def has_route(self, service: ServiceSpec) -> bool:
+        """Whether any route could serve a request if it had capacity."""
+        return bool(self.get_chains(service).chains)
+
+    def _is_failed(self, runner: Upstream, now: float) -> bool:
+        """Whether it is certain that an avoided runner can't serve requests now."""
+        if self._unfit_entry_by_id.get(runner.upstream_id) == runner:
+            return True
+        return self.reach.is_unreachable(runner.failure_domain, runner.upstream_id, now)
+
+    def record_fitness(self, runner: Upstream, is_fit: bool) -> None:
+        """Record whether a runner reports the layers that its entry lists."""
+        if is_fit:
+            self._unfit_entry_by_id.pop(runner.upstream_id, None)
+        else:
+            self._unfit_entry_by_id[runner.upstream_id] = runner
+
     def _rebuild(
-        self, service: ServiceSpec, runners: list[Upstream], avoided: frozenset[str]
+        self,
+        service: ServiceSpec,
+        runners: list[Upstream],
+        avoided: frozenset[str],
+        failed: frozenset[str],
     ) -> None:
         self._update_cache_capacities(service.engine, runners)
+        known_ids = self._directory.upstreams_by_id
+        self._unfit_entry_by_id = {
+            upstream_id: entry
+            for upstream_id, entry in self._unfit_entry_by_id.items()
+            if upstream_id in known_ids
+        }
         usable = [r for r in runners if r.upstream_id not in avoided]
         chain_set = ChainSet(service.engine, usable)
         if not chain_set.chains and avoided:
-            chain_set = ChainSet(service.engine, runners)
+            usable = [r for r in runners if r.upstream_id not in failed]
+            chain_set = ChainSet(service.engine, usable)
         self._chains_by_service[service.name] = chain_set
         log_event(
             self._logger,
@@ -174,6 +207,7 @@
             service=service.name,
             runners=len(runners),
             avoided=sorted(avoided),
+            failed=sorted(failed),
             routes=[" ".join(chain.route.instance_ids) for chain in chain_set.chains],
         )
 
--- a/wigeondrift/systems/reach.py
+++ b/wigeondrift/systems/reach.py
@@ -15,6 +15,11 @@
 LOST_AFTER_SECONDS = 1.2
 
 
+# Time between two failures in a row after which a runner counts as unreachable. A
+# single connection may fail because the runner's queue of new connections is full.
+UNREACHABLE_AFTER_SECONDS = 0.4
+
+
 class Reachability:
     """Reachability of upstreams by failure domain.
 
@@ -64,6 +69,15 @@
         """Return the unreachable failure domains."""
         return [name for name in self._failures_by_domain if self.is_cut_off(name, now)]
 
+    def is_unreachable(self, domain: str, upstream_id: str, now: float) -> bool:
+        """Return whether an upstream failed to answer repeatedly and until recently."""
+        failure = self._failures_by_domain.get(domain, {}).get(upstream_id)
+        if failure is None:
+            return False
+        first, last = failure
+        is_recent = now - last <= FAILURE_EXPIRY_SECONDS
+        return is_recent and last - first >= UNREACHABLE_AFTER_SECONDS
+
     def is_lost(self, domain: str, upstream_id: str, now: float) -> bool:
         """Return whether one upstream is unreachable while its domain answers."""
         first, last = self._failures_by_domain.get(domain, {}).get(
--- a/wigeondrift_emulator/memory_network.py
+++ b/wigeondrift_emulator/memory_network.py
@@ -7,6 +7,8 @@
 from wigeondrift.wire.http_client import ClientChannel, HttpClient
 from wigeondrift.wire.http_server import Handler, HttpServer
 
+CONNECT_TIMEOUT_SECONDS = 0.5
+
 
 class MemoryNetwork:
     """Servers by address, with faults on the connections to them.
@@ -20,8 +22,10 @@
     ----------
     silent_addresses : set of str
         Addresses that accept connections but never answer.
+    unreachable_addresses : set of str
+        Addresses to which connecting times out.
     connects_by_address : dict of str to int
-        Number of connections made so far.
+        Number of connections made or tried so far.
     """
 
     __slots__ = (
@@ -30,6 +34,7 @@
         "_streams_by_address",
         "connects_by_address",
         "silent_addresses",
+        "unreachable_addresses",
     )
 
     def __init__(self, nursery: trio.Nursery) -> None:
@@ -37,6 +42,7 @@
         self._servers_by_address: dict[str, HttpServer] = {}
         self._streams_by_address: dict[str, list[trio.abc.Stream]] = {}
         self.silent_addresses: set[str] = set()
+        self.unreachable_addresses: set[str] = set()
         self.connects_by_address: dict[str, int] = {}
 
     def listen(self, address: str, handler: Handler) -> None:
@@ -55,14 +61,16 @@
         Raises
         ------
         ConnectFailed
-            If no server listens at the address.
+            If no server listens at the address or it can't be reached.
         """
         await trio.lowlevel.checkpoint()
-        server = self._servers_by_address.get(address)
-        if server is None:
-            raise ConnectFailed(f"could not connect to {address}")
         connects = self.connects_by_address.get(address, 0)
         self.connects_by_address[address] = connects + 1
+        if address in self.unreachable_addresses:
+            await trio.sleep(CONNECT_TIMEOUT_SECONDS)
+        server = self._servers_by_address.get(address)
+        if server is None or address in self.unreachable_addresses:
+            raise ConnectFailed(f"could not connect to {address}")
         client_stream, server_stream = memory_stream_pair()
         if address not in self.silent_addresses:
             self._streams_by_address.setdefault(address, []).append(server_stream)
