Let a relay's pause follow the bound on changes, and serve 32 followers

Now a relay pauses 0.2 of the bound on changes (0.4 s as before at 2 s, 0.8 s at 4 s), and a domain has a relay for 32 routers, two at least. Ruled out: a longer pause for direct readers; with it the age of the configuration would pass its bound after two watches (2 x 1.9 + 1.6 s of 4.8 s).

--- a/wigeondrift/router/relay.py
+++ b/wigeondrift/router/relay.py
@@ -22,12 +22,12 @@
 from wigeondrift.router.replica import Replica
 from wigeondrift.router.settings import Bounds
 from wigeondrift.router.sources import (
-    RELAY_BATCH_SECONDS,
     RELAY_HOLD_SHARE,
     STORE_MARGIN_SECONDS,
     Changes,
     ChangeSource,
     StoreSource,
+    get_relay_batch,
     get_relay_wait,
 )
 from wigeondrift.store.revisions import Item
@@ -254,7 +254,9 @@
             answer.revision,
             replied_at - answer.age,
             replied_at - answer.silence,
-            get_relay_wait(self._bounds) + RELAY_BATCH_SECONDS + STORE_MARGIN_SECONDS,
+            get_relay_wait(self._bounds)
+            + get_relay_batch(self._bounds)
+            + STORE_MARGIN_SECONDS,
         )
 
 
@@ -375,7 +377,7 @@
             return False
         # If no confirmation came within two watches, this process was suspended or its
         # requests are lost.
-        longest = 2.0 * get_relay_wait(self._bounds) + RELAY_BATCH_SECONDS
+        longest = 2.0 * get_relay_wait(self._bounds) + get_relay_batch(self._bounds)
         return age < longest + STORE_MARGIN_SECONDS
 
     def _has_changes(self, after: int) -> bool:
--- a/wigeondrift/router/sources.py
+++ b/wigeondrift/router/sources.py
@@ -12,11 +12,12 @@
 from wigeondrift.systems.relays import RelayTable
 
 # Pause after changes, so that one request reads several changes in quick succession, as
-# the platform counts each request. Short compared to the bounds on the configuration
-# and on draining upstreams (2 s).
+# the platform counts each request. Shorter than the margin that the freshness of the
+# configuration leaves for it, and than the bounds on changes (2 s).
 BATCH_SECONDS = 0.8
-# The same for a relay, whose requests serve many routers.
-RELAY_BATCH_SECONDS = 0.4
+# The same for a relay, as a fraction of the bound on changes; its followers learn of a
+# change only after it.
+RELAY_BATCH_SHARE = 0.2
 # Fraction of the bound on changes for which a router waits after its first read of the
 # store. Routers and upstreams that start at about the same time register meanwhile, and
 # one request reads them all.
@@ -81,6 +82,11 @@
     return OUTAGE_DETECTION_SHARE * bounds.change_apply - STORE_MARGIN_SECONDS
 
 
+def get_relay_batch(bounds: Bounds) -> float:
+    """Return the pause of a relay after changes, in seconds."""
+    return min(BATCH_SECONDS, RELAY_BATCH_SHARE * bounds.change_apply)
+
+
 class StoreSource(ChangeSource):
     """Reads changes by watching the store.
 
@@ -136,7 +142,9 @@
 
     async def read(self, after: int) -> Changes:
         """Return the changes after a revision."""
-        pause = RELAY_BATCH_SECONDS if self._table.is_relay else BATCH_SECONDS
+        pause = BATCH_SECONDS
+        if self._table.is_relay:
+            pause = get_relay_batch(self._bounds)
         if self._is_first:
             self._is_first = False
             await trio.sleep(STARTUP_PAUSE_SHARE * self._bounds.change_apply)
--- a/wigeondrift/systems/relays.py
+++ b/wigeondrift/systems/relays.py
@@ -14,9 +14,9 @@
 MIN_MEMBERS = 5
 # Two, so that the followers of a relay that is gone need not all read the store.
 MIN_RELAYS = 2
-# Maximum followers of one relay: at 2 queries per second, each costs the relay about 2%
-# of a core.
-FOLLOWERS_PER_RELAY = 16
+# Maximum followers of one relay: at 2 queries per second, they cost the relay about 4%
+# of a core together.
+FOLLOWERS_PER_RELAY = 32
 # Time for which a router reads the store itself after all relays failed, in seconds.
 DIRECT_READ_SECONDS = 5.0
 # Time for which a router reads the store itself after its start, in seconds: routers
