Let the followers of relays retry the store less often in an outage

Cause: a relay that has lost the store refuses its followers, which then avoid it for 10 s; with all relays avoided each follower read the store itself every 0.25 s. In virtual time each of 38 followers of a domain called it 21 times in an outage of 5 s. Now a follower in an outage asks relays every 0.25 s, also those that failed, and the store after 0.5 to 1.5 s, whichever answers first.

--- a/tests/features/relays.feature
+++ b/tests/features/relays.feature
@@ -81,3 +81,14 @@
   Scenario: A start reads the store once for all
     Given 40 routers of one failure domain
     Then each has listed the store's items with one call
+
+  Scenario Outline: In an outage of the store few routers retry it often
+    Given 40 routers of one failure domain
+    When the store is "<mode>" to all for 5 seconds
+    Then no follower has called the store more than 12 times
+    And all have the configuration 1 seconds later
+
+    Examples:
+      | mode    |
+      | refused |
+      | silent  |
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -231,3 +231,40 @@
             assert list(found) == wanted
 
     check()
+
+
+@when('the store is "{mode}" to all for {seconds:d} seconds')
+def lose_store(context, mode, seconds):
+    async def step(world):
+        for link in world.store_links_by_name.values():
+            link.set(mode)
+            link.calls = 0
+        await trio.sleep(seconds)
+        context.calls_by_name = {
+            name: link.calls
+            for name, link in world.store_links_by_name.items()
+            if name not in world.relays
+        }
+        world.write(2)
+        for link in world.store_links_by_name.values():
+            link.set("open")
+
+    context.steps.append(step)
+
+
+@then("no follower has called the store more than {count:d} times")
+def check_outage_calls(context, count):
+    async def step(world):
+        assert max(context.calls_by_name.values()) <= count, context.calls_by_name
+
+    context.steps.append(step)
+
+
+@then("all have the configuration {seconds:d} seconds later")
+def check_all_later(context, seconds):
+    async def check(world):
+        await trio.sleep(seconds)
+        for name, parts in world.routers_by_name.items():
+            assert parts.replica.configuration.version == 2, name
+
+    run(context, check)
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -121,6 +121,7 @@
             peer_client,
             bounds,
             get_time,
+            rng,
         )
         self.replica = Replica(
             self.store,
--- a/wigeondrift/router/relay.py
+++ b/wigeondrift/router/relay.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import logging
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -44,6 +45,12 @@
 MIN_WATCH_SECONDS = 0.5
 # Longest time for which a follower may ask a relay to hold a query.
 MAX_HOLD_SECONDS = 60.0
+# Interval at which a follower tries the store itself while it is unavailable, and the
+# random factors on it.
+STORE_RETRY_SECONDS = 1.0
+STORE_RETRY_JITTER = (0.5, 1.5)
+# Pause before a follower queries a relay again in an outage.
+RELAY_RETRY_SECONDS = 0.25
 CHANGES_PATH = "/changes"
 # One connection per follower, and as many again while the relays change.
 MAX_FOLLOWER_CONNECTIONS = 512
@@ -107,11 +114,14 @@
     bounds : Bounds
     get_time : callable
         Clock that includes time spent suspended, in seconds.
+    rng : random.Random
     """
 
     __slots__ = (
         "_bounds",
         "_client",
+        "_rng",
+        "_store_retry_at",
         "_get_addresses",
         "_get_time",
         "_logger",
@@ -128,7 +138,10 @@
         client: HttpClient,
         bounds: Bounds,
         get_time: Callable[[], float],
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
+        self._store_retry_at = 0.0
         self._store = store
         self._table = table
         self._get_addresses = get_addresses
@@ -150,7 +163,7 @@
         if name is None:
             return await self._read_store(after)
         if self._is_store_unavailable:
-            return await self._query_relay_and_store(name, after)
+            return await self._read_in_outage(after)
         try:
             return await self._query_relay(name, after)
         except RelayFailed:
@@ -170,34 +183,42 @@
         self._is_store_unavailable = False
         return changes
 
-    async def _query_relay_and_store(self, name: str, after: int) -> Changes:
-        """Query the relay and the store concurrently and return the first reply.
+    async def _read_in_outage(self, after: int) -> Changes:
+        """Query relays and, less often, the store; return the first reply.
 
-        Either may fail to respond, and the bounds leave no time to try one by one.
+        The relays retry the store often, and many followers would overload it. Either
+        side may fail to respond, and the bounds leave no time to try one by one.
 
         Raises
         ------
         PlatformError
-            If neither responds.
+            If the store does not respond, and no relay did so until then.
         """
         results: list[Changes] = []
         errors: list[PlatformError] = []
 
-        async def query_relay(scope: trio.CancelScope) -> None:
-            # _query_relay logs the failure.
-            with contextlib.suppress(RelayFailed):
-                results.append(await self._query_relay(name, after))
-                scope.cancel()
+        async def query_relays(scope: trio.CancelScope) -> None:
+            while True:
+                name = self._choose_relay()
+                # _query_relay logs the failure.
+                with contextlib.suppress(RelayFailed):
+                    if name is not None:
+                        results.append(await self._query_relay(name, after))
+                        scope.cancel()
+                await trio.sleep(RELAY_RETRY_SECONDS)
 
         async def query_store(scope: trio.CancelScope) -> None:
+            await trio.sleep(max(0.0, self._store_retry_at - self._get_time()))
+            pause = STORE_RETRY_SECONDS * self._rng.uniform(*STORE_RETRY_JITTER)
+            self._store_retry_at = self._get_time() + pause
             try:
                 results.append(await self._read_store(after))
-                scope.cancel()
             except PlatformError as error:
                 errors.append(error)
+            scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(query_relay, nursery.cancel_scope)
+            nursery.start_soon(query_relays, nursery.cancel_scope)
             nursery.start_soon(query_store, nursery.cancel_scope)
         if results:
             return results[0]
--- a/wigeondrift/systems/relays.py
+++ b/wigeondrift/systems/relays.py
@@ -87,7 +87,7 @@
         now : float
         has_lost_store : bool
             Whether the store does not answer this router, so that a relay is queried
-            even shortly after another one failed.
+            even shortly after it or another one failed.
         """
         if self._direct_until is None:
             self._direct_until = now + STARTUP_DIRECT_READ_SECONDS
@@ -98,11 +98,17 @@
             for name in self._relays
             if now >= self._avoided_until_by_name.get(name, now)
         ]
+        if not usable and has_lost_store:
+            # Ask the one that failed first: it may have reached the store again.
+            return min(self._relays, key=self._get_avoided_until, default=None)
         if not usable:
             return None
         # Spreads the followers evenly over the relays without coordination.
         return usable[sum(self._name.encode()) % len(usable)]
 
+    def _get_avoided_until(self, name: str) -> float:
+        return self._avoided_until_by_name.get(name, 0.0)
+
     def record_failure(self, name: str, now: float) -> None:
         """Avoid a relay that did not answer or has lost the store itself.
 
