Bound the connections of the router that leads

At 751 machines that is more than the descriptors of a small machine. Now 64 orders are sent at a time, and the connection of an order is closed. Test: planner.feature, 'A leader keeps no connections', fails before.

--- a/tests/features/planner.feature
+++ b/tests/features/planner.feature
@@ -22,3 +22,9 @@
     And one runner has accepted an order that the list does not show
     When a router leads for 3 seconds
     Then that runner got no order
+
+  Scenario: A leader keeps no connections to the runners that it has ordered
+    Given a platform with empty runners in two domains
+    When a router leads for 3 seconds
+    Then each domain's runners were ordered to hold every layer once
+    And the router has no idle connection to a runner
--- a/tests/features/steps/planner_steps.py
+++ b/tests/features/steps/planner_steps.py
@@ -117,3 +117,11 @@
         assert msgspec.json.encode(world.servers_by_id["e1"].layers) == b"[0,20]"
 
     queue_check(context, check)
+
+
+@then("the router has no idle connection to a runner")
+def check_idle_connections(context):
+    def check(world):
+        assert world.parts.client.idle_count == 0, world.parts.client.idle_count
+
+    queue_check(context, check)
--- a/wigeondrift/platform/upstreams.py
+++ b/wigeondrift/platform/upstreams.py
@@ -145,16 +145,28 @@
             "expect": order_count,
         }
         status, body = await self._call(
-            upstream, "POST", "/wigeondrift/order", msgspec.json.encode(order)
+            upstream,
+            "POST",
+            "/wigeondrift/order",
+            msgspec.json.encode(order),
+            # The next order to this runner is far off, and a leader orders all of them.
+            closes=True,
         )
         if status not in STATUSES_ACCEPTED:
             reason = body[:200].decode("latin-1")
             raise OrderRejected(f"status {status}: {reason}")
 
     async def _call(
-        self, upstream: Upstream, method: str, target: str, body: bytes = b""
+        self,
+        upstream: Upstream,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        closes: bool = False,
     ) -> tuple[int, bytes]:
         headers = list(JSON_HEADERS) if body else []
+        if closes:
+            headers.append(("Connection", "close"))
         headers.append(("Wigeondrift-Expect-Instance", upstream.upstream_id))
         try:
             with trio.fail_after(CALL_TIMEOUT_SECONDS):
--- a/wigeondrift/router/planner.py
+++ b/wigeondrift/router/planner.py
@@ -42,6 +42,8 @@
 # the runner's entry still does not show its range.
 ORDER_TIMEOUT_MARGIN_SECONDS = 3.0
 RETRY_SECONDS = 1.0
+# Orders sent at a time, each over a connection of its own.
+MAX_CONCURRENT_ORDERS = 64
 # Time for which there must have been no leader before a router campaigns. By then the
 # entries of the other routers are known, so that only a few preferred routers try. The
 # longer time holds for all others, in case the preferred ones can't reach the store.
@@ -104,6 +106,7 @@
         "_orders_by_id",
         "_replica",
         "_listed_ids",
+        "_order_limiter",
         "_stopping",
         "_store",
         "_vacant_since",
@@ -133,6 +136,7 @@
         self._listed_ids: frozenset[str] = frozenset()
         self._list_changed_at = 0.0
         self._change_count = -1
+        self._order_limiter = trio.CapacityLimiter(MAX_CONCURRENT_ORDERS)
         self._stopping = False
         self._vacant_since = replica.get_time()
         self._logger = logging.getLogger(LOGGER_NAME)
@@ -294,6 +298,12 @@
 
     async def _send_order(
         self, runner: Upstream, layer_range: Range, engine: EngineSpec
+    ) -> None:
+        async with self._order_limiter:
+            await self._send_one_order(runner, layer_range, engine)
+
+    async def _send_one_order(
+        self, runner: Upstream, layer_range: Range, engine: EngineSpec
     ) -> None:
         now = trio.current_time()
         layers = layer_range[1] - layer_range[0]
