Send usage when one's own has changed, not when a peer's has

Cause, found on reading the diff: since usage is sent on a change, each message of a peer counted as one. In a domain where all tell all, each message made every router send its own again, ten times a second as before that change; in a large one the sums had the same effect. Now only own reservations count, and for a collector the messages that it sums up. Test: router_decisions.feature, 'Only a router's own usage makes it send a message'; written with the change, the old code would have called seven times.

--- a/tests/features/router_decisions.feature
+++ b/tests/features/router_decisions.feature
@@ -184,6 +184,11 @@
     Given a ledger that has got 40 messages
     Then reading the usage of 3 runners has summed them up once
 
+  Scenario: Only a router's own usage makes it send a message
+    Given a ledger whose subscriber counts its calls
+    When 5 messages of peers arrive and a request is reserved and released
+    Then the subscriber was called 2 times
+
   Scenario: A timer's callback without work is not called
     Given a timer with a callback that has work for 0.5 of 2 seconds
     Then the callback was called 5 times
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -601,3 +601,29 @@
 @then("the callback was called {count:d} times")
 def check_calls(context, count):
     assert context.calls == count, context.calls
+
+
+@given("a ledger whose subscriber counts its calls")
+def make_subscribed_ledger(context):
+    context.calls = 0
+    context.ledger = CacheLedger(lambda runner: 1e9)
+
+    def count():
+        context.calls += 1
+
+    context.ledger.subscribe(count)
+
+
+@when("{count:d} messages of peers arrive and a request is reserved and released")
+def change_usage(context, count):
+    for sequence in range(1, count + 1):
+        usage = PeerUsage("east-2", sequence, {"u1": Usage(10.0, 1)})
+        context.ledger.apply_peer_usage(usage, 1.0)
+    route = Route("", (Stage("u1", "10.2.0.1:80", 0, 1),))
+    context.ledger.reserve(route, 10.0)
+    context.ledger.release(route, 10.0)
+
+
+@then("the subscriber was called {count:d} times")
+def check_subscriber_calls(context, count):
+    assert context.calls == count, context.calls
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -126,6 +126,8 @@
                 continue
             usage = self._decode(data, sender)
             if usage is not None:
+                if self._exchange.is_collector:
+                    self._changed.set()
                 await self._send_all(
                     self._exchange.handle_usage(usage, trio.current_time())
                 )
--- a/wigeondrift/systems/cache_usage.py
+++ b/wigeondrift/systems/cache_usage.py
@@ -142,7 +142,7 @@
         self._total_without_own_by_id: dict[str, Usage] | None = None
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call ``callback`` when this router's or a peer's usage changes."""
+        """Call ``callback`` when this router's own usage changes."""
         self._on_change = callback
 
     def _notify(self) -> None:
@@ -246,7 +246,6 @@
                 for name, used in usage.usage_by_id.items()
             }
         self._is_sum_stale = True
-        self._notify()
         return True
 
     def expire_peers(self, now: float) -> None:
--- a/wigeondrift/systems/exchange.py
+++ b/wigeondrift/systems/exchange.py
@@ -106,6 +106,11 @@
         }
         self._is_collector = self._name in self.collectors_by_domain[self._domain]
 
+    @property
+    def is_collector(self) -> bool:
+        """Whether this router sends sums of others' usage."""
+        return self._is_collector
+
     @property
     def is_hub(self) -> bool:
         """Whether this router sends sums to the members of its large domain."""
