Log the prompt parts of requests and the upstreams that died under them

The log could not tell what requests on dead runners had in common. A request's line and that of a failed attempt now name the parts of its prompt that others may share.

No decision depends on either yet.

--- a/wigeondrift/platform/requests.py
+++ b/wigeondrift/platform/requests.py
@@ -14,6 +14,9 @@
 # Despite its name, the value is a list of stages and not a count.
 STAGES = "wigeondrift-hop-count"
 TOKEN_COUNTS = "wigeondrift-token-counts"
+# Comma-separated ID:TOKENS entries, one for each part of the prompt. The last part
+# belongs to the request or to its session alone.
+PROMPT_PARTS = "wigeondrift-prompt-prefix"
 LENGTH_HINT = "wigeondrift-length-hint"
 LAST_EVENT_ID = "last-event-id"
 NOT_RUN = "wigeondrift-not-executed"
@@ -89,6 +92,7 @@
             answer_estimate=parse_whole_number(get(LENGTH_HINT, "")) or 0,
             last_event_id=_parse_number(LAST_EVENT_ID, get(LAST_EVENT_ID, "")),
             headers=request.headers,
+            prompt_parts=_parse_shared_parts(get(PROMPT_PARTS, "")),
         )
 
     def encode_upstream_headers(
@@ -138,6 +142,13 @@
     )
 
 
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last."""
+    ids = [entry.partition(":")[0].strip().lower() for entry in text.split(",")]
+    # A repeated part counts once.
+    return tuple(dict.fromkeys(part for part in ids[:-1] if part))
+
+
 def _parse_number(header: str, text: str) -> int | None:
     """Return the value of a caller's header, or None if it is empty."""
     if not text.strip():
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -1,5 +1,6 @@
 """One attempt at one upstream: sends the request and forwards the response."""
 
+import logging
 from collections.abc import Awaitable
 
 import trio
@@ -8,20 +9,23 @@
     CallerDisconnected,
     ConnectFailed,
     ConnectionLost,
+    ConnectionSilent,
     TransportError,
     WigeondriftError,
 )
 from wigeondrift.router.calls import UpstreamHead
 from wigeondrift.router.control import RunnerControl
-from wigeondrift.router.entities import RequestKind, Upstream
+from wigeondrift.router.entities import RequestKind, RunnerReport, Upstream
 from wigeondrift.router.header_codec import HeaderCodec
 from wigeondrift.router.request_context import (
+    MAX_LOGGED_PARTS,
     AttemptFailed,
     Progress,
     RequestContext,
     get_caller_idle_timeout,
 )
 from wigeondrift.router.selector import Reservation, UpstreamSelector
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.telemetry.metrics import Metric, Metrics
 from wigeondrift.wire.http_client import ClientResponse, HttpClient
 from wigeondrift.wire.http_server import Exchange
@@ -59,7 +63,14 @@
     metrics : Metrics
     """
 
-    __slots__ = ("_selector", "_client", "_control", "_header_codec", "_metrics")
+    __slots__ = (
+        "_selector",
+        "_client",
+        "_control",
+        "_header_codec",
+        "_logger",
+        "_metrics",
+    )
 
     def __init__(
         self,
@@ -74,6 +85,7 @@
         self._control = control
         self._header_codec = header_codec
         self._metrics = metrics
+        self._logger = logging.getLogger(LOGGER_NAME)
 
     async def call(
         self,
@@ -104,11 +116,14 @@
         # Set before sending, because the deadline may cancel the attempt at any point.
         may_have_run_before = context.may_have_run
         context.may_have_run = True
+        progress = Progress()
         try:
             if context.rule.kind is RequestKind.STREAM:
-                await self._call_with_watchdog(exchange, context, upstream, reservation)
+                await self._call_with_watchdog(
+                    exchange, context, upstream, reservation, progress
+                )
             else:
-                await self._send(exchange, context, upstream, reservation, Progress())
+                await self._send(exchange, context, upstream, reservation, progress)
         except ConnectFailed as error:
             context.attempts -= 1
             context.may_have_run = may_have_run_before
@@ -120,13 +135,10 @@
             context.may_have_run = may_have_run_before or failure.may_have_run
             raise
         except TransportError as error:
-            suspects = {upstream.upstream_id}
-            if reservation is not None:
-                # Only runners serve reports; members of plain services don't.
-                suspects.update(
-                    await self._find_suspects(upstream, context.call.request_id)
-                )
-            raise AttemptFailed(str(error), True, tuple(suspects)) from error
+            suspects = await self._examine_failure(
+                context, upstream, reservation, progress, error
+            )
+            raise AttemptFailed(str(error), True, suspects) from error
 
     async def _call_with_watchdog(
         self,
@@ -134,9 +146,9 @@
         context: RequestContext,
         upstream: Upstream,
         reservation: Reservation | None,
+        progress: Progress,
     ) -> None:
         """Send a request for a stream and cancel it if the stream stalls."""
-        progress = Progress()
         failure = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
@@ -188,16 +200,60 @@
                 return
             await trio.sleep(SILENCE_CHECK_SECONDS)
 
+    async def _examine_failure(
+        self,
+        context: RequestContext,
+        upstream: Upstream,
+        reservation: Reservation | None,
+        progress: Progress,
+        error: TransportError,
+    ) -> tuple[str, ...]:
+        """Find out whether an upstream died; return the upstreams that are at fault."""
+        suspects = {upstream.upstream_id}
+        if reservation is None:
+            # A silent upstream has not died, and probing it would delay the retry.
+            has_died = not isinstance(
+                error, ConnectionSilent
+            ) and await self._client.is_refusing(upstream.address)
+        else:
+            report = await self._query_report(upstream)
+            has_died = report is None or upstream.is_restarted_in(report)
+            if report is not None:
+                suspects.update(self._list_stalling(report, context.call.request_id))
+        if has_died:
+            log_event(
+                self._logger,
+                logging.WARNING,
+                Event.UPSTREAM_DIED,
+                request_id=context.call.request_id,
+                upstream=upstream.upstream_id,
+                born=upstream.started_at_ms,
+                events=progress.events,
+                prompt_parts=context.call.prompt_parts[:MAX_LOGGED_PARTS],
+            )
+        return tuple(suspects)
+
     async def _find_suspects(
         self, upstream: Upstream, request_id: str
     ) -> tuple[str, ...]:
         """Return the runners that stall a request, and avoid them."""
+        report = await self._query_report(upstream)
+        if report is None:
+            return (upstream.upstream_id,)
+        return self._list_stalling(report, request_id)
+
+    async def _query_report(self, upstream: Upstream) -> RunnerReport | None:
+        """Return a runner's report, or None if it can't be reached."""
         try:
             report = await self._control.get_report(upstream)
         except TransportError as error:
             self._selector.record_unreachable(upstream, str(error))
-            return (upstream.upstream_id,)
+            return None
         self._selector.record_answer(upstream)
+        return report
+
+    def _list_stalling(self, report: RunnerReport, request_id: str) -> tuple[str, ...]:
+        """Return the runners that a report names as stalling, and avoid them."""
         address = report.stalled_by_request.get(request_id)
         if address is None and report.stalled_by_request:
             address = next(iter(report.stalled_by_request.values()))
@@ -315,7 +371,7 @@
                 elif reservation is not None:
                     reservation.record_prompt_read()
                 progress.last_event_at = now
-                progress.has_events = True
+                progress.events += 1
             if exchange.started:
                 await _write_to_caller(exchange.send(complete_events))
             else:
--- a/wigeondrift/router/calls.py
+++ b/wigeondrift/router/calls.py
@@ -20,6 +20,8 @@
         Time that the caller waits from then on, in seconds; None if not stated.
     prompt_tokens, answer_limit, answer_estimate : int
         Numbers of tokens of a model request; zero if not stated.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share, in order.
     last_event_id : int or None
         Event after which the caller resumes a stream.
     headers : list of (str, str)
@@ -38,6 +40,7 @@
         "method",
         "path",
         "caller_timeout",
+        "prompt_parts",
         "prompt_tokens",
         "request_id",
         "target",
@@ -60,6 +63,7 @@
         answer_estimate: int,
         last_event_id: int | None,
         headers: Headers,
+        prompt_parts: tuple[str, ...] = (),
     ) -> None:
         self.request_id = request_id
         self.method = method
@@ -75,6 +79,7 @@
         self.answer_estimate = answer_estimate
         self.last_event_id = last_event_id
         self.headers = headers
+        self.prompt_parts = prompt_parts
 
 
 class UpstreamHead:
--- a/wigeondrift/router/entities.py
+++ b/wigeondrift/router/entities.py
@@ -235,6 +235,10 @@
         """Number of layers held."""
         return self.end_layer - self.first_layer
 
+    def is_restarted_in(self, report: "RunnerReport") -> bool:
+        """Whether a report comes from a later incarnation."""
+        return 0 < self.started_at_ms < report.started_at_ms
+
 
 class RunnerReport(msgspec.Struct, frozen=True):
     """State reported by a runner, some hundred milliseconds old.
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -19,6 +19,7 @@
 from wigeondrift.router.membership import Membership
 from wigeondrift.router.replica import Replica
 from wigeondrift.router.request_context import (
+    MAX_LOGGED_PARTS,
     AttemptFailed,
     RequestContext,
     get_caller_idle_timeout,
@@ -188,6 +189,7 @@
                 expected_first=_round_optional(context.expected_first),
                 longest_gap=_round_optional(context.longest_gap),
                 waiting=len(self._wait_queue),
+                prompt_parts=call.prompt_parts[:MAX_LOGGED_PARTS],
             )
         log_event(self._logger, logging.INFO, Event.REQUEST_DONE, **fields)
 
@@ -292,6 +294,7 @@
             may_have_run=failure.may_have_run,
             suspects=failure.suspects,
             last_event=context.events.last_id,
+            prompt_parts=context.call.prompt_parts[:MAX_LOGGED_PARTS],
         )
 
     def _may_retry(self, context: RequestContext, failure: AttemptFailed) -> bool:
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -15,6 +15,8 @@
 CALLER_IDLE_GAP_FACTOR = 8.0
 # Fraction of a response whose tokens a request holds in the cache on average.
 MEAN_ANSWER_SHARE = 0.5
+# Prompt parts of one request that a log line names.
+MAX_LOGGED_PARTS = 8
 
 
 class AttemptFailed(WigeondriftError):
@@ -137,22 +139,27 @@
     ----------
     last_event_at : float
         Time at which an event with a new id last arrived, or the start, in seconds.
-    has_events : bool
-        Whether an event with a new id has arrived.
+    events : int
+        Number of times that events with a new id arrived.
     ended : bool
         Whether the attempt ended without being cancelled.
     suspects : tuple of str
         Runners for whose silence the attempt was cancelled.
     """
 
-    __slots__ = ("ended", "has_events", "last_event_at", "suspects")
+    __slots__ = ("ended", "events", "last_event_at", "suspects")
 
     def __init__(self) -> None:
         self.last_event_at = trio.current_time()
-        self.has_events = False
+        self.events = 0
         self.ended = False
         self.suspects: tuple[str, ...] = ()
 
+    @property
+    def has_events(self) -> bool:
+        """Whether an event with a new id has arrived."""
+        return self.events > 0
+
 
 def get_caller_idle_timeout(rule: RouteRule) -> float:
     """Return the time without data after which callers abandon a stream, in seconds."""
--- a/wigeondrift/wire/http_client.py
+++ b/wigeondrift/wire/http_client.py
@@ -40,6 +40,9 @@
 # all responses of a client together.
 SMALL_BODY_BYTES = 65536
 MAX_LARGE_BODIES_BYTES = 16 * 1048576
+# Time within which a host refuses a connection if no server listens. It is well below
+# the timeout of a connection to a host that is gone.
+REFUSAL_SECONDS = 0.1
 # Interim responses (1xx) accepted before a response.
 MAX_INTERIM_RESPONSES = 8
 
@@ -328,6 +331,19 @@
         _enable_dead_peer_detection(stream)
         return ClientChannel(stream, self._body_memory)
 
+    async def is_refusing(self, address: str) -> bool:
+        """Whether an address refuses connections, as after its server has died.
+
+        An address that does not respond is not known to refuse them.
+        """
+        with trio.move_on_after(REFUSAL_SECONDS):
+            try:
+                channel = await self.connect(address)
+            except ConnectFailed:
+                return True
+            await channel.close()
+        return False
+
     @contextlib.asynccontextmanager
     async def request(
         self,
