Refuse requests that share a part of their prompt under which runners died

Cause: nothing remembered what ran when a runner died, so requests with the same cause were sent on for as long as they came, each twice. Class of fault: no memory of poison requests across requests and routers (the entry of the product has a quarantine by the whole request; the router had none).

Change: systems/suspects.py keeps the deaths on record by trait of the requests that ran without output. A trait that never produced output is refused after two deaths for 15 s, after three for as long as they are remembered; one that did, after five. A death that one refused trait explains does not count against others; traits that were always in one request are refused together only, so that a request with one of them tells them apart; output clears a trait everywhere. Deaths are shared in the store: one key each, created or deleted, under a lease, so that no router has to agree with another. A death counts if the connection broke and the runner can't be reached or has restarted since. Refused requests get 503 with a time to come back (kind suspended, 2030); one that was tried already gets 502.

Ruled out: that sound retries alone take the routes down.

Test: tests/features/suspects.feature; with the check in the forwarder taken out, 5 of its 13 scenarios fail, the first with more than 3 requests after the fifth death.

--- /dev/null
+++ b/tests/features/steps/suspects_steps.py
@@ -0,0 +1,262 @@
+"""Steps on requests under which upstreams die."""
+
+import trio
+from behave import given, then, when
+
+from tests.features.steps.router_steps import queue_action, queue_check
+from wigeondrift.platform.requests import PROMPT_PARTS, PlatformHeaderCodec
+from wigeondrift.router.suspects import SUSPECTS_PREFIX
+from wigeondrift.systems.suspects import make_digest
+from wigeondrift.wire.http_server import Request
+
+REPLICAS = 6
+FIRST_STAGES = tuple(f"r{number}a" for number in range(REPLICAS))
+DEATH_LIMIT = 5
+
+
+@given("runners of six replicas of the model")
+def add_replicas(context):
+    for number in range(REPLICAS):
+        context.world.add_upstream(f"r{number}a", "model", kind="large", held=(0, 40))
+        context.world.add_upstream(f"r{number}b", "model", kind="large", held=(40, 80))
+
+
+def list_runners(world):
+    return [
+        world.servers_by_id[name]
+        for name, entry in world.entries_by_id.items()
+        if entry["service"] == "model"
+    ]
+
+
+@given('runners die under requests with the prompt part "{part}"')
+def make_part_deadly(context, part):
+    for server in list_runners(context.world):
+        server.deadly = part
+
+
+@given("the first stages of all replicas reset each stream before its first event")
+def reset_streams(context):
+    for name in FIRST_STAGES:
+        server = context.world.servers_by_id[name]
+        server.fault = "reset"
+        server.events_before_fault = 0
+
+
+def make_header(parts):
+    entries = [f"{part}:40" for part in parts.split(", ")]
+    return ("Wigeondrift-Prompt-Prefix", ",".join([*entries, "own:60"]))
+
+
+def count_deadly(world):
+    """Return how many requests with the deadly part reached a runner."""
+    return sum(
+        server.deadly in request.headers_by_name.get(PROMPT_PARTS, "")
+        for server in list_runners(world)
+        if server.deadly
+        for request in server.served
+    )
+
+
+async def ask(context, world, parts, **options):
+    answer = await world.call("/draft/1", headers=[make_header(parts)], **options)
+    context.answers.append(answer)
+    if world.deaths >= DEATH_LIMIT and not hasattr(context, "deadly_at_limit"):
+        context.deadly_at_limit = count_deadly(world)
+    return answer
+
+
+@when('a request with the prompt parts "{parts}" comes each second, {count:d} times')
+def request_each_second(context, parts, count):
+    async def request(world):
+        for _ in range(count):
+            await ask(context, world, parts)
+            await trio.sleep(1.0)
+
+    queue_action(context, request)
+
+
+@when(
+    'requests with the prompt parts "{parts}" and "{others}" alternate, {count:d} times'
+)
+def alternate_requests(context, parts, others, count):
+    async def request(world):
+        context.sound_answers = []
+        for _ in range(count):
+            context.sound_answers.append(await ask(context, world, parts))
+            await trio.sleep(0.5)
+            await ask(context, world, others)
+            await trio.sleep(0.5)
+
+    queue_action(context, request)
+
+
+@when('{count:d} requests with the prompt parts "{parts}" come through one router')
+@when('{count:d} requests with the prompt part "{parts}" come through one router')
+@when('{count:d} request with the prompt parts "{parts}" comes through one router')
+def request_at_one_router(context, count, parts):
+    async def request(world):
+        context.other_router = await world.add_router("router-2")
+        for _ in range(count):
+            await ask(context, world, parts)
+            await trio.sleep(0.2)
+
+    queue_action(context, request)
+
+
+@when(
+    "{seconds:d} seconds later one with the prompt parts"
+    ' "{parts}" through another router'
+)
+def request_at_other_router(context, seconds, parts):
+    async def request(world):
+        await trio.sleep(seconds)
+        context.deadly_before = count_deadly(world)
+        await ask(context, world, parts, router=context.other_router)
+
+    queue_action(context, request)
+
+
+@when('a stream with the prompt part "{part}" is complete at another router')
+def complete_stream(context, part):
+    async def request(world):
+        await trio.sleep(2.0)
+        answer = await ask(context, world, part, router=context.other_router)
+        assert answer.is_whole and answer.status == 200, vars(answer)
+
+    queue_action(context, request)
+
+
+@when('the runners survive the prompt part "{part}" from now on')
+def make_part_harmless(context, part):
+    async def survive(world):
+        for server in list_runners(world):
+            server.deadly = ""
+
+    queue_action(context, survive)
+
+
+@when(
+    '{count:d} streams with the prompt part "{part}" run'
+    " and three first stages die at once"
+)
+def kill_first_stages(context, count, part):
+    async def kill(world):
+        await ask(context, world, part)
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(ask, context, world, part)
+            await trio.sleep(0.01)
+            for name in FIRST_STAGES[:3]:
+                await world.restart_after_death(world.servers_by_id[name])
+
+    queue_action(context, kill)
+
+
+@then("no more than {count:d} requests reach a runner after the fifth death")
+def check_reached(context, count):
+    def check(world):
+        assert world.deaths >= 2
+        at_limit = getattr(context, "deadly_at_limit", count_deadly(world))
+        assert count_deadly(world) - at_limit <= count, world.deaths
+
+    queue_check(context, check)
+
+
+def check_refused(answer):
+    assert answer.status == 503, vars(answer)
+    assert float(answer.headers["retry-after"]) > 1.0
+    assert answer.seconds < 0.01
+
+
+@then("the last {count:d} of them are refused as not run")
+def check_last_refused(context, count):
+    def check(world):
+        for answer in context.answers[-count:]:
+            check_refused(answer)
+
+    queue_check(context, check)
+
+
+@then('the last {count:d} with the prompt part "{part}" alone are complete')
+def check_last_complete(context, count, part):
+    def check(world):
+        answers = context.sound_answers[-count:]
+        assert all(answer.is_whole and answer.status == 200 for answer in answers)
+
+    queue_check(context, check)
+
+
+@then("that request is refused as not run and reached no runner")
+def check_refused_elsewhere(context):
+    def check(world):
+        check_refused(context.answers[-1])
+        assert count_deadly(world) == context.deadly_before
+
+    queue_check(context, check)
+
+
+@then('{count:d} further requests with the prompt part "{part}" are complete')
+def check_further(context, count, part):
+    async def request(world):
+        for _ in range(count):
+            answer = await ask(context, world, part)
+            assert answer.is_whole and answer.status == 200, vars(answer)
+
+    queue_action(context, request)
+
+
+def list_deaths(world, prefix=SUSPECTS_PREFIX):
+    return [key for key in world.store._items_by_key if key.startswith(prefix)]
+
+
+@then("the store lists no death")
+def check_no_death(context):
+    def check(world):
+        assert context.answers
+        assert not list_deaths(world)
+
+    queue_check(context, check)
+
+
+@then(
+    'the store lists no death under the prompt part "{part}" after {seconds:d} seconds'
+)
+def check_cleared(context, part, seconds):
+    async def check(world):
+        await trio.sleep(seconds)
+        assert list_deaths(world)
+        trait = make_digest("model", part)
+        assert not list_deaths(world, f"{SUSPECTS_PREFIX}{trait}/")
+
+    queue_action(context, check)
+
+
+@then('a request with the prompt parts "{parts}" is refused at once')
+def check_refused_now(context, parts):
+    async def check(world):
+        check_refused(await ask(context, world, parts))
+
+    queue_action(context, check)
+
+
+@then('a request with the prompt parts "{parts}" is complete {seconds:d} seconds later')
+def check_complete_later(context, parts, seconds):
+    async def check(world):
+        await trio.sleep(seconds)
+        answer = await ask(context, world, parts)
+        assert answer.is_whole and answer.status == 200, vars(answer)
+
+    queue_action(context, check)
+
+
+@then('the header "{header}" names the shared parts "{parts}"')
+@then('the header "{header}" names the shared parts ""')
+def check_header(context, header, parts=""):
+    def check(world):
+        headers = {PROMPT_PARTS: header, "host": "shop.example"}
+        request = Request("POST", "/draft/1", headers, b"")
+        call = PlatformHeaderCodec().decode_request(request, 0.0)
+        assert list(call.prompt_parts) == parts.split(), call.prompt_parts
+
+    queue_check(context, check)
--- /dev/null
+++ b/tests/features/suspects.feature
@@ -0,0 +1,62 @@
+Feature: Requests that share what upstreams die under are refused, others are not
+
+  Background:
+    Given a platform with two members of a plain service
+    And runners of six replicas of the model
+
+  Scenario: Requests that share a part of their prompt stop crashing runners
+    Given runners die under requests with the prompt part "bad"
+    When a request with the prompt parts "shared, bad" comes each second, 40 times
+    Then no more than 3 requests reach a runner after the fifth death
+    And the last 10 of them are refused as not run
+
+  Scenario: Sound requests that share a key and a part with deadly ones are served
+    Given runners die under requests with the prompt part "bad"
+    When requests with the prompt parts "shared" and "shared, bad" alternate, 20 times
+    Then the last 10 with the prompt part "shared" alone are complete
+
+  Scenario: A router refuses a part under which runners died at another router
+    Given runners die under requests with the prompt part "bad"
+    When 4 requests with the prompt parts "first, bad" come through one router
+    And 3 seconds later one with the prompt parts "first, bad" through another router
+    Then that request is refused as not run and reached no runner
+
+  Scenario: A part that was deadly beside two others is refused beside any other
+    Given runners die under requests with the prompt part "bad"
+    When 1 request with the prompt parts "first, bad" comes through one router
+    And 1 request with the prompt parts "second, bad" comes through one router
+    And 3 seconds later one with the prompt parts "third, bad" through another router
+    Then that request is refused as not run and reached no runner
+
+  Scenario: A death that an external cause has is not held against popular requests
+    When 8 streams with the prompt part "shared" run and three first stages die at once
+    Then 5 further requests with the prompt part "shared" are complete
+
+  Scenario: A part that produces output later is cleared at all routers
+    Given runners die under requests with the prompt part "bad"
+    When 1 request with the prompt parts "first, bad" comes through one router
+    And a stream with the prompt part "first" is complete at another router
+    Then the store lists no death under the prompt part "first" after 3 seconds
+
+  Scenario: A part is tried again some time after two deaths
+    Given runners die under requests with the prompt part "bad"
+    When 1 request with the prompt parts "first, bad" comes through one router
+    And the runners survive the prompt part "bad" from now on
+    Then a request with the prompt parts "first, bad" is refused at once
+    And a request with the prompt parts "first, bad" is complete 16 seconds later
+
+  Scenario: A lost connection to a runner that lives on is no death
+    Given the first stages of all replicas reset each stream before its first event
+    When 6 requests with the prompt part "first" come through one router
+    Then the store lists no death
+
+  Scenario Outline: Parts are taken from the header whatever its form
+    Then the header "<header>" names the shared parts "<parts>"
+
+    Examples:
+      | header               | parts |
+      | a:40,b:700,c:60      | a b   |
+      | a:40                 |       |
+      | A:40 , b:7, b:7, c:1 | a b   |
+      | a,b:x,               | a     |
+      | :5,,c:1              |       |
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -17,6 +17,7 @@
 from wigeondrift_emulator.revision_server import RevisionServer
 
 STORE = "10.0.0.1:80"
+RESTART_SECONDS = 3.0
 HOST = "shop.example"
 KEY = "counter-key"
 TEAM = "counters"
@@ -110,6 +111,7 @@
         self.store = RevisionServer()
         self.servers_by_id = {}
         self.entries_by_id = {}
+        self.deaths = 0
         self.settings = settings or RouterSettings(
             instance_id="router-1",
             failure_domain="east",
@@ -129,6 +131,7 @@
         address = f"10.1.0.{len(self.servers_by_id) + 1}:80"
         server = ModelServer(upstream_id)
         server.layers = held
+        server.on_death = self.restart_after_death
         self.servers_by_id[upstream_id] = server
         entry = {
             "service": service,
@@ -166,6 +169,7 @@
                 self.nursery = nursery
                 self.parts = self.make_parts(MemoryClient(self.network))
                 await self.parts.replica.start(nursery)
+                await self.parts.suspects.start(nursery)
                 nursery.start_soon(self._run_timers)
                 await trio.sleep(0.1)
                 await scenario(self)
@@ -186,6 +190,30 @@
             trio.current_time,
         )
 
+    async def add_router(self, instance_id):
+        """Return the parts of another router that shares the store."""
+        parts = self.make_parts(MemoryClient(self.network), instance_id)
+        await parts.replica.start(self.nursery)
+        await parts.suspects.start(self.nursery)
+        await trio.sleep(0.1)
+        return parts
+
+    async def restart_after_death(self, server):
+        """Close the connections of an upstream and restart it after some seconds."""
+        address = self.address_of(server.upstream_id)
+        self.deaths += 1
+
+        async def restart():
+            await trio.sleep(RESTART_SECONDS)
+            self.network.listen(address, server.handle)
+            born = self.entries_by_id[server.upstream_id]["born"] + 1
+            server.born = born
+            self.write_entry(server.upstream_id, born=born)
+
+        self.nursery.start_soon(restart)
+        # Closing the connections cancels the request that is being served.
+        await self.network.crash(address)
+
     async def _run_timers(self):
         while True:
             await self.parts.replica.expire(trio.current_time())
@@ -203,10 +231,18 @@
         return answer
 
     async def _call(
-        self, answer, path, method, headers, key=KEY, caller_timeout=3.0, body=b"body"
+        self,
+        answer,
+        path,
+        method,
+        headers,
+        key=KEY,
+        caller_timeout=3.0,
+        body=b"body",
+        router=None,
     ):
         ours, theirs = memory_stream_pair()
-        server = HttpServer(self.parts.forwarder.handle)
+        server = HttpServer((router or self.parts).forwarder.handle)
         self.nursery.start_soon(server.serve_stream, theirs)
         await self.send_request(
             answer, ours, path, method, headers, key, caller_timeout, body
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -4,6 +4,9 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+# Shortest time for which requests with a trait that kills upstreams are refused.
+SUSPENSION_SECONDS = 300
+
 
 class Outcome(enum.StrEnum):
     """Whether a request was executed, as stated in its response."""
@@ -35,6 +38,7 @@
     QUEUE_FULL = "queue_full"
     QUEUE_TIMEOUT = "queue_timeout"
     QUARANTINED = "quarantined"
+    SUSPENDED = "suspended"
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
     NOT_READY = "not_ready"
@@ -97,6 +101,7 @@
     ErrorKind.UPSTREAM_LOST: ErrorResponse(502, Outcome.UNKNOWN, None, 2025),
     ErrorKind.UPSTREAM_TIMEOUT: ErrorResponse(504, Outcome.UNKNOWN, None, 2026),
     ErrorKind.STREAM_CUT: ErrorResponse(502, Outcome.UNKNOWN, None, 2027),
+    ErrorKind.SUSPENDED: ErrorResponse(503, Outcome.NOT_RUN, SUSPENSION_SECONDS, 2030),
     ErrorKind.CALLER_CLOSED: ErrorResponse(499, Outcome.UNKNOWN, None, 2029),
     ErrorKind.INTERNAL: ErrorResponse(500, Outcome.UNKNOWN, None, 2028),
 }
--- a/wigeondrift/platform/requests.py
+++ b/wigeondrift/platform/requests.py
@@ -146,7 +146,7 @@
     """Return the ids of all parts of a prompt but the last."""
     ids = [entry.partition(":")[0].strip().lower() for entry in text.split(",")]
     # A repeated part counts once.
-    return tuple(dict.fromkeys(part for part in ids[:-1] if part))
+    return tuple(dict.fromkeys([part for part in ids if part][:-1]))
 
 
 def _parse_number(header: str, text: str) -> int | None:
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -25,6 +25,7 @@
     get_caller_idle_timeout,
 )
 from wigeondrift.router.selector import Reservation, UpstreamSelector
+from wigeondrift.router.suspects import SuspectRegistry
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.telemetry.metrics import Metric, Metrics
 from wigeondrift.wire.http_client import ClientResponse, HttpClient
@@ -43,6 +44,8 @@
 # Fraction of the remaining time that a safe request waits for the response of one
 # upstream if it may still be sent to another.
 RETRYABLE_ATTEMPT_SHARE = 0.5
+# Events after which a request counts as one that its upstream survives.
+OUTPUT_EVENTS = 3
 STATUS_OK = 200
 # Statuses that promise the caller that the request was not run. An unsigned response
 # with one of them is not forwarded, as it may not come from the upstream itself.
@@ -61,6 +64,8 @@
         Queries runners about silent streams.
     header_codec : HeaderCodec
     metrics : Metrics
+    suspects : SuspectRegistry
+        Receives deaths of upstreams and output.
     """
 
     __slots__ = (
@@ -70,6 +75,7 @@
         "_header_codec",
         "_logger",
         "_metrics",
+        "_suspects",
     )
 
     def __init__(
@@ -79,6 +85,7 @@
         control: RunnerControl,
         header_codec: HeaderCodec,
         metrics: Metrics,
+        suspects: SuspectRegistry,
     ) -> None:
         self._selector = selector
         self._client = client
@@ -86,6 +93,7 @@
         self._header_codec = header_codec
         self._metrics = metrics
         self._logger = logging.getLogger(LOGGER_NAME)
+        self._suspects = suspects
 
     async def call(
         self,
@@ -230,7 +238,10 @@
                 born=upstream.started_at_ms,
                 events=progress.events,
                 prompt_parts=context.call.prompt_parts[:MAX_LOGGED_PARTS],
+                traits=context.traits[:MAX_LOGGED_PARTS],
             )
+            if progress.events < OUTPUT_EVENTS:
+                self._suspects.record_death(context, upstream)
         return tuple(suspects)
 
     async def _find_suspects(
@@ -341,6 +352,7 @@
             )
         if not head.is_signed and head.status < 300:
             raise AttemptFailed("the answer bears no signature", True)
+        self._suspects.record_output(context)
         await _write_to_caller(exchange.respond(head.status, head.headers, body))
 
     async def _forward_stream(
@@ -372,6 +384,8 @@
                     reservation.record_prompt_read()
                 progress.last_event_at = now
                 progress.events += 1
+                if progress.events == OUTPUT_EVENTS:
+                    self._suspects.record_output(context)
             if exchange.started:
                 await _write_to_caller(exchange.send(complete_events))
             else:
@@ -382,6 +396,8 @@
                 )
         if events.has_pending:
             raise ConnectionLost("the stream ended within an event")
+        if progress.events < OUTPUT_EVENTS:
+            self._suspects.record_output(context)
         if not exchange.started:
             await _write_to_caller(exchange.start(head.status, head.headers))
         await _write_to_caller(exchange.finish())
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -41,6 +41,7 @@
 from wigeondrift.router.selector import UpstreamSelector
 from wigeondrift.router.settings import RouterSettings
 from wigeondrift.router.sources import StoreSource
+from wigeondrift.router.suspects import SuspectRegistry
 from wigeondrift.router.wait_queue import POLL_SECONDS, WaitQueue
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.exchange import UsageExchange
@@ -92,6 +93,7 @@
         "replica",
         "source",
         "store",
+        "suspects",
         "wait_queue",
     )
 
@@ -149,6 +151,7 @@
         self.relay = Relay(
             self.replica, self.relays, bounds, settings.host, settings.peer_port
         )
+        self.suspects = SuspectRegistry(self.store, self.replica, settings.instance_id)
         control = HttpRunnerControl(client)
         reach = self.selector.reach
         self.planner = Planner(
@@ -169,7 +172,10 @@
             selector=self.selector,
             wait_queue=self.wait_queue,
             membership=self.membership,
-            sender=Sender(self.selector, client, control, header_codec, metrics),
+            suspects=self.suspects,
+            sender=Sender(
+                self.selector, client, control, header_codec, metrics, self.suspects
+            ),
             header_codec=header_codec,
             bounds=bounds,
             metrics=metrics,
@@ -256,6 +262,7 @@
         parts.relay,
         parts.replica,
         parts.membership,
+        parts.suspects,
         peers,
         parts.planner,
         parts.prober,
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -26,6 +26,7 @@
 )
 from wigeondrift.router.selector import UpstreamSelector
 from wigeondrift.router.settings import Bounds
+from wigeondrift.router.suspects import SuspectRegistry
 from wigeondrift.router.wait_queue import WaitQueue
 from wigeondrift.systems.repeats import RepeatBudget
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
@@ -53,6 +54,7 @@
     selector : UpstreamSelector
     wait_queue : WaitQueue
     membership : Membership
+    suspects : SuspectRegistry
     sender : Sender
     header_codec : HeaderCodec
     bounds : Bounds
@@ -78,6 +80,7 @@
         "_replica",
         "_rng",
         "_sender",
+        "_suspects",
         "_wait_queue",
         "is_closed",
         "running",
@@ -90,6 +93,7 @@
         selector: UpstreamSelector,
         wait_queue: WaitQueue,
         membership: Membership,
+        suspects: SuspectRegistry,
         sender: Sender,
         header_codec: HeaderCodec,
         bounds: Bounds,
@@ -100,6 +104,7 @@
         self._selector = selector
         self._wait_queue = wait_queue
         self._membership = membership
+        self._suspects = suspects
         self._sender = sender
         self._header_codec = header_codec
         self._bounds = bounds
@@ -249,7 +254,10 @@
             raise ConnectionLost(error.reason) from error
         headers = [("Content-Type", "text/plain")]
         if error.status in NOT_RUN_STATUSES:
-            seconds = max(RETRY_AFTER_SECONDS, self._wait_queue.estimate_wait())
+            if error.kind is ErrorKind.SUSPENDED:
+                seconds = float(error.retry_after)
+            else:
+                seconds = max(RETRY_AFTER_SECONDS, self._wait_queue.estimate_wait())
             seconds += RETRY_AFTER_JITTER * self._rng.random()
             headers.append(("Retry-After", f"{seconds:.2f}"))
         await exchange.respond(error.status, headers, error.reason.encode())
@@ -322,7 +330,17 @@
             raise RequestError(ErrorKind.UPSTREAM_LOST, failure.reason)
         raise RequestError(ErrorKind.UPSTREAM_REFUSED, failure.reason)
 
+    def _require_unsuspected(self, context: RequestContext) -> None:
+        """Refuse a request that shares a trait under which several upstreams died."""
+        if self._suspects.find_refused(context) is None:
+            return
+        reason = "upstreams died while they ran requests like this one"
+        if context.may_have_run:
+            raise RequestError(ErrorKind.UPSTREAM_LOST, reason)
+        raise RequestError(ErrorKind.SUSPENDED, reason)
+
     async def _try_once(self, exchange: Exchange, context: RequestContext) -> None:
+        self._require_unsuspected(context)
         engine = context.service.engine
         if engine is None or not engine.layers:
             await self._try_member(exchange, context)
@@ -361,6 +379,8 @@
                 raise RequestError(ErrorKind.UPSTREAM_LOST, "no room to go on")
             raise RequestError(ErrorKind.QUEUE_TIMEOUT, "no room came free in time")
         try:
+            # Other requests may have killed upstreams while this one waited.
+            self._require_unsuspected(context)
             head = reservation.chain.runners[0]
             context.expected_first = reservation.first_seconds
             await self._sender.call(exchange, context, head, reservation)
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -7,6 +7,7 @@
 from wigeondrift.router.entities import RouteRule, ServiceSpec
 from wigeondrift.router.event_stream import EventBuffer
 from wigeondrift.systems.chains import RouteDemand
+from wigeondrift.systems.suspects import make_digest
 
 # Callers abandon a stream without data after this time, or after these multiples of
 # the route's objective or event gap if those are longer (the platform documents this).
@@ -79,6 +80,8 @@
         Time spent waiting for capacity.
     longest_gap : float or None
         Longest pause between two events, in seconds.
+    traits : tuple of str
+        Digests of what the request has in common with others of its service.
     """
 
     __slots__ = (
@@ -95,6 +98,7 @@
         "service",
         "first_event_at",
         "team",
+        "traits",
         "upstreams",
     )
 
@@ -118,6 +122,9 @@
         self.wait_seconds = 0.0
         self.expected_first: float | None = None
         self.longest_gap: float | None = None
+        self.traits = tuple(
+            make_digest(service.name, part) for part in call.prompt_parts
+        )
 
     @property
     def demand(self) -> RouteDemand:
--- /dev/null
+++ b/wigeondrift/router/suspects.py
@@ -0,0 +1,214 @@
+"""Record of upstreams that died under requests, shared by all routers in the store."""
+
+import contextlib
+import logging
+
+import msgspec
+import trio
+
+from wigeondrift.application import Component
+from wigeondrift.errors import LeaseEnded, PlatformError, RevisionConflict
+from wigeondrift.router.entities import Upstream
+from wigeondrift.router.replica import ROUTER_KEYS_PREFIX, Replica
+from wigeondrift.router.request_context import RequestContext
+from wigeondrift.store.revisions import Item, RevisionStore
+from wigeondrift.systems.suspects import (
+    SUSPECT_SECONDS,
+    Death,
+    SuspectTable,
+    make_digest,
+)
+from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+
+SUSPECTS_PREFIX = ROUTER_KEYS_PREFIX + "suspects/"
+# Age at which a lease is no longer used for further deaths, so that each is kept for at
+# least half of the time.
+MAX_LEASE_AGE_SECONDS = SUSPECT_SECONDS / 2
+RETRY_SECONDS = 0.5
+# Deaths that may wait to be written; an outage of a whole failure domain can put many
+# requests on record at once.
+MAX_PENDING = 256
+# Keys that one call to the store may delete.
+MAX_DELETED_KEYS = 32
+
+
+class DeathReport(msgspec.Struct):
+    """Stored report of an upstream's death under a request with some trait.
+
+    Attributes
+    ----------
+    instance_id : str
+        Router that sent the request.
+    request_id : str
+    companions : tuple of str
+        Digests of the other traits of the request.
+    """
+
+    instance_id: str
+    request_id: str
+    companions: tuple[str, ...]
+
+
+class SuspectRegistry(Component):
+    """Reports deaths of upstreams to the store and reads those that others reported.
+
+    Each death under each trait has a key of its own, so that routers that see the same
+    death need not agree, and a key is only created or deleted. The keys expire with
+    their lease.
+
+    Parameters
+    ----------
+    store : RevisionStore
+    replica : Replica
+    instance_id : str
+    """
+
+    __slots__ = (
+        "_changed",
+        "_instance_id",
+        "_lease",
+        "_lease_asked_at",
+        "_listed_version",
+        "_logger",
+        "_pending_removals",
+        "_pending_requests_by_death",
+        "_replica",
+        "_store",
+        "_table",
+    )
+
+    def __init__(
+        self, store: RevisionStore, replica: Replica, instance_id: str
+    ) -> None:
+        self._store = store
+        self._replica = replica
+        self._instance_id = instance_id
+        self._table = SuspectTable()
+        self._lease = 0
+        self._lease_asked_at = 0.0
+        self._listed_version = (0, 0)
+        # Deaths to write, with the request that saw each.
+        self._pending_requests_by_death: dict[Death, str] = {}
+        self._pending_removals: dict[Death, None] = {}
+        self._changed = trio.Event()
+        self._logger = logging.getLogger(LOGGER_NAME)
+        replica.subscribe(self._read_listed)
+
+    def find_refused(self, context: RequestContext) -> str | None:
+        """Return a trait for which a request must not run, or None."""
+        now = trio.current_time()
+        for trait, deaths in self._table.refresh(now).items():
+            log_event(
+                self._logger,
+                logging.WARNING,
+                Event.REQUEST_QUARANTINED,
+                trait=trait,
+                deaths=deaths,
+                request_id=context.call.request_id,
+            )
+        return self._table.find_refused(context.traits, now)
+
+    def record_death(self, context: RequestContext, upstream: Upstream) -> None:
+        """Record that an upstream died under a request that had no output from it."""
+        now = trio.current_time()
+        incarnation = make_digest(upstream.upstream_id, upstream.started_at_ms)
+        for death in self._table.record_death(context.traits, incarnation, now):
+            if len(self._pending_requests_by_death) < MAX_PENDING:
+                self._pending_requests_by_death[death] = context.call.request_id
+                self._changed.set()
+
+    def record_output(self, context: RequestContext) -> None:
+        """Record that a request has produced output on an upstream."""
+        removed = self._table.record_output(context.traits, trio.current_time())
+        for death in removed:
+            self._pending_requests_by_death.pop(death, None)
+            self._pending_removals[death] = None
+        if removed:
+            self._changed.set()
+
+    def _read_listed(self) -> None:
+        items = [
+            item
+            for key, item in self._replica.router_items_by_key.items()
+            if key.startswith(SUSPECTS_PREFIX)
+        ]
+        version = (len(items), max((item.revision for item in items), default=0))
+        if version == self._listed_version:
+            return
+        self._listed_version = version
+        companions_by_death = {
+            _parse_key(item.key): self._decode_companions(item) for item in items
+        }
+        self._table.set_listed(companions_by_death, trio.current_time())
+
+    def _decode_companions(self, item: Item) -> frozenset[str]:
+        try:
+            report = msgspec.json.decode(item.value, type=DeathReport)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            log_event(
+                self._logger,
+                logging.WARNING,
+                Event.PEER_UNREADABLE,
+                subject=item.key,
+                reason=str(error),
+            )
+            return frozenset()
+        return frozenset(report.companions)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start to write deaths in ``nursery``."""
+        nursery.start_soon(self._run)
+
+    async def _run(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed = trio.Event()
+            try:
+                await self._remove_deaths()
+                await self._write_deaths()
+            except PlatformError as error:
+                if isinstance(error, LeaseEnded):
+                    self._lease = 0
+                # The replica logs outages of the store.
+                await trio.sleep(RETRY_SECONDS)
+                self._changed.set()
+
+    async def _remove_deaths(self) -> None:
+        while self._pending_removals:
+            deaths = list(self._pending_removals)[:MAX_DELETED_KEYS]
+            await self._store.delete([_make_key(death) for death in deaths])
+            for death in deaths:
+                self._pending_removals.pop(death, None)
+
+    async def _write_deaths(self) -> None:
+        pending = self._pending_requests_by_death
+        while pending:
+            if not self._lease or self._lease_age > MAX_LEASE_AGE_SECONDS:
+                self._lease_asked_at = self._replica.get_time()
+                self._lease = await self._store.grant_lease(SUSPECT_SECONDS)
+            # Those that may make other routers refuse a trait go first.
+            death = max(pending, key=lambda one: self._table.count_deaths(one.trait))
+            report = DeathReport(
+                self._instance_id,
+                pending[death],
+                tuple(sorted(self._table.get_companions(death))),
+            )
+            value = msgspec.json.encode(report)
+            # Another router may have seen the same death.
+            with contextlib.suppress(RevisionConflict):
+                await self._store.put(_make_key(death), value, 0, self._lease)
+            pending.pop(death, None)
+            self._table.confirm_written(death, trio.current_time())
+
+    @property
+    def _lease_age(self) -> float:
+        return self._replica.get_time() - self._lease_asked_at
+
+
+def _make_key(death: Death) -> str:
+    return f"{SUSPECTS_PREFIX}{death.trait}/{death.upstream}"
+
+
+def _parse_key(key: str) -> Death:
+    trait, _, upstream = key.removeprefix(SUSPECTS_PREFIX).partition("/")
+    return Death(trait, upstream)
--- /dev/null
+++ b/wigeondrift/systems/suspects.py
@@ -0,0 +1,315 @@
+"""Traits of requests under which upstreams die, and which of them are refused.
+
+A trait is something that several requests have in common, such as a part of their
+prompt. All traits of a request are suspects if an upstream died before the request had
+produced output. Sound traits are on record for some deaths too, because they occur in
+the same requests or ran beside them, so a death that a refused trait explains does not
+count against the others, and output clears a trait. Traits that were always together in
+one request are refused together only, so that a request with one of them shows whether
+it is sound.
+"""
+
+import hashlib
+import math
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from wigeondrift.errors import SUSPENSION_SECONDS
+
+# Deaths after which a trait that has never produced output is refused for some time.
+# Two deaths may be a coincidence, so that the trait is tried again after that time.
+FIRST_REFUSAL_DEATHS = 2
+FIRST_REFUSAL_SECONDS = 15.0
+# Deaths after which such a trait is refused for as long as they are remembered.
+REFUSAL_DEATHS = 3
+# The same for a trait that produced output before the first of the deaths.
+SOUND_REFUSAL_DEATHS = 5
+# Time for which a death is remembered.
+SUSPECT_SECONDS = 2.0 * SUSPENSION_SECONDS
+# A trait that produced output within this time becomes a suspect at its second death.
+# Popular traits are present at most deaths, and cleared again at once.
+RECENT_OUTPUT_SECONDS = 3.0
+# Time that the store's list has to show a death after it was written there.
+LISTING_SECONDS = 10.0
+# Traits and deaths that one router remembers itself; the oldest are dropped first.
+MAX_TRAITS = 4096
+DIGEST_BYTES = 16
+
+
+class Death(NamedTuple):
+    """Death of an upstream under a request with some trait.
+
+    Attributes
+    ----------
+    trait : str
+        Digest of the trait.
+    upstream : str
+        Digest of the upstream's incarnation.
+    """
+
+    trait: str
+    upstream: str
+
+
+class Refusal(NamedTuple):
+    """Refusal of a trait.
+
+    Attributes
+    ----------
+    until : float
+        Time at which it ends, in seconds.
+    partners : frozenset of str
+        Other traits that a request must have to be refused.
+    """
+
+    until: float
+    partners: frozenset[str]
+
+
+def make_digest(*fields: object) -> str:
+    """Return a hash of ``fields`` in hexadecimal."""
+    identity = "\0".join(map(str, fields)).encode()
+    return hashlib.blake2b(identity, digest_size=DIGEST_BYTES).hexdigest()
+
+
+class SuspectTable:
+    """Deaths on record, of this router and from the store, and the traits refused.
+
+    Deaths are only ever added or, when a request with the trait has produced output,
+    removed, so that messages of several routers may arrive late or in any order.
+    """
+
+    __slots__ = (
+        "_companions_by_death",
+        "_forgotten",
+        "_is_stale",
+        "_learned_at_by_death",
+        "_listed",
+        "_output_at_by_trait",
+        "_own_until_by_death",
+        "_refusals_by_trait",
+        "_unconfirmed_by_trait",
+        "_upstreams_by_trait",
+    )
+
+    def __init__(self) -> None:
+        # Whether deaths were added or removed since the refused traits were found.
+        self._is_stale = False
+        self._listed: frozenset[Death] = frozenset()
+        # Deaths that were removed but that the store may still list.
+        self._forgotten: set[Death] = set()
+        # Own deaths that the store does not list yet, and how long they are kept.
+        self._own_until_by_death: dict[Death, float] = {}
+        self._learned_at_by_death: dict[Death, float] = {}
+        # Other traits of the request that had the trait when the upstream died.
+        self._companions_by_death: dict[Death, frozenset[str]] = {}
+        self._output_at_by_trait: dict[str, float] = {}
+        # Deaths under traits that have just produced output.
+        self._unconfirmed_by_trait: dict[str, list[Death]] = {}
+        self._upstreams_by_trait: dict[str, set[str]] = {}
+        self._refusals_by_trait: dict[str, Refusal] = {}
+
+    def refresh(self, now: float) -> dict[str, int]:
+        """Find the refused traits; return the new ones and their number of deaths."""
+        if not self._is_stale:
+            return {}
+        self._is_stale = False
+        known = self._refusals_by_trait
+        self._rebuild(now)
+        return {
+            trait: self.count_deaths(trait)
+            for trait in self._refusals_by_trait
+            if trait not in known
+        }
+
+    def find_refused(self, traits: Sequence[str], now: float) -> str | None:
+        """Return a trait for which a request is refused, or None.
+
+        Deaths count from the last call of ``refresh`` on.
+        """
+        for trait in traits:
+            refusal = self._refusals_by_trait.get(trait)
+            if (
+                refusal is not None
+                and now < refusal.until
+                and refusal.partners.issubset(traits)
+            ):
+                return trait
+        return None
+
+    def get_companions(self, death: Death) -> frozenset[str]:
+        """Return the other traits of the request under which the upstream died."""
+        return self._companions_by_death.get(death, frozenset())
+
+    def count_deaths(self, trait: str) -> int:
+        """Return the number of deaths on record."""
+        return len(self._upstreams_by_trait.get(trait, ()))
+
+    def record_death(
+        self, traits: Sequence[str], upstream: str, now: float
+    ) -> list[Death]:
+        """Record that an upstream died under a request without output.
+
+        Parameters
+        ----------
+        traits : sequence of str
+        upstream : str
+            Digest of the upstream's incarnation.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        list of Death
+            Deaths that the other routers must know.
+        """
+        added = []
+        for trait in traits:
+            death = Death(trait, upstream)
+            self._companions_by_death.setdefault(
+                death, frozenset(traits).difference([trait])
+            )
+            output_at = self._output_at_by_trait.get(trait, -math.inf)
+            if now - output_at < RECENT_OUTPUT_SECONDS:
+                unconfirmed = self._unconfirmed_by_trait.setdefault(trait, [])
+                if death not in unconfirmed:
+                    unconfirmed.append(death)
+                if len(unconfirmed) == 1:
+                    continue
+            added.extend(self._unconfirmed_by_trait.pop(trait, ()))
+            added.append(death)
+        known = self._listed.union(self._own_until_by_death)
+        new = [death for death in dict.fromkeys(added) if death not in known]
+        for death in new:
+            while len(self._own_until_by_death) >= MAX_TRAITS:
+                del self._own_until_by_death[next(iter(self._own_until_by_death))]
+            self._own_until_by_death[death] = now + SUSPECT_SECONDS
+            self._learned_at_by_death[death] = now
+            self._is_stale = True
+        return new
+
+    def confirm_written(self, death: Death, now: float) -> None:
+        """Record that the store has an own death; soon only its list counts."""
+        if death in self._own_until_by_death:
+            self._own_until_by_death[death] = now + LISTING_SECONDS
+
+    def record_output(self, traits: Iterable[str], now: float) -> list[Death]:
+        """Record that a request has produced output on an upstream that lives on.
+
+        Returns
+        -------
+        list of Death
+            Deaths on record that the other routers must forget.
+        """
+        cleared: set[str] = set()
+        for trait in traits:
+            self._output_at_by_trait.pop(trait, None)
+            while len(self._output_at_by_trait) >= MAX_TRAITS:
+                del self._output_at_by_trait[next(iter(self._output_at_by_trait))]
+            self._output_at_by_trait[trait] = now
+            self._unconfirmed_by_trait.pop(trait, None)
+            cleared.add(trait)
+        return self._remove(cleared)
+
+    def _remove(self, traits: Collection[str]) -> list[Death]:
+        deaths = self._listed.union(self._own_until_by_death)
+        removed = [death for death in deaths if death.trait in traits]
+        if not removed:
+            return []
+        self._is_stale = True
+        self._forgotten.update(self._listed.intersection(removed))
+        self._listed = self._listed.difference(removed)
+        for death in removed:
+            self._own_until_by_death.pop(death, None)
+        return removed
+
+    def set_listed(
+        self, companions_by_death: Mapping[Death, frozenset[str]], now: float
+    ) -> None:
+        """Replace the deaths that the store lists.
+
+        Parameters
+        ----------
+        companions_by_death : dict of Death to frozenset of str
+            Other traits of the request that had the trait.
+        now : float
+            Current time in seconds.
+        """
+        listed = frozenset(companions_by_death)
+        self._companions_by_death.update(companions_by_death)
+        self._forgotten &= listed
+        self._listed = listed - self._forgotten
+        for death in listed:
+            self._own_until_by_death.pop(death, None)
+            self._learned_at_by_death.setdefault(death, now)
+        self._is_stale = True
+
+    def _rebuild(self, now: float) -> None:
+        for death, until in list(self._own_until_by_death.items()):
+            if now >= until:
+                del self._own_until_by_death[death]
+        deaths = self._listed.union(self._own_until_by_death)
+        self._learned_at_by_death = {
+            death: self._learned_at_by_death[death] for death in deaths
+        }
+        kept = deaths.union(*self._unconfirmed_by_trait.values())
+        self._companions_by_death = {
+            death: self._companions_by_death[death] for death in kept
+        }
+        self._upstreams_by_trait = {}
+        for trait, upstream in deaths:
+            self._upstreams_by_trait.setdefault(trait, set()).add(upstream)
+        self._refusals_by_trait = {}
+        explained: set[str] = set()
+        for is_sound in (False, True):
+            explained |= self._refuse_traits(is_sound, explained)
+
+    def _refuse_traits(self, is_sound: bool, explained: set[str]) -> set[str]:
+        """Refuse the traits that explain most deaths; return all explained deaths.
+
+        Parameters
+        ----------
+        is_sound : bool
+            Whether to examine the traits that have produced output, or the others.
+        explained : set of str
+            Upstreams whose death a refused trait explains.
+        """
+        required = SOUND_REFUSAL_DEATHS if is_sound else FIRST_REFUSAL_DEATHS
+        candidates = {
+            trait: upstreams
+            for trait, upstreams in self._upstreams_by_trait.items()
+            if len(upstreams) >= required
+            and (trait in self._output_at_by_trait) == is_sound
+        }
+        explained = set(explained)
+        while candidates:
+            left = {trait: len(ups - explained) for trait, ups in candidates.items()}
+            most = max(left.values())
+            if most < required:
+                break
+            # Traits that explain as many deaths can't be told apart yet.
+            equals = [trait for trait, count in left.items() if count == most]
+            for trait in equals:
+                self._refusals_by_trait[trait] = Refusal(
+                    self._get_refused_until(trait),
+                    self._get_partners(trait).intersection(equals),
+                )
+            for trait in equals:
+                explained |= candidates.pop(trait)
+        return explained
+
+    def _get_partners(self, trait: str) -> frozenset[str]:
+        """Return the traits that were in the same request at each death."""
+        return frozenset.intersection(
+            *(
+                self._companions_by_death[trait, upstream]
+                for upstream in self._upstreams_by_trait[trait]
+            )
+        )
+
+    def _get_refused_until(self, trait: str) -> float:
+        upstreams = self._upstreams_by_trait[trait]
+        if len(upstreams) >= REFUSAL_DEATHS:
+            return math.inf
+        learned_at = max(self._learned_at_by_death[trait, up] for up in upstreams)
+        return learned_at + FIRST_REFUSAL_SECONDS
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -1,5 +1,7 @@
 """Emulated upstreams: model runners and instances of plain services."""
 
+from collections.abc import Awaitable, Callable
+
 import msgspec
 import trio
 
@@ -45,6 +47,13 @@
         Number of calls that their caller closed before the answer was complete.
     reports : int
         Number of times that the report was requested.
+    born : int
+        Start of the present incarnation, in milliseconds since the epoch.
+    deadly : str
+        Text that no request may have in its prompt parts or its body, if not empty:
+        the upstream dies when it begins to answer one.
+    on_death : callable or None
+        Coroutine function that is called with the upstream when it dies.
     """
 
     def __init__(self, upstream_id: str, events: int = 6) -> None:
@@ -59,6 +68,9 @@
         self.orders: list[dict] = []
         self.aborted_calls = 0
         self.reports = 0
+        self.born = 1
+        self.deadly = ""
+        self.on_death: Callable[[ModelServer], Awaitable[None]] | None = None
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request."""
@@ -93,7 +105,7 @@
             "kv_used": 0,
             "kv_total": 1000,
             "pace": 1.0,
-            "born": 1,
+            "born": self.born,
             "layers": {"from": self.layers[0], "to": self.layers[1], "version": 1},
             "stalled": stalled,
         }
@@ -118,6 +130,10 @@
             await exchange.respond(503, [NOT_EXECUTED_HEADER])
             return
         self.served.append(request)
+        if self.deadly and self._is_deadly(request):
+            await trio.sleep(EVENT_SECONDS)
+            await self.on_death(self)
+            raise trio.BrokenResourceError
         if self.fault == "foreign":
             headers[0] = ("Wigeondrift-Request-Id", "another")
         if self.fault == "unsigned":
@@ -133,6 +149,10 @@
         else:
             await exchange.respond(200, headers, b"done by a member")
 
+    def _is_deadly(self, request: Request) -> bool:
+        parts = request.headers_by_name.get("wigeondrift-prompt-prefix", "")
+        return self.deadly in parts or self.deadly.encode() in request.body
+
     async def _stream(self, exchange: Exchange, headers: list) -> None:
         after = exchange.request.headers_by_name.get("last-event-id")
         first = int(after) + 1 if after else 0
