Tell the other routers of deaths by datagram before the store does

The store's list reaches a router up to 0.8 s later, longer behind a relay; meanwhile requests that share the part go on to kill runners elsewhere. A router now also sends what it has seen to all peers, once for each death and trait. Peers keep it for 10 s, by which time the store lists it. Known peers only, bounded messages; a lost one costs the wait for the store, as before.

Tests: peers.feature (good and bad news, over sockets), suspects.feature (a router whose store is away refuses what died at another); neither passes without the change.

--- a/tests/features/peers.feature
+++ b/tests/features/peers.feature
@@ -25,6 +25,7 @@
     When a datagram from <sender> brings <datagram>
     And "east-2" sends its usage of 70 cells
     Then the ledger counts 70 cells
+    And the router has got news of 0 deaths
 
     Examples:
       | sender     | datagram                      |
@@ -37,6 +38,20 @@
       | "east-2"   | the usage of "east-3"         |
       | a stranger | the usage of "east-2"         |
       | a stranger | a far sequence number         |
+      | "east-2"   | news of a death without text  |
+      | "east-2"   | news of too many deaths       |
+      | "east-2"   | news with a long digest       |
+      | a stranger | news of two deaths            |
+
+  Scenario: News of deaths reach a peer at once
+    Given a router that listens for the usage of "east-2"
+    When a datagram from "east-2" brings news of two deaths
+    And "east-2" sends its usage of 70 cells
+    Then the ledger counts 70 cells
+    And the router has got news of 2 deaths
+
+  Scenario: News of deaths are sent to all peers
+    Then a router that sees a death sends news of it to its peer
 
   Scenario Outline: A router's entry that can't be used is no peer
     Given a list of routers with the entry <entry>
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -10,12 +10,13 @@
 from behave import given, then, when
 
 from wigeondrift.router.membership import Membership, RouterEntry
-from wigeondrift.router.peers import PeerExchange
+from wigeondrift.router.peers import MAX_DATAGRAM_BYTES, PeerExchange
 from wigeondrift.router.selector import UpstreamSelector
 from wigeondrift.store.revisions import Item
 from wigeondrift.systems.cache_usage import CacheLedger, PeerUsage, Usage
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.exchange import UsageExchange
+from wigeondrift.systems.suspects import DeathNews, make_digest
 
 PACKAGE = Path(__file__).parent.parent.parent.parent / "wigeondrift"
 WALL_CLOCK_PATTERN = re.compile(r"time\.time|time_ns|datetime|CLOCK_REALTIME")
@@ -61,6 +62,13 @@
             assert found is None, (module, found)
 
 
+def make_news(count, text=""):
+    companions_by_upstream = {make_digest("u1"): frozenset()}
+    return DeathNews(
+        {make_digest(number) + text: companions_by_upstream for number in range(count)}
+    )
+
+
 class Peers:
     """Stand-in for the membership: the routers that this one knows."""
 
@@ -105,6 +113,12 @@
         'the usage of "east-3"': lambda: make_usage("east-3", 1, 900.0),
         'the usage of "east-2"': lambda: make_usage("east-2", 1, 900.0),
         "a far sequence number": lambda: make_usage("east-2", 2**60, 900.0),
+        "news of two deaths": lambda: make_news(2),
+        "news of too many deaths": lambda: make_news(100),
+        "news with a long digest": lambda: make_news(1, "x" * 200),
+        "news of a death without text": lambda: {
+            "companions_by_upstream_by_trait": {"a": 5}
+        },
     }
     data = makers[datagram]()
     if not isinstance(data, bytes):
@@ -128,6 +142,8 @@
         port,
     )
     exchange.update_peers()
+    context.news = []
+    exchange.subscribe(context.news.append)
     async with trio.open_nursery() as nursery:
         await exchange.start(nursery)
         for is_known, data in context.datagrams:
@@ -148,6 +164,43 @@
     assert context.ledger.get_usage(RUNNER).cells == cells
 
 
+@then("the router has got news of {count:d} deaths")
+def check_news(context, count):
+    deaths = [death for news in context.news for death in news.iter_deaths()]
+    assert len(deaths) == count, deaths
+
+
+@then("a router that sees a death sends news of it to its peer")
+def check_announced(context):
+    async def announce():
+        peer, probe = make_socket(), make_socket()
+        port = probe.getsockname()[1]
+        probe.close()
+        selector = UpstreamSelector(Directory(1.2), "east", random.Random(1))
+        exchange = PeerExchange(
+            selector,
+            Peers({"east-2": f"{HOST}:{peer.getsockname()[1]}"}),
+            UsageExchange("east-1", "east", 100.0, selector.ledger),
+            "east-1",
+            HOST,
+            port,
+        )
+        async with trio.open_nursery() as nursery:
+            await exchange.start(nursery)
+            exchange.announce(make_news(2))
+            peer.setblocking(False)
+            endpoint = trio.socket.from_stdlib_socket(peer)
+            with trio.fail_after(WAIT_SECONDS):
+                data = await endpoint.recv(MAX_DATAGRAM_BYTES)
+                while data[:1] == b"\x94":
+                    data = await endpoint.recv(MAX_DATAGRAM_BYTES)
+            nursery.cancel_scope.cancel()
+        await exchange.close()
+        assert msgspec.msgpack.decode(data, type=DeathNews) == make_news(2)
+
+    trio.run(announce)
+
+
 class Replica:
     """Stand-in for the copy of the store, with the entries of routers alone."""
 
--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -96,7 +96,8 @@
 @when('{count:d} request with the prompt parts "{parts}" comes through one router')
 def request_at_one_router(context, count, parts):
     async def request(world):
-        context.other_router = await world.add_router("router-2")
+        if not hasattr(context, "other_router"):
+            context.other_router = await world.add_router("router-2")
         for _ in range(count):
             await ask(context, world, parts)
             await trio.sleep(0.2)
@@ -104,6 +105,18 @@
     queue_action(context, request)
 
 
+@when("two routers hear of each other's deaths while the store is away")
+def connect_routers(context):
+    async def connect(world):
+        context.other_router = await world.add_router("router-2")
+        routers = (world.parts, context.other_router)
+        for one, other in (routers, routers[::-1]):
+            one.suspects.subscribe(other.suspects.apply_news)
+        world.store.is_down = True
+
+    queue_action(context, connect)
+
+
 @when(
     "{seconds:d} seconds later one with the prompt parts"
     ' "{parts}" through another router'
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -28,6 +28,13 @@
     And 3 seconds later one with the prompt parts "third, bad" through another router
     Then that request is refused as not run and reached no runner
 
+  Scenario: Routers that hear of each other's deaths need not wait for the store
+    Given runners die under requests with the prompt part "bad"
+    When two routers hear of each other's deaths while the store is away
+    And 1 request with the prompt parts "first, bad" comes through one router
+    And 0 seconds later one with the prompt parts "first, bad" through another router
+    Then that request is refused as not run and reached no runner
+
   Scenario: A death that an external cause has is not held against popular requests
     When 8 streams with the prompt part "shared" run and three first stages die at once
     Then 5 further requests with the prompt part "shared" are complete
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -256,6 +256,8 @@
         settings.peer_port,
     )
     parts.membership.subscribe(peers.update_peers)
+    parts.suspects.subscribe(peers.announce)
+    peers.subscribe(parts.suspects.apply_news)
     components = [
         ReadyListener(settings.ready_address, READINESS_PATH, parts.readiness),
         MetricsListener(f"{settings.host}:{METRICS_PORT}", metrics),
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -1,12 +1,14 @@
-"""Exchange of messages between routers about the runner capacity that they use.
+"""Exchange of messages between routers.
 
-The messages are datagrams. Each replaces the one before, so a lost one needs no
-retransmission, and a peer that doesn't respond delays nothing.
+The messages are datagrams. Those on the runner capacity that a router uses replace the
+one before, so a lost one needs no retransmission. Those on deaths of upstreams only
+tell earlier what the store holds. A peer that doesn't respond delays nothing.
 """
 
 import logging
 import random
-from collections.abc import Iterable
+from collections import deque
+from collections.abc import Callable, Iterable
 
 import msgspec
 import trio
@@ -16,6 +18,7 @@
 from wigeondrift.router.selector import UpstreamSelector
 from wigeondrift.systems.cache_usage import PeerUsage
 from wigeondrift.systems.exchange import Member, Message, UsageExchange
+from wigeondrift.systems.suspects import DeathNews
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.address import parse_address
 
@@ -28,10 +31,14 @@
 # peers. Together they average 12 KB/s, the bound on control traffic.
 SEND_BYTES_PER_SECOND = 6000.0
 COLLECTOR_BYTES_PER_SECOND = 60000.0
+# Pause between two messages on deaths; many requests see the same death.
+NEWS_PAUSE_SECONDS = 0.02
+# Messages on deaths that may wait to be sent.
+MAX_PENDING_NEWS = 64
 
 
 class PeerExchange(Component):
-    """Sends this router's usage to its peers and receives theirs.
+    """Sends this router's usage and news to its peers and receives theirs.
 
     Parameters
     ----------
@@ -53,9 +60,12 @@
         "_logger",
         "_membership",
         "_names_by_address",
+        "_news_added",
+        "_pending_news",
         "_port",
         "_sequence",
         "_socket",
+        "_subscribers",
     )
 
     def __init__(
@@ -74,6 +84,9 @@
         self._host = host
         self._port = port
         self._names_by_address: dict[tuple[str, int], str] = {}
+        self._subscribers: list[Callable[[DeathNews], None]] = []
+        self._pending_news: deque[DeathNews] = deque(maxlen=MAX_PENDING_NEWS)
+        self._news_added = trio.Event()
         self._sequence = 0
         self._changed = trio.Event()
         selector.ledger.subscribe(self._notify_sender)
@@ -83,6 +96,15 @@
     def _notify_sender(self) -> None:
         self._changed.set()
 
+    def subscribe(self, callback: Callable[[DeathNews], None]) -> None:
+        """Call ``callback`` with the deaths that peers report."""
+        self._subscribers.append(callback)
+
+    def announce(self, news: DeathNews) -> None:
+        """Send a report of deaths to all peers."""
+        self._pending_news.append(news)
+        self._news_added.set()
+
     def update_peers(self) -> None:
         """Update the list of peers; called when it may have changed."""
         peers = self._membership.list_peers()
@@ -105,6 +127,7 @@
         await self._socket.bind((self._host, self._port))
         nursery.start_soon(self._receive)
         nursery.start_soon(self._send)
+        nursery.start_soon(self._send_news)
 
     async def close(self) -> None:
         """Close the socket."""
@@ -124,26 +147,35 @@
                 )
                 await trio.sleep(SEND_SECONDS)
                 continue
-            usage = self._decode(data, sender)
-            if usage is not None:
+            message = self._decode(data, sender)
+            if isinstance(message, DeathNews):
+                for callback in self._subscribers:
+                    callback(message)
+            elif message is not None:
                 if self._exchange.is_collector:
                     self._changed.set()
                 await self._send_all(
-                    self._exchange.handle_usage(usage, trio.current_time())
+                    self._exchange.handle_usage(message, trio.current_time())
                 )
 
-    def _decode(self, data: bytes, sender: tuple[str, int]) -> PeerUsage | None:
+    def _decode(
+        self, data: bytes, sender: tuple[str, int]
+    ) -> PeerUsage | DeathNews | None:
         """Return a peer's message; None if it is no message of a known peer."""
         name = self._names_by_address.get(sender[:2])
         try:
-            usage = msgspec.msgpack.decode(data, type=PeerUsage)
+            message = _decode_message(data)
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             reason = str(error)
         else:
             # Sums have names of their own.
-            is_own_name = ":" in usage.instance_id or usage.instance_id == name
-            if name is not None and is_own_name and usage.is_plausible:
-                return usage
+            is_own_name = (
+                isinstance(message, DeathNews)
+                or ":" in message.instance_id
+                or message.instance_id == name
+            )
+            if name is not None and is_own_name and message.is_plausible:
+                return message
             reason = "not sent by this peer, or out of bounds"
         log_event(
             self._logger,
@@ -172,6 +204,16 @@
             pause = max(SEND_SECONDS, sent / rate)
             await trio.sleep(pause * random.uniform(0.8, 1.2))
 
+    async def _send_news(self) -> None:
+        while True:
+            await self._news_added.wait()
+            self._news_added = trio.Event()
+            while self._pending_news:
+                data = msgspec.msgpack.encode(self._pending_news.popleft())
+                for peer in list(self._membership.list_peers().values()):
+                    await self._send_to(peer.address, data)
+                await trio.sleep(NEWS_PAUSE_SECONDS)
+
     async def _send_all(self, messages: Iterable[Message]) -> int:
         sent = 0
         peers = self._membership.list_peers()
@@ -194,3 +236,11 @@
                 reason=str(error),
             )
             return 0
+
+
+def _decode_message(data: bytes) -> PeerUsage | DeathNews:
+    """Return the message in a datagram; usage is an array, news are a map."""
+    try:
+        return msgspec.msgpack.decode(data, type=PeerUsage)
+    except msgspec.ValidationError:
+        return msgspec.msgpack.decode(data, type=DeathNews)
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -7,7 +7,7 @@
 from wigeondrift.router.entities import RouteRule, ServiceSpec
 from wigeondrift.router.event_stream import EventBuffer
 from wigeondrift.systems.chains import RouteDemand
-from wigeondrift.systems.suspects import make_digest
+from wigeondrift.systems.suspects import MAX_TRAITS_PER_REQUEST, make_digest
 
 # Callers abandon a stream without data after this time, or after these multiples of
 # the route's objective or event gap if those are longer (the platform documents this).
@@ -123,7 +123,8 @@
         self.expected_first: float | None = None
         self.longest_gap: float | None = None
         self.traits = tuple(
-            make_digest(service.name, part) for part in call.prompt_parts
+            make_digest(service.name, part)
+            for part in call.prompt_parts[:MAX_TRAITS_PER_REQUEST]
         )
 
     @property
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+from collections.abc import Callable
 
 import msgspec
 import trio
@@ -15,6 +16,7 @@
 from wigeondrift.systems.suspects import (
     SUSPECT_SECONDS,
     Death,
+    DeathNews,
     SuspectTable,
     make_digest,
 )
@@ -54,7 +56,7 @@
 
     Each death under each trait has a key of its own, so that routers that see the same
     death need not agree, and a key is only created or deleted. The keys expire with
-    their lease.
+    their lease. Subscribers may tell the other routers sooner than the store does.
 
     Parameters
     ----------
@@ -74,6 +76,7 @@
         "_pending_requests_by_death",
         "_replica",
         "_store",
+        "_subscribers",
         "_table",
     )
 
@@ -90,10 +93,15 @@
         # Deaths to write, with the request that saw each.
         self._pending_requests_by_death: dict[Death, str] = {}
         self._pending_removals: dict[Death, None] = {}
+        self._subscribers: list[Callable[[DeathNews], None]] = []
         self._changed = trio.Event()
         self._logger = logging.getLogger(LOGGER_NAME)
         replica.subscribe(self._read_listed)
 
+    def subscribe(self, callback: Callable[[DeathNews], None]) -> None:
+        """Call ``callback`` with the deaths that this router has seen."""
+        self._subscribers.append(callback)
+
     def find_refused(self, context: RequestContext) -> str | None:
         """Return a trait for which a request must not run, or None."""
         now = trio.current_time()
@@ -112,11 +120,19 @@
         """Record that an upstream died under a request that had no output from it."""
         now = trio.current_time()
         incarnation = make_digest(upstream.upstream_id, upstream.started_at_ms)
-        for death in self._table.record_death(context.traits, incarnation, now):
+        deaths = self._table.record_death(context.traits, incarnation, now)
+        for news in self._table.list_news(deaths):
+            for callback in self._subscribers:
+                callback(news)
+        for death in deaths:
             if len(self._pending_requests_by_death) < MAX_PENDING:
                 self._pending_requests_by_death[death] = context.call.request_id
                 self._changed.set()
 
+    def apply_news(self, news: DeathNews) -> None:
+        """Apply the report of another router."""
+        self._table.add_reported(news, trio.current_time())
+
     def record_output(self, context: RequestContext) -> None:
         """Record that a request has produced output on an upstream."""
         removed = self._table.record_output(context.traits, trio.current_time())
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -11,9 +11,11 @@
 
 import hashlib
 import math
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
+import msgspec
+
 from wigeondrift.errors import SUSPENSION_SECONDS
 
 # Deaths after which a trait that has never produced output is refused for some time.
@@ -33,7 +35,11 @@
 LISTING_SECONDS = 10.0
 # Traits and deaths that one router remembers itself; the oldest are dropped first.
 MAX_TRAITS = 4096
-DIGEST_BYTES = 16
+DIGEST_BYTES = 8
+DIGEST_CHARACTERS = 2 * DIGEST_BYTES
+# With these bounds a message fits into a datagram.
+MAX_TRAITS_PER_REQUEST = 48
+MAX_DEATHS_PER_MESSAGE = 32
 
 
 class Death(NamedTuple):
@@ -51,6 +57,38 @@
     upstream: str
 
 
+class DeathNews(msgspec.Struct):
+    """Message of a router about deaths that it has seen.
+
+    Attributes
+    ----------
+    companions_by_upstream_by_trait : dict
+        Other traits of the request, by upstream and trait.
+    """
+
+    companions_by_upstream_by_trait: dict[str, dict[str, frozenset[str]]]
+
+    def iter_deaths(self) -> Iterator[tuple[Death, frozenset[str]]]:
+        """Yield each death and the other traits of the request."""
+        for (
+            trait,
+            companions_by_upstream,
+        ) in self.companions_by_upstream_by_trait.items():
+            for upstream, companions in companions_by_upstream.items():
+                yield Death(trait, upstream), companions
+
+    @property
+    def is_plausible(self) -> bool:
+        """Whether the message is one that a router may have made."""
+        count = 0
+        for death, companions in self.iter_deaths():
+            count += 1
+            digests = (*death, *companions)
+            if any(len(digest) != DIGEST_CHARACTERS for digest in digests):
+                return False
+        return count <= MAX_DEATHS_PER_MESSAGE
+
+
 class Refusal(NamedTuple):
     """Refusal of a trait.
 
@@ -86,9 +124,9 @@
         "_learned_at_by_death",
         "_listed",
         "_output_at_by_trait",
-        "_own_until_by_death",
         "_refusals_by_trait",
         "_unconfirmed_by_trait",
+        "_unlisted_until_by_death",
         "_upstreams_by_trait",
     )
 
@@ -98,8 +136,8 @@
         self._listed: frozenset[Death] = frozenset()
         # Deaths that were removed but that the store may still list.
         self._forgotten: set[Death] = set()
-        # Own deaths that the store does not list yet, and how long they are kept.
-        self._own_until_by_death: dict[Death, float] = {}
+        # Deaths that the store does not list yet, and how long they are kept.
+        self._unlisted_until_by_death: dict[Death, float] = {}
         self._learned_at_by_death: dict[Death, float] = {}
         # Other traits of the request that had the trait when the upstream died.
         self._companions_by_death: dict[Death, frozenset[str]] = {}
@@ -178,20 +216,44 @@
                     continue
             added.extend(self._unconfirmed_by_trait.pop(trait, ()))
             added.append(death)
-        known = self._listed.union(self._own_until_by_death)
+        known = self._listed.union(self._unlisted_until_by_death)
         new = [death for death in dict.fromkeys(added) if death not in known]
         for death in new:
-            while len(self._own_until_by_death) >= MAX_TRAITS:
-                del self._own_until_by_death[next(iter(self._own_until_by_death))]
-            self._own_until_by_death[death] = now + SUSPECT_SECONDS
-            self._learned_at_by_death[death] = now
-            self._is_stale = True
+            self._add_unlisted(death, now + SUSPECT_SECONDS, now)
         return new
 
+    def add_reported(self, news: DeathNews, now: float) -> None:
+        """Add the deaths that another router reports and is about to write."""
+        known = self._listed.union(self._unlisted_until_by_death, self._forgotten)
+        for death, companions in news.iter_deaths():
+            if death not in known:
+                self._add_unlisted(death, now + LISTING_SECONDS, now)
+                self._companions_by_death.setdefault(death, companions)
+
+    def _add_unlisted(self, death: Death, until: float, now: float) -> None:
+        while len(self._unlisted_until_by_death) >= MAX_TRAITS:
+            del self._unlisted_until_by_death[next(iter(self._unlisted_until_by_death))]
+        self._unlisted_until_by_death[death] = until
+        self._learned_at_by_death[death] = now
+        self._is_stale = True
+
+    def list_news(self, deaths: Sequence[Death]) -> list[DeathNews]:
+        """Return the messages that report deaths."""
+        messages = []
+        for start in range(0, len(deaths), MAX_DEATHS_PER_MESSAGE):
+            news = DeathNews({})
+            for death in deaths[start : start + MAX_DEATHS_PER_MESSAGE]:
+                by_upstream = news.companions_by_upstream_by_trait.setdefault(
+                    death.trait, {}
+                )
+                by_upstream[death.upstream] = self.get_companions(death)
+            messages.append(news)
+        return messages
+
     def confirm_written(self, death: Death, now: float) -> None:
-        """Record that the store has an own death; soon only its list counts."""
-        if death in self._own_until_by_death:
-            self._own_until_by_death[death] = now + LISTING_SECONDS
+        """Record that the store has a death; soon only its list counts."""
+        if death in self._unlisted_until_by_death:
+            self._unlisted_until_by_death[death] = now + LISTING_SECONDS
 
     def record_output(self, traits: Iterable[str], now: float) -> list[Death]:
         """Record that a request has produced output on an upstream that lives on.
@@ -212,7 +274,7 @@
         return self._remove(cleared)
 
     def _remove(self, traits: Collection[str]) -> list[Death]:
-        deaths = self._listed.union(self._own_until_by_death)
+        deaths = self._listed.union(self._unlisted_until_by_death)
         removed = [death for death in deaths if death.trait in traits]
         if not removed:
             return []
@@ -220,7 +282,7 @@
         self._forgotten.update(self._listed.intersection(removed))
         self._listed = self._listed.difference(removed)
         for death in removed:
-            self._own_until_by_death.pop(death, None)
+            self._unlisted_until_by_death.pop(death, None)
         return removed
 
     def set_listed(
@@ -240,15 +302,15 @@
         self._forgotten &= listed
         self._listed = listed - self._forgotten
         for death in listed:
-            self._own_until_by_death.pop(death, None)
+            self._unlisted_until_by_death.pop(death, None)
             self._learned_at_by_death.setdefault(death, now)
         self._is_stale = True
 
     def _rebuild(self, now: float) -> None:
-        for death, until in list(self._own_until_by_death.items()):
+        for death, until in list(self._unlisted_until_by_death.items()):
             if now >= until:
-                del self._own_until_by_death[death]
-        deaths = self._listed.union(self._own_until_by_death)
+                del self._unlisted_until_by_death[death]
+        deaths = self._listed.union(self._unlisted_until_by_death)
         self._learned_at_by_death = {
             death: self._learned_at_by_death[death] for death in deaths
         }
