Refuse a request that crashes upstreams when the same caller sends it again

The same cause elsewhere: a request that crashes each upstream, plain services among them, came again with another id and was sent on each time; attempts and the retry budget bounded one id only. Path, caller and body together are now a trait like a part of the prompt, so that the third such request is refused, and equal requests that upstreams survive are not.

--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -3,7 +3,8 @@
 import trio
 from behave import given, then, when
 
-from tests.features.steps.router_steps import queue_action, queue_check
+from tests.features.steps.router_steps import MEMBERS, queue_action, queue_check
+from tests.router_world import RESTART_SECONDS
 from wigeondrift.platform.requests import PROMPT_PARTS, PlatformHeaderCodec
 from wigeondrift.router.suspects import SUSPECTS_PREFIX
 from wigeondrift.systems.suspects import make_digest
@@ -12,6 +13,7 @@
 REPLICAS = 6
 FIRST_STAGES = tuple(f"r{number}a" for number in range(REPLICAS))
 DEATH_LIMIT = 5
+CALL_DEATH_LIMIT = 3
 
 
 @given("runners of six replicas of the model")
@@ -166,6 +168,88 @@
     queue_action(context, kill)
 
 
+@given('members die under requests with the body "{body}"')
+def make_body_deadly(context, body):
+    for name in MEMBERS:
+        context.world.servers_by_id[name].deadly = body
+
+
+def count_served(world, body):
+    return sum(
+        request.body == body.encode()
+        for name in MEMBERS
+        for request in world.servers_by_id[name].served
+    )
+
+
+@when('a "{route}" request with the body "{body}" comes each second, {count:d} times')
+def call_each_second(context, route, body, count):
+    async def call(world):
+        context.body = body
+        context.served_at_limit = None
+        for _ in range(count):
+            answer = await world.call(f"/{route}/1", body=body.encode())
+            context.answers.append(answer)
+            if world.deaths >= CALL_DEATH_LIMIT and context.served_at_limit is None:
+                context.served_at_limit = count_served(world, body)
+            await trio.sleep(1.0)
+
+    queue_action(context, call)
+
+
+@then("no more than {count:d} such requests reach a member after the third death")
+def check_calls_reached(context, count):
+    def check(world):
+        assert world.deaths >= 2
+        served = count_served(world, context.body)
+        assert served - (context.served_at_limit or served) <= count
+
+    queue_check(context, check)
+
+
+@then('a "{route}" request with the body "{body}" is complete')
+def check_other_body(context, route, body):
+    async def check(world):
+        answer = await world.call(f"/{route}/1", body=body.encode())
+        assert answer.status == 200 and answer.is_whole, vars(answer)
+
+    queue_action(context, check)
+
+
+@when(
+    '{count:d} "{route}" requests with the body "{body}" are served'
+    " and both members die"
+)
+def kill_members(context, count, route, body):
+    async def kill(world):
+        for _ in range(count):
+            answer = await world.call(f"/{route}/1", body=body.encode())
+            assert answer.status == 200, vars(answer)
+        async with trio.open_nursery() as nursery:
+            for name in MEMBERS:
+                world.servers_by_id[name].fault = "silent"
+                nursery.start_soon(world.call, f"/{route}/1")
+            await trio.sleep(0.05)
+            for name in MEMBERS:
+                await world.restart_after_death(world.servers_by_id[name])
+                world.servers_by_id[name].fault = ""
+
+    queue_action(context, kill)
+
+
+@then(
+    '{count:d} "{route}" requests with the body "{body}" are served once they are back'
+)
+def check_served_again(context, count, route, body):
+    async def check(world):
+        await trio.sleep(RESTART_SECONDS + 1.5)
+        for _ in range(count):
+            answer = await world.call(f"/{route}/1", body=body.encode())
+            assert answer.status == 200, vars(answer)
+
+    queue_action(context, check)
+
+
 @then("no more than {count:d} requests reach a runner after the fifth death")
 def check_reached(context, count):
     def check(world):
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -57,6 +57,22 @@
     When 6 requests with the prompt part "first" come through one router
     Then the store lists no death
 
+  Scenario Outline: A request that crashes the members of a service is refused when it comes again
+    Given members die under requests with the body "bad"
+    When a "<route>" request with the body "bad" comes each second, 40 times
+    Then no more than 3 such requests reach a member after the third death
+    And the last 10 of them are refused as not run
+    And a "<route>" request with the body "good" is complete
+
+    Examples:
+      | route  |
+      | status |
+      | order  |
+
+  Scenario: Equal requests that members survive are served after members died
+    When 4 "status" requests with the body "good" are served and both members die
+    Then 10 "status" requests with the body "good" are served once they are back
+
   Scenario Outline: Parts are taken from the header whatever its form
     Then the header "<header>" names the shared parts "<parts>"
 
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -122,10 +122,9 @@
         self.wait_seconds = 0.0
         self.expected_first: float | None = None
         self.longest_gap: float | None = None
-        self.traits = tuple(
-            make_digest(service.name, part)
-            for part in call.prompt_parts[:MAX_TRAITS_PER_REQUEST]
-        )
+        whole = make_digest(service.name, "request", call.target, call.key, call.body)
+        parts = call.prompt_parts[: MAX_TRAITS_PER_REQUEST - 1]
+        self.traits = (whole, *(make_digest(service.name, part) for part in parts))
 
     @property
     def demand(self) -> RouteDemand:
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -1,12 +1,12 @@
 """Traits of requests under which upstreams die, and which of them are refused.
 
-A trait is something that several requests have in common, such as a part of their
-prompt. All traits of a request are suspects if an upstream died before the request had
-produced output. Sound traits are on record for some deaths too, because they occur in
-the same requests or ran beside them, so a death that a refused trait explains does not
-count against the others, and output clears a trait. Traits that were always together in
-one request are refused together only, so that a request with one of them shows whether
-it is sound.
+A trait is something that several requests have in common: a part of their prompt, or
+path, caller and body together. All traits of a request are suspects if an upstream died
+before the request had produced output. Sound traits are on record for some deaths too,
+because they occur in the same requests or ran beside them, so a death that a refused
+trait explains does not count against the others, and output clears a trait. Traits that
+were always together in one request are refused together only, so that a request with
+one of them shows whether it is sound.
 """
 
 import hashlib
@@ -105,9 +105,12 @@
 
 
 def make_digest(*fields: object) -> str:
-    """Return a hash of ``fields`` in hexadecimal."""
-    identity = "\0".join(map(str, fields)).encode()
-    return hashlib.blake2b(identity, digest_size=DIGEST_BYTES).hexdigest()
+    """Return a hash of ``fields``, bytes or other values, in hexadecimal."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for field in fields:
+        digest.update(field if isinstance(field, bytes) else str(field).encode())
+        digest.update(b"\0")
+    return digest.hexdigest()
 
 
 class SuspectTable:
