Test answers that have neither a length nor chunks

A stream that ends inside an event, or by a reset, goes on at another runner; a plain answer that is reset is not forwarded as complete.

--- a/tests/features/router.feature
+++ b/tests/features/router.feature
@@ -228,3 +228,29 @@
     And another configuration with the same engine comes into force
     And a caller requests a stream
     Then the routes were computed once
+
+  Scenario Outline: An answer with neither a length nor chunks ends with its connection
+    Given the first stage of the first replica answers without a length and <ending>
+    When a caller requests a stream
+    Then the status is 200
+    And the events are 0 to 5
+    And the response is complete
+    And <runners> runners were asked
+
+    Examples:
+      | ending                       | runners |
+      | closes after the last event  | 1       |
+      | closes within an event       | 2       |
+      | closes within its first line | 2       |
+      | resets after an event        | 2       |
+
+  Scenario Outline: A plain answer without a length is forwarded only if it is whole
+    Given every member answers without a length and <ending>
+    When a caller sends an unsafe request
+    Then the status is <status>
+    And the response is complete
+
+    Examples:
+      | ending               | status |
+      | closes after it      | 200    |
+      | resets in the middle | 502    |
--- a/wigeondrift_emulator/memory_network.py
+++ b/wigeondrift_emulator/memory_network.py
@@ -1,5 +1,7 @@
 """HTTP servers over in-memory streams, for tests in virtual time."""
 
+from collections.abc import Callable
+
 import trio
 from trio.testing import memory_stream_pair
 
@@ -29,6 +31,7 @@
     """
 
     __slots__ = (
+        "_makers_by_address",
         "_nursery",
         "_servers_by_address",
         "_streams_by_address",
@@ -40,6 +43,7 @@
     def __init__(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
         self._servers_by_address: dict[str, HttpServer] = {}
+        self._makers_by_address: dict[str, Callable[[], trio.abc.Stream]] = {}
         self._streams_by_address: dict[str, list[trio.abc.Stream]] = {}
         self.silent_addresses: set[str] = set()
         self.unreachable_addresses: set[str] = set()
@@ -49,6 +53,12 @@
         """Start a server at an address."""
         self._servers_by_address[address] = HttpServer(handler)
 
+    def listen_with(
+        self, address: str, make_stream: Callable[[], trio.abc.Stream]
+    ) -> None:
+        """Answer connections to an address by the streams that a function makes."""
+        self._makers_by_address[address] = make_stream
+
     async def crash(self, address: str) -> None:
         """Stop a server and close its connections forcefully."""
         self._servers_by_address.pop(address, None)
@@ -68,6 +78,8 @@
         self.connects_by_address[address] = connects + 1
         if address in self.unreachable_addresses:
             await trio.sleep(CONNECT_TIMEOUT_SECONDS)
+        if address in self._makers_by_address:
+            return self._makers_by_address[address]()
         server = self._servers_by_address.get(address)
         if server is None or address in self.unreachable_addresses:
             raise ConnectFailed(f"could not connect to {address}")
