--- a/wigeondrift/platform/requests.py
+++ b/wigeondrift/platform/requests.py
@@ -5,7 +5,7 @@
 from wigeondrift.router.calls import CallerRequest, Headers, UpstreamHead
 from wigeondrift.router.header_codec import HeaderCodec
 from wigeondrift.wire.http_server import Request
-from wigeondrift.wire.numbers import parse_whole_number
+from wigeondrift.wire.numbers import parse_decimal, parse_whole_number
 
 REQUEST_ID = "wigeondrift-request-id"
 DEADLINE = "wigeondrift-deadline-remaining"
@@ -24,6 +24,8 @@
 # The value is the numbers of running requests, waiting requests and slots, separated by
 # commas.
 LOAD = "wigeondrift-server-load"
+# Requests a second that an upstream in need takes from all routers together.
+LIMIT = "server-limit"
 STAGE_AT_FAULT = "at-server"
 URGENCY = "wigeondrift-request-urgency"
 BEARER = "bearer "
@@ -131,6 +133,7 @@
             running=load[0] if len(load) == 3 else None,
             waiting=load[1] if len(load) == 3 else None,
             faulty_address=values.get(STAGE_AT_FAULT, ""),
+            limit=parse_decimal(values.get(LIMIT, "")),
         )
 
 
--- a/wigeondrift/router/calls.py
+++ b/wigeondrift/router/calls.py
@@ -100,6 +100,9 @@
         Load reported by the upstream, in requests; None if not stated.
     faulty_address : str
         Address of the stage that made the request fail; empty if not stated.
+    limit : float or None
+        Requests per second that the upstream takes from all routers together; None if
+        it names no limit.
     """
 
     __slots__ = (
@@ -107,6 +110,7 @@
         "headers",
         "is_not_run",
         "is_signed",
+        "limit",
         "request_id",
         "running",
         "status",
@@ -124,6 +128,7 @@
         running: int | None,
         waiting: int | None,
         faulty_address: str,
+        limit: float | None = None,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -133,3 +138,4 @@
         self.running = running
         self.waiting = waiting
         self.faulty_address = faulty_address
+        self.limit = limit
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -94,6 +94,7 @@
         "_directory",
         "_failure_domain",
         "_instance_id",
+        "_limits_by_id",
         "_chains_key_by_service",
         "_logger",
         "_rng",
@@ -123,6 +124,7 @@
         self._cache_capacity_by_key: dict[tuple[str, int], float] = {}
         self._active_calls_by_id: dict[str, int] = {}
         self._reported_load_by_id: dict[str, tuple[float, float]] = {}
+        self._limits_by_id: dict[str, float] = {}
         # Entries whose runners report other layers than listed.
         self._unfit_entry_by_id: dict[str, Upstream] = {}
         self._logger = logging.getLogger(LOGGER_NAME)
@@ -295,6 +297,27 @@
         """Record the load that an upstream reported with a response."""
         self._reported_load_by_id[upstream_id] = (trio.current_time(), float(requests))
 
+    def record_limit(
+        self, upstream: Upstream, limit: float | None, request_id: str
+    ) -> None:
+        """Record the limit in an upstream's response; None if it named none."""
+        known = self._limits_by_id.get(upstream.upstream_id)
+        if limit == known:
+            return
+        if limit is None:
+            del self._limits_by_id[upstream.upstream_id]
+        else:
+            self._limits_by_id[upstream.upstream_id] = limit
+        log_event(
+            self._logger,
+            logging.INFO,
+            Event.UPSTREAM_LIMITED,
+            upstream=upstream.upstream_id,
+            limit=limit,
+            known=known,
+            request_id=request_id,
+        )
+
     def record_failure(self, upstream_ids: Collection[str], reason: str) -> None:
         """Avoid upstreams for some time."""
         now = trio.current_time()
