Keep the requests of all routers together to the limit that an upstream names

Cause: the header was not read; routes are chosen by cache capacity and expected time. Class of fault: a limit for all callers together that no caller alone can keep.

Holders, found by rendezvous hashing and bounded in number by the limit, each send an equal part; a small limit is held by a few routers only, so that it may be below one request a second for each router. Limits, and that they were lifted, are told to the others by datagram, once a second while they stand. If nothing is heard, the next routers become holders. A route whose first runner is at its limit, or a member, is left out; if a limit lets nothing through in time the request is refused at once (upstream_limited, 2031), else it waits.

Ruled out: an equal part for each router with one request in hand (195 routers would send 195 at one moment); becoming holders in addition to the silent ones (one request in 4 s).

--- /dev/null
+++ b/tests/features/steps/limits_steps.py
@@ -0,0 +1,165 @@
+"""Steps on upstreams that name a request limit."""
+
+import trio
+from behave import given, then, when
+
+from tests.features.steps.router_steps import queue_action, queue_check
+from tests.machines.limits import UPSTREAM, WINDOW_SECONDS, LimitMachine, get_bound
+from wigeondrift.platform.requests import PlatformHeaderCodec
+from wigeondrift.systems.limits import RequestLimits
+
+SEED = 11
+
+
+@given("{count:d} routers with {calls:f} calls a second each for an upstream")
+@given("{count:d} routers with {calls:d} calls a second each for an upstream")
+def make_routers(context, count, calls):
+    context.machine = LimitMachine(SEED, count, None, calls)
+    context.machine.run(1.0)
+
+
+@given("a third of the news is lost")
+def lose_news(context):
+    context.machine.loss = 1 / 3
+
+
+@when("the upstream names a limit of {limit:g} for {seconds:d} seconds")
+def name_limit(context, limit, seconds):
+    context.machine.limit = limit
+    context.machine.run(seconds)
+
+
+@when("the upstream names a limit of {limit:g} while a router restarts each 5 seconds")
+def name_limit_with_restarts(context, limit):
+    machine = context.machine
+    machine.limit = limit
+    for number in range(8):
+        machine.run(5.0)
+        machine.restart(machine.names[number])
+
+
+@then("no 4 seconds bring it more than the limit allows")
+def check_bound(context):
+    machine = context.machine
+    assert machine.count_most() <= get_bound(machine.limit), machine.count_most()
+
+
+@then("it gets {least:d} or more of these requests in the last {seconds:d} seconds")
+def check_use(context, least, seconds):
+    machine = context.machine
+    got = machine.count_between(machine.now - seconds, machine.now)
+    assert got >= least, got
+
+
+@when("the upstream names a limit of {limit:g} for {seconds:d} seconds and lifts it")
+def lift_limit(context, limit, seconds):
+    name_limit(context, limit, seconds)
+    context.machine.limit = None
+
+
+@then("it gets {least:d} or more requests in the {seconds:d} seconds after")
+def check_lifted(context, least, seconds):
+    context.machine.run(seconds)
+    check_use(context, least, seconds)
+
+
+@when("the holders of a limit of {limit:d} have no calls for {seconds:d} seconds")
+def silence_holders(context, limit, seconds):
+    machine = context.machine
+    machine.limit = float(limit)
+    machine.run(5.0)
+    holders = [
+        name
+        for name, limits in machine.routers_by_name.items()
+        if limits.get_wait(UPSTREAM, machine.now) < float("inf")
+    ]
+    assert 0 < len(holders) < len(machine.names)
+    machine.silenced.update(holders)
+    machine.run(seconds)
+
+
+@then("the upstream gets {least:d} or more requests in the last {seconds:d} of these")
+def check_replaced(context, least, seconds):
+    check_use(context, least, seconds)
+    check_bound(context)
+
+
+@then(
+    "an answer without a limit to a request sent before the limit was known is ignored"
+)
+def check_late_answer(context):
+    limits = RequestLimits("router-1")
+    assert limits.record_answer(UPSTREAM, 2.0, 1.0, 1.1).limit == 2.0
+    assert limits.record_answer(UPSTREAM, None, 0.9, 1.2) is None
+    assert limits.get_limit(UPSTREAM) == 2.0
+    assert limits.record_answer(UPSTREAM, None, 1.3, 1.4).limit is None
+    assert limits.get_limit(UPSTREAM) is None
+
+
+@then('the header "{header}" names the limit "{limit}"')
+def check_header(context, header, limit):
+    head = PlatformHeaderCodec().decode_head(200, [("server-limit", header)])
+    assert str(head.limit) == limit, head.limit
+
+
+@given('"{name}" names a limit of {limit}')
+def limit_upstream(context, name, limit):
+    server = context.world.servers_by_id[name]
+    server.limit = limit
+    server.served_at = []
+    run = server._run
+
+    async def record(exchange):
+        server.served_at.append(trio.current_time())
+        await run(exchange)
+
+    server._run = record
+
+
+def call_over_time(context, path, count, seconds):
+    async def call(world):
+        async def one(pause):
+            await trio.sleep(pause)
+            context.answers.append(await world.call(path))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(one, seconds * number / count)
+
+    queue_action(context, call)
+
+
+@when("{count:d} callers request streams within {seconds:d} seconds")
+def request_streams(context, count, seconds):
+    call_over_time(context, "/draft/1", count, seconds)
+
+
+@when('{count:d} callers send "{route}" requests within {seconds:d} seconds')
+def send_requests(context, count, route, seconds):
+    call_over_time(context, f"/{route}/1", count, seconds)
+
+
+@then('"{name}" gets no more than its limit allows')
+def check_server(context, name):
+    def check(world):
+        server = world.servers_by_id[name]
+        bound = get_bound(float(server.limit))
+        for start in server.served_at:
+            window = [
+                at for at in server.served_at if start <= at < start + WINDOW_SECONDS
+            ]
+            assert len(window) <= bound, (len(window), bound)
+
+    queue_check(context, check)
+
+
+@then("the others are refused as not run with a time to come back")
+def check_others(context):
+    def check(world):
+        statuses = {answer.status for answer in context.answers}
+        assert statuses <= {200, 503}, statuses
+        for answer in context.answers:
+            if answer.status == 503:
+                assert float(answer.headers["retry-after"]) > 0.0
+
+    queue_check(context, check)
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -143,7 +143,7 @@
     )
     exchange.update_peers()
     context.news = []
-    exchange.subscribe(context.news.append)
+    exchange.subscribe(DeathNews, context.news.append)
     async with trio.open_nursery() as nursery:
         await exchange.start(nursery)
         for is_known, data in context.datagrams:
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -39,6 +39,7 @@
     QUEUE_TIMEOUT = "queue_timeout"
     QUARANTINED = "quarantined"
     SUSPENDED = "suspended"
+    UPSTREAM_LIMITED = "upstream_limited"
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
     NOT_READY = "not_ready"
@@ -102,6 +103,7 @@
     ErrorKind.UPSTREAM_TIMEOUT: ErrorResponse(504, Outcome.UNKNOWN, None, 2026),
     ErrorKind.STREAM_CUT: ErrorResponse(502, Outcome.UNKNOWN, None, 2027),
     ErrorKind.SUSPENDED: ErrorResponse(503, Outcome.NOT_RUN, SUSPENSION_SECONDS, 2030),
+    ErrorKind.UPSTREAM_LIMITED: ErrorResponse(503, Outcome.NOT_RUN, 1, 2031),
     ErrorKind.CALLER_CLOSED: ErrorResponse(499, Outcome.UNKNOWN, None, 2029),
     ErrorKind.INTERNAL: ErrorResponse(500, Outcome.UNKNOWN, None, 2028),
 }
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -310,7 +310,7 @@
             head = self._header_codec.decode_head(response.status, response.headers)
             if head.request_id and head.request_id != call.request_id:
                 raise ConnectionLost("the answer belongs to another request")
-            self._selector.record_limit(upstream, head.limit, call.request_id)
+            self._selector.record_limit(upstream, head.limit, now, call.request_id)
             if head.running is not None:
                 load = head.running + (head.waiting or 0)
                 self._selector.record_load(upstream.upstream_id, load)
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -46,7 +46,9 @@
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.exchange import UsageExchange
 from wigeondrift.systems.freshness import Freshness
+from wigeondrift.systems.limits import LimitNews
 from wigeondrift.systems.relays import RelayTable
+from wigeondrift.systems.suspects import DeathNews
 from wigeondrift.telemetry.events import configure_rate_limited_logging
 from wigeondrift.telemetry.metrics import Metrics, PrometheusMetrics
 from wigeondrift.timer import TimerService, TrioClock
@@ -148,6 +150,10 @@
         self.membership.subscribe(
             lambda: self.relays.set_members(self.membership.list_links())
         )
+        self.membership.subscribe(
+            lambda: self.selector.limits.set_peers(self.membership.list_peers())
+        )
+        self.replica.subscribe(self.selector.forget_absent_upstreams)
         self.relay = Relay(
             self.replica, self.relays, bounds, settings.host, settings.peer_port
         )
@@ -257,7 +263,9 @@
     )
     parts.membership.subscribe(peers.update_peers)
     parts.suspects.subscribe(peers.announce)
-    peers.subscribe(parts.suspects.apply_news)
+    peers.subscribe(DeathNews, parts.suspects.apply_news)
+    parts.selector.subscribe_to_limits(peers.announce)
+    peers.subscribe(LimitNews, parts.selector.apply_limit_news)
     components = [
         ReadyListener(settings.ready_address, READINESS_PATH, parts.readiness),
         MetricsListener(f"{settings.host}:{METRICS_PORT}", metrics),
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -36,6 +36,8 @@
 # Fraction of the caller's idle timeout that a stream may wait for capacity. A late
 # response is better than a refusal; the rest of the time is needed for the prefill.
 QUEUE_WAIT_SHARE = 0.6
+# Fraction of its time that a request may wait for a member of a plain service.
+MEMBER_WAIT_SHARE = 0.25
 # Failed connections after which a request fails. Nothing was sent over them, so they
 # don't count as attempts.
 MAX_CONNECT_FAILURES = 3
@@ -347,7 +349,27 @@
         else:
             await self._try_chain(exchange, context)
 
+    async def _wait_for_limit(self, context: RequestContext, wait_until: float) -> None:
+        """Wait until an upstream is below its limit; refuse at once if none will be."""
+        while True:
+            wait = self._selector.get_limit_wait(context.service, context.excluded)
+            if not wait:
+                return
+            now = trio.current_time()
+            if now + wait >= wait_until:
+                reason = "the upstreams take no more requests at present"
+                if context.may_have_run:
+                    raise RequestError(ErrorKind.UPSTREAM_LOST, reason)
+                raise RequestError(ErrorKind.UPSTREAM_LIMITED, reason)
+            context.wait_seconds += wait
+            await trio.sleep(wait)
+
     async def _try_member(self, exchange: Exchange, context: RequestContext) -> None:
+        call = context.call
+        wait_until = call.arrived_at + MEMBER_WAIT_SHARE * (
+            context.deadline - call.arrived_at
+        )
+        await self._wait_for_limit(context, wait_until)
         member = self._selector.choose_member(context.service.name, context.excluded)
         if member is None:
             if context.may_have_run:
@@ -369,6 +391,7 @@
         if context.may_have_run:
             # A broken stream must resume before the caller abandons it.
             wait_until = trio.current_time() + STREAM_SILENCE_SECONDS
+        await self._wait_for_limit(context, wait_until)
         asked_at = trio.current_time()
         reservation = await self._wait_queue.acquire(
             context.service, context.demand, context.excluded, on_time_until, wait_until
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -1,8 +1,9 @@
 """Exchange of messages between routers.
 
 The messages are datagrams. Those on the runner capacity that a router uses replace the
-one before, so a lost one needs no retransmission. Those on deaths of upstreams only
-tell earlier what the store holds. A peer that doesn't respond delays nothing.
+one before, so a lost one needs no retransmission. News of deaths of upstreams only tell
+earlier what the store holds, and news of limits are repeated. A peer that doesn't
+respond delays nothing.
 """
 
 import logging
@@ -18,10 +19,13 @@
 from wigeondrift.router.selector import UpstreamSelector
 from wigeondrift.systems.cache_usage import PeerUsage
 from wigeondrift.systems.exchange import Member, Message, UsageExchange
+from wigeondrift.systems.limits import LimitNews
 from wigeondrift.systems.suspects import DeathNews
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.address import parse_address
 
+News = DeathNews | LimitNews
+
 MAX_DATAGRAM_BYTES = 60000
 SEND_SECONDS = 0.1
 # Longest interval between two messages of a router that uses runners; several of them
@@ -31,9 +35,9 @@
 # peers. Together they average 12 KB/s, the bound on control traffic.
 SEND_BYTES_PER_SECOND = 6000.0
 COLLECTOR_BYTES_PER_SECOND = 60000.0
-# Pause between two messages on deaths; many requests see the same death.
+# Pause between two pieces of news.
 NEWS_PAUSE_SECONDS = 0.02
-# Messages on deaths that may wait to be sent.
+# Pieces of news that may wait to be sent.
 MAX_PENDING_NEWS = 64
 
 
@@ -65,7 +69,7 @@
         "_port",
         "_sequence",
         "_socket",
-        "_subscribers",
+        "_subscribers_by_kind",
     )
 
     def __init__(
@@ -84,8 +88,8 @@
         self._host = host
         self._port = port
         self._names_by_address: dict[tuple[str, int], str] = {}
-        self._subscribers: list[Callable[[DeathNews], None]] = []
-        self._pending_news: deque[DeathNews] = deque(maxlen=MAX_PENDING_NEWS)
+        self._subscribers_by_kind: dict[type, list[Callable[[News], None]]] = {}
+        self._pending_news: deque[News] = deque(maxlen=MAX_PENDING_NEWS)
         self._news_added = trio.Event()
         self._sequence = 0
         self._changed = trio.Event()
@@ -96,12 +100,12 @@
     def _notify_sender(self) -> None:
         self._changed.set()
 
-    def subscribe(self, callback: Callable[[DeathNews], None]) -> None:
-        """Call ``callback`` with the deaths that peers report."""
-        self._subscribers.append(callback)
+    def subscribe(self, kind: type, callback: Callable[[News], None]) -> None:
+        """Call ``callback`` with the news of one type that peers send."""
+        self._subscribers_by_kind.setdefault(kind, []).append(callback)
 
-    def announce(self, news: DeathNews) -> None:
-        """Send a report of deaths to all peers."""
+    def announce(self, news: News) -> None:
+        """Send news to all peers."""
         self._pending_news.append(news)
         self._news_added.set()
 
@@ -148,8 +152,8 @@
                 await trio.sleep(SEND_SECONDS)
                 continue
             message = self._decode(data, sender)
-            if isinstance(message, DeathNews):
-                for callback in self._subscribers:
+            if isinstance(message, News):
+                for callback in self._subscribers_by_kind.get(type(message), ()):
                     callback(message)
             elif message is not None:
                 if self._exchange.is_collector:
@@ -158,9 +162,7 @@
                     self._exchange.handle_usage(message, trio.current_time())
                 )
 
-    def _decode(
-        self, data: bytes, sender: tuple[str, int]
-    ) -> PeerUsage | DeathNews | None:
+    def _decode(self, data: bytes, sender: tuple[str, int]) -> PeerUsage | News | None:
         """Return a peer's message; None if it is no message of a known peer."""
         name = self._names_by_address.get(sender[:2])
         try:
@@ -170,7 +172,7 @@
         else:
             # Sums have names of their own.
             is_own_name = (
-                isinstance(message, DeathNews)
+                isinstance(message, News)
                 or ":" in message.instance_id
                 or message.instance_id == name
             )
@@ -238,9 +240,9 @@
             return 0
 
 
-def _decode_message(data: bytes) -> PeerUsage | DeathNews:
+def _decode_message(data: bytes) -> PeerUsage | News:
     """Return the message in a datagram; usage is an array, news are a map."""
     try:
         return msgspec.msgpack.decode(data, type=PeerUsage)
     except msgspec.ValidationError:
-        return msgspec.msgpack.decode(data, type=DeathNews)
+        return msgspec.msgpack.decode(data, type=News)
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 import trio
 
@@ -11,6 +11,7 @@
 from wigeondrift.systems.chains import ChainSet, RouteDemand, RouteOffer
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.health import Health
+from wigeondrift.systems.limits import LimitNews, RequestLimits
 from wigeondrift.systems.placement import BYTES_PER_MB
 from wigeondrift.systems.reach import Reachability
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
@@ -87,6 +88,7 @@
     health : Health
     reach : Reachability
     ledger : CacheLedger
+    limits : RequestLimits
     """
 
     __slots__ = (
@@ -94,7 +96,7 @@
         "_directory",
         "_failure_domain",
         "_instance_id",
-        "_limits_by_id",
+        "_limit_subscribers",
         "_chains_key_by_service",
         "_logger",
         "_rng",
@@ -104,6 +106,7 @@
         "_unfit_entry_by_id",
         "health",
         "ledger",
+        "limits",
         "peer_count",
         "reach",
     )
@@ -124,13 +127,14 @@
         self._cache_capacity_by_key: dict[tuple[str, int], float] = {}
         self._active_calls_by_id: dict[str, int] = {}
         self._reported_load_by_id: dict[str, tuple[float, float]] = {}
-        self._limits_by_id: dict[str, float] = {}
+        self._limit_subscribers: list[Callable[[LimitNews], None]] = []
         # Entries whose runners report other layers than listed.
         self._unfit_entry_by_id: dict[str, Upstream] = {}
         self._logger = logging.getLogger(LOGGER_NAME)
         self.peer_count = 0
         self.health = Health()
         self.reach = Reachability(failure_domain)
+        self.limits = RequestLimits(instance_id)
         self.ledger = CacheLedger(self._get_cache_capacity)
 
     def _get_cache_capacity(self, runner: Upstream) -> float:
@@ -248,22 +252,61 @@
     ) -> Reservation | None:
         """Reserve a route for a request; return None if none has capacity."""
         rng = self._rng if self.peer_count >= RANDOMIZED_ROUTES_MIN_PEERS else None
+        now = trio.current_time()
         offer = self.get_chains(service).choose(
-            demand, self.ledger, excluded, self._failure_domain, rng, self._instance_id
+            demand,
+            self.ledger,
+            excluded,
+            self._failure_domain,
+            rng,
+            self._instance_id,
+            self.limits.list_closed(now),
         )
-        return None if offer is None else Reservation(offer, demand, self.ledger)
+        if offer is None:
+            return None
+        self.limits.consume(offer.chain.runners[0].upstream_id, now)
+        return Reservation(offer, demand, self.ledger)
 
-    def choose_member(self, service: str, excluded: Collection[str]) -> Upstream | None:
-        """Return the least loaded member of a plain service, or None.
+    def get_limit_wait(self, service: ServiceSpec, excluded: Collection[str]) -> float:
+        """Return the time until a limit lets a request through, in seconds.
 
-        Members that are avoided are used only if there are no others.
+        It is zero if an upstream that may be used is not at its limit, or if there is
+        no upstream, and infinite if only other routers may use those that there are.
         """
+        if service.engine is not None and service.engine.layers:
+            upstreams = [
+                chain.runners[0]
+                for chain in self.get_chains(service).chains
+                if not set(excluded).intersection(chain.route.instance_ids)
+            ]
+        else:
+            upstreams = self._list_members(service.name, excluded)
         now = trio.current_time()
-        members = [
+        return min(
+            (self.limits.get_wait(one.upstream_id, now) for one in upstreams),
+            default=0.0,
+        )
+
+    def _list_members(self, service: str, excluded: Collection[str]) -> list[Upstream]:
+        return [
             upstream
             for upstream in self._directory.list_service(service)
             if upstream.upstream_id not in excluded
         ]
+
+    def choose_member(self, service: str, excluded: Collection[str]) -> Upstream | None:
+        """Return the least loaded member of a plain service, or None.
+
+        Members that are avoided are used only if there are no others, and members at
+        their limit not at all.
+        """
+        now = trio.current_time()
+        closed = self.limits.list_closed(now)
+        members = [
+            member
+            for member in self._list_members(service, excluded)
+            if member.upstream_id not in closed
+        ]
         healthy = [m for m in members if not self.is_avoided(m, now)]
         candidates = healthy or members
         if not candidates:
@@ -284,6 +327,7 @@
 
     def record_start(self, upstream_id: str) -> None:
         """Count a request sent to a member of a plain service."""
+        self.limits.consume(upstream_id, trio.current_time())
         running = self._active_calls_by_id.get(upstream_id, 0)
         self._active_calls_by_id[upstream_id] = running + 1
 
@@ -298,25 +342,53 @@
         self._reported_load_by_id[upstream_id] = (trio.current_time(), float(requests))
 
     def record_limit(
-        self, upstream: Upstream, limit: float | None, request_id: str
+        self,
+        upstream: Upstream,
+        limit: float | None,
+        asked_at: float,
+        request_id: str,
     ) -> None:
-        """Record the limit in an upstream's response; None if it named none."""
-        known = self._limits_by_id.get(upstream.upstream_id)
-        if limit == known:
-            return
-        if limit is None:
-            del self._limits_by_id[upstream.upstream_id]
-        else:
-            self._limits_by_id[upstream.upstream_id] = limit
-        log_event(
-            self._logger,
-            logging.INFO,
-            Event.UPSTREAM_LIMITED,
-            upstream=upstream.upstream_id,
-            limit=limit,
-            known=known,
-            request_id=request_id,
+        """Record the limit in an upstream's response; None if it named none.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        limit : float or None
+            Requests per second.
+        asked_at : float
+            Time at which the request was sent, in seconds.
+        request_id : str
+        """
+        known = self.limits.get_limit(upstream.upstream_id)
+        news = self.limits.record_answer(
+            upstream.upstream_id, limit, asked_at, trio.current_time()
         )
+        if news is None:
+            return
+        if limit != known:
+            log_event(
+                self._logger,
+                logging.INFO,
+                Event.UPSTREAM_LIMITED,
+                upstream=upstream.upstream_id,
+                limit=limit,
+                known=known,
+                request_id=request_id,
+            )
+        for callback in self._limit_subscribers:
+            callback(news)
+
+    def apply_limit_news(self, news: LimitNews) -> None:
+        """Apply the message of another router about a limit."""
+        self.limits.apply_news(news, trio.current_time())
+
+    def subscribe_to_limits(self, callback: Callable[[LimitNews], None]) -> None:
+        """Call ``callback`` with the limits that other routers should know."""
+        self._limit_subscribers.append(callback)
+
+    def forget_absent_upstreams(self) -> None:
+        """Forget the limits of upstreams that are not listed."""
+        self.limits.retain(self._directory.upstreams_by_id)
 
     def record_failure(self, upstream_ids: Collection[str], reason: str) -> None:
         """Avoid upstreams for some time."""
--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -6,15 +6,15 @@
 queued for prefill there, among the routes whose stages all have KV cache for it.
 """
 
-import hashlib
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 from wigeondrift.entities import Route, Stage
 from wigeondrift.router.entities import EngineSpec, Upstream
 from wigeondrift.systems.cache_usage import CacheLedger, Usage
+from wigeondrift.systems.ranking import get_fraction
 
 # Transfer time of a token between two runners, without the delay between domains.
 HOP_SECONDS = 0.0003
@@ -55,7 +55,6 @@
 REFERENCE_LOAD = 0.5
 # Mean fraction of its answer that a running request has in the KV cache.
 MEAN_ANSWER_FRACTION = 0.5
-HASH_BYTES = 8
 # Rate used for a route that can serve nothing, in requests per second.
 MIN_RATE = 1e-9
 
@@ -344,6 +343,7 @@
         failure_domain: str,
         rng: random.Random | None = None,
         router: str = "",
+        closed: Container[str] = (),
     ) -> RouteOffer | None:
         """Return the cheapest route with capacity for a request, None if there is none.
 
@@ -366,18 +366,20 @@
             Given if many routers choose concurrently.
         router : str
             Name of this router, by which its preferred routes differ from others'.
+        closed : container of str
+            Ids of runners that the route must not begin with.
         """
         excluded_ids = set(excluded)
         if rng is not None and len(self.chains) > SAMPLED_ROUTES:
             preferred = self._list_preferred(ledger, router)
             candidates = [rng.choice(preferred) for _ in range(SAMPLED_ROUTES)]
             offer = self._choose_among(
-                candidates, demand, ledger, excluded_ids, failure_domain
+                candidates, demand, ledger, excluded_ids, failure_domain, closed
             )
             if offer is not None and offer.cost < LATE_EVENTS_PENALTY_SECONDS:
                 return offer
         return self._choose_among(
-            self.chains, demand, ledger, excluded_ids, failure_domain
+            self.chains, demand, ledger, excluded_ids, failure_domain, closed
         )
 
     def _list_preferred(self, ledger: CacheLedger, router: str) -> list[Chain]:
@@ -390,9 +392,7 @@
             scored = []
             for chain in self.chains:
                 rate = self.get_rate(chain, ledger)
-                name = f"{router}/{chain.runners[0].upstream_id}".encode()
-                digest = hashlib.blake2b(name, digest_size=HASH_BYTES).digest()
-                fraction = (int.from_bytes(digest, "big") + 1) / 256**HASH_BYTES
+                fraction = get_fraction(router, chain.runners[0].upstream_id)
                 scored.append((-math.log(fraction) / max(rate, MIN_RATE), chain))
             scored.sort(key=lambda pair: pair[0])
             self._preferred = [chain for _, chain in scored[:PREFERRED_ROUTES]]
@@ -437,9 +437,12 @@
         ledger: CacheLedger,
         excluded_ids: set[str],
         failure_domain: str,
+        closed: Container[str],
     ) -> RouteOffer | None:
         best = None
         for chain in chains:
+            if chain.runners[0].upstream_id in closed:
+                continue
             if not excluded_ids.isdisjoint(chain.route.instance_ids):
                 continue
             offer = self._evaluate(chain, demand, ledger)
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -57,7 +57,7 @@
     upstream: str
 
 
-class DeathNews(msgspec.Struct):
+class DeathNews(msgspec.Struct, tag=True):
     """Message of a router about deaths that it has seen.
 
     Attributes
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -47,6 +47,8 @@
         Number of calls that their caller closed before the answer was complete.
     reports : int
         Number of times that the report was requested.
+    limit : str
+        Limit named in each answer, none if empty.
     born : int
         Start of the present incarnation, in milliseconds since the epoch.
     deadly : str
@@ -69,6 +71,7 @@
         self.aborted_calls = 0
         self.reports = 0
         self.born = 1
+        self.limit = ""
         self.deadly = ""
         self.on_death: Callable[[ModelServer], Awaitable[None]] | None = None
 
@@ -126,6 +129,8 @@
         request = exchange.request
         request_id = request.headers_by_name.get("wigeondrift-request-id", "")
         headers = [("Wigeondrift-Request-Id", request_id), SEAL_HEADER]
+        if self.limit:
+            headers.append(("Server-Limit", self.limit))
         if self.fault == "refuse":
             await exchange.respond(503, [NOT_EXECUTED_HEADER])
             return
