--- a/wigeondrift/systems/limits.py
+++ b/wigeondrift/systems/limits.py
@@ -15,8 +15,8 @@
 from wigeondrift.systems.buckets import TokenBucket
 from wigeondrift.systems.ranking import get_fraction
 
-# Holders of a limit: some, and more for each request per second. With more of them, more
-# routers can use it, and more requests may be sent at one moment.
+# Holders of a limit: some, and more for each request per second. With more of them,
+# more routers can use it, and more requests may be sent at one moment.
 EXTRA_HOLDERS = 3
 HOLDERS_PER_REQUEST = 1.5
 # Time after which an idle holder has all requests that it may send at once; each may
