Bound what a router remembers of recent output; wait for the store to come back

A death under a trait that had just produced output was kept until the next output, which may never come. Writes of deaths were tried twice a second while the store was away; each call is counted, also a refused one.

--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -273,6 +273,8 @@
         It is zero if an upstream that may be used is not at its limit, or if there is
         no upstream, and infinite if only other routers may use those that there are.
         """
+        if self.limits.is_empty:
+            return 0.0
         if service.engine is not None and service.engine.layers:
             upstreams = [
                 chain.runners[0]
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -185,8 +185,10 @@
             except PlatformError as error:
                 if isinstance(error, LeaseEnded):
                     self._lease = 0
-                # The replica logs outages of the store.
+                # The replica logs outages of the store, and finds out when they end.
                 await trio.sleep(RETRY_SECONDS)
+                while self._replica.unavailable_since is not None:
+                    await trio.sleep(RETRY_SECONDS)
                 self._changed.set()
 
     async def _remove_deaths(self) -> None:
--- a/wigeondrift/systems/limits.py
+++ b/wigeondrift/systems/limits.py
@@ -121,6 +121,11 @@
         for limit in self._limits_by_id.values():
             limit.rank = None
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no upstream names a limit."""
+        return not self._limits_by_id
+
     def get_limit(self, upstream_id: str) -> float | None:
         """Return an upstream's limit in requests per second, or None."""
         limit = self._limits_by_id.get(upstream_id)
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -210,8 +210,8 @@
             self._companions_by_death.setdefault(
                 death, frozenset(traits).difference([trait])
             )
-            output_at = self._output_at_by_trait.get(trait, -math.inf)
-            if now - output_at < RECENT_OUTPUT_SECONDS:
+            if self._has_recent_output(trait, now):
+                self._is_stale = True
                 unconfirmed = self._unconfirmed_by_trait.setdefault(trait, [])
                 if death not in unconfirmed:
                     unconfirmed.append(death)
@@ -225,6 +225,10 @@
             self._add_unlisted(death, now + SUSPECT_SECONDS, now)
         return new
 
+    def _has_recent_output(self, trait: str, now: float) -> bool:
+        output_at = self._output_at_by_trait.get(trait, -math.inf)
+        return now - output_at < RECENT_OUTPUT_SECONDS
+
     def add_reported(self, news: DeathNews, now: float) -> None:
         """Add the deaths that another router reports and is about to write."""
         known = self._listed.union(self._unlisted_until_by_death, self._forgotten)
@@ -317,6 +321,11 @@
         self._learned_at_by_death = {
             death: self._learned_at_by_death[death] for death in deaths
         }
+        self._unconfirmed_by_trait = {
+            trait: unconfirmed
+            for trait, unconfirmed in self._unconfirmed_by_trait.items()
+            if self._has_recent_output(trait, now)
+        }
         kept = deaths.union(*self._unconfirmed_by_trait.values())
         self._companions_by_death = {
             death: self._companions_by_death[death] for death in kept
