Let the holders of a limit use it more fully

Cause: a holder could save one request only, so that it lost what came free before its next caller, and it drew two of its preferred routes, which a limited one often isn't.

Change: fewer holders, each with one and a half requests in hand; routes that begin with a limited runner are always among those compared; holders begin one after the other, which also shows sooner that a limit was lifted. Counters for refused requests and deaths.

--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -41,6 +41,11 @@
     When the holders of a limit of 2 have no calls for 30 seconds
     Then the upstream gets 20 or more requests in the last 20 of these
 
+  Scenario: A router that may use a limited route compares it with those it prefers
+    Given 12 routes, all but "u8-0" loaded, and a router that prefers others
+    Then the route of "u8-0" is chosen each time if it is limited
+    And the route of "u8-0" is not chosen if it is at its limit
+
   Scenario: A late answer to an early request does not lift a limit
     Then an answer without a limit to a request sent before the limit was known is ignored
 
--- a/tests/features/steps/limits_steps.py
+++ b/tests/features/steps/limits_steps.py
@@ -1,11 +1,17 @@
 """Steps on upstreams that name a request limit."""
 
+import random
+
 import trio
 from behave import given, then, when
 
 from tests.features.steps.router_steps import queue_action, queue_check
+from tests.machines import herd
 from tests.machines.limits import UPSTREAM, WINDOW_SECONDS, LimitMachine, get_bound
+from tests.router_world import make_engine
 from wigeondrift.platform.requests import PlatformHeaderCodec
+from wigeondrift.systems.cache_usage import CacheLedger
+from wigeondrift.systems.chains import ChainSet, RouteDemand
 from wigeondrift.systems.limits import RequestLimits
 
 SEED = 11
@@ -84,6 +90,39 @@
     check_bound(context)
 
 
+def choose_head(context, **options):
+    demand = RouteDemand(400.0, 300.0, 0.0)
+    offer = context.chain_set.choose(
+        demand, context.ledger, (), "zone-9", context.rng, "router-1", **options
+    )
+    return offer.chain.runners[0].upstream_id
+
+
+@given('12 routes, all but "{head}" loaded, and a router that prefers others')
+def make_routes(context, head):
+    engine = make_engine()
+    context.head = head
+    context.rng = random.Random(SEED)
+    context.chain_set = ChainSet(engine, herd.make_runners())
+    context.ledger = CacheLedger(lambda runner: 1e6)
+    for chain in context.chain_set.chains:
+        if chain.runners[0].upstream_id != head:
+            context.ledger.reserve(chain.route, 100.0, 5000.0)
+    preferred = context.chain_set._list_preferred(context.ledger, "router-1")
+    assert head not in [chain.runners[0].upstream_id for chain in preferred]
+
+
+@then('the route of "{head}" is chosen each time if it is limited')
+def check_chosen(context, head):
+    assert all(choose_head(context, limited={head}) == head for _ in range(20))
+
+
+@then('the route of "{head}" is not chosen if it is at its limit')
+def check_not_chosen(context, head):
+    for _ in range(20):
+        assert choose_head(context, limited={head}, closed={head}) != head
+
+
 @then(
     "an answer without a limit to a request sent before the limit was known is ignored"
 )
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -229,6 +229,7 @@
             if report is not None:
                 suspects.update(self._list_stalling(report, context.call.request_id))
         if has_died:
+            self._metrics.count(Metric.UPSTREAM_DEATHS)
             log_event(
                 self._logger,
                 logging.WARNING,
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -41,6 +41,10 @@
 # Failed connections after which a request fails. Nothing was sent over them, so they
 # don't count as attempts.
 MAX_CONNECT_FAILURES = 3
+METRICS_BY_KIND = {
+    ErrorKind.SUSPENDED: Metric.SUSPENDED,
+    ErrorKind.UPSTREAM_LIMITED: Metric.LIMITED,
+}
 # Minimum and random part of the Retry-After header: by then, some of the requests in
 # progress have ended.
 RETRY_AFTER_SECONDS = 0.8
@@ -160,6 +164,8 @@
                 outcome = "done"
         except RequestError as error:
             outcome = error.kind.value
+            if error.kind in METRICS_BY_KIND:
+                self._metrics.count(METRICS_BY_KIND[error.kind])
             await self._refuse(exchange, error, call)
         except CallerDisconnected as error:
             outcome = "caller_gone"
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -261,6 +261,7 @@
             rng,
             self._instance_id,
             self.limits.list_closed(now),
+            self.limits.list_limited(),
         )
         if offer is None:
             return None
--- a/wigeondrift/systems/limits.py
+++ b/wigeondrift/systems/limits.py
@@ -15,12 +15,11 @@
 from wigeondrift.systems.buckets import TokenBucket
 from wigeondrift.systems.ranking import get_fraction
 
-# Holders of a limit: some, and more for each request per second. With more of them,
-# more routers can use it, and more requests may be sent at one moment.
-EXTRA_HOLDERS = 3
-HOLDERS_PER_REQUEST = 1.5
-# Time after which an idle holder has all requests that it may send at once; each may
-# send one.
+# Holders of a limit, beyond one for each request per second.
+EXTRA_HOLDERS = 2
+# Most requests that an idle holder may send at once: this many, or those of this time.
+# More than one, so that a request that comes a little late does not cost the next one.
+MIN_BURST_REQUESTS = 1.5
 BURST_SECONDS = 1.5
 # Interval at which a holder tells the others that a limit still stands.
 REPEAT_SECONDS = 1.0
@@ -197,6 +196,10 @@
             if self.get_wait(upstream_id, now) > 0.0
         }
 
+    def list_limited(self) -> set[str]:
+        """Return all limited upstreams."""
+        return set(self._limits_by_id)
+
     def get_wait(self, upstream_id: str, now: float) -> float:
         """Return the time until a request may be sent, in seconds.
 
@@ -231,17 +234,16 @@
             limit.bucket = None
             return None
         rate = limit.rate / holders
-        burst = max(1.0, BURST_SECONDS * rate)
+        burst = max(MIN_BURST_REQUESTS, BURST_SECONDS * rate)
         if limit.bucket is None:
             limit.bucket = TokenBucket(rate, burst, now)
-            # Another router may just have sent what a full bucket would allow.
-            limit.bucket.consume(burst)
+            # The holders begin one after the other, at the rate of the limit.
+            limit.bucket.level = 1.0 - (position + 1) / holders
         limit.bucket.set_rate(rate, burst, now)
         return limit.bucket
 
     def _count_holders(self, limit: Limit) -> int:
-        holders = int(HOLDERS_PER_REQUEST * limit.rate) + EXTRA_HOLDERS
-        return min(len(self._routers), holders)
+        return min(len(self._routers), int(limit.rate) + EXTRA_HOLDERS)
 
     def _get_rank(self, upstream_id: str) -> int:
         own = get_fraction(self._name, upstream_id)
--- a/wigeondrift/telemetry/metrics.py
+++ b/wigeondrift/telemetry/metrics.py
@@ -31,6 +31,24 @@
         "requests",
         "Answers with outcome unknown.",
     )
+    SUSPENDED = (
+        "requests.suspended",
+        "counter",
+        "requests",
+        "Requests refused for a trait under which upstreams died.",
+    )
+    LIMITED = (
+        "requests.limited",
+        "counter",
+        "requests",
+        "Requests refused for the limits of all upstreams.",
+    )
+    UPSTREAM_DEATHS = (
+        "upstreams.deaths",
+        "counter",
+        "requests",
+        "Requests on upstreams that died.",
+    )
     TOKENS = "tokens", "counter", "tokens", "Tokens handed to callers."
     RESUMES = "streams.resumed", "counter", "streams", "Streams resumed elsewhere."
     FIRST_TOKEN = "first_token", "timing", "ms", "Time to the first token."
