Try a request that may have killed a runner where others lose least

A request that saw its runner die before it had any output was sent to the best route at once, the busiest one, and killed that runner too.

Change: while a trait of a request is on record for a death and has never produced output, the request takes the route that serves fewest requests. Sound ones among them are slower once; a deadly one costs a route that little depends on.

Test: suspects.feature, failed before.

--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -23,6 +23,22 @@
         context.world.add_upstream(f"r{number}b", "model", kind="large", held=(40, 80))
 
 
+@given("a runner of a seventh, slow replica")
+def add_slow_replica(context):
+    context.world.add_upstream("slow", "model", kind="small", held=(0, 40))
+    context.world.add_upstream("slow-b", "model", kind="small", held=(40, 80))
+
+
+@then("the runners that died are a fast one and the slow one")
+def check_died(context):
+    def check(world):
+        died = [s.upstream_id for s in list_runners(world) if s.served]
+        assert len(died) == 2 and "slow" in died, died
+        assert died[0] in FIRST_STAGES
+
+    queue_check(context, check)
+
+
 def list_runners(world):
     return [
         world.servers_by_id[name]
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -35,6 +35,12 @@
     And 0 seconds later one with the prompt parts "first, bad" through another router
     Then that request is refused as not run and reached no runner
 
+  Scenario: A request that may have killed a runner is tried where it harms least
+    Given a runner of a seventh, slow replica
+    And runners die under requests with the prompt part "bad"
+    When 1 request with the prompt parts "first, bad" comes through one router
+    Then the runners that died are a fast one and the slow one
+
   Scenario: A death that an external cause has is not held against popular requests
     When 8 streams with the prompt part "shared" run and three first stages die at once
     Then 5 further requests with the prompt part "shared" are complete
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -341,6 +341,7 @@
     def _require_unsuspected(self, context: RequestContext) -> None:
         """Refuse a request that shares a trait under which several upstreams died."""
         if self._suspects.find_refused(context) is None:
+            context.is_risky = self._suspects.is_suspect(context)
             return
         reason = "upstreams died while they ran requests like this one"
         if context.may_have_run:
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -80,6 +80,8 @@
         Time spent waiting for capacity.
     longest_gap : float or None
         Longest pause between two events, in seconds.
+    is_risky : bool
+        Whether an upstream died under a request with one of its traits.
     traits : tuple of str
         Digests of what the request has in common with others of its service.
     """
@@ -91,6 +93,7 @@
         "events",
         "excluded",
         "expected_first",
+        "is_risky",
         "longest_gap",
         "may_have_run",
         "wait_seconds",
@@ -122,6 +125,7 @@
         self.wait_seconds = 0.0
         self.expected_first: float | None = None
         self.longest_gap: float | None = None
+        self.is_risky = False
         whole = make_digest(service.name, "request", call.target, call.key, call.body)
         parts = call.prompt_parts[: MAX_TRAITS_PER_REQUEST - 1]
         self.traits = (whole, *(make_digest(service.name, part) for part in parts))
@@ -136,7 +140,7 @@
             answer = min(answer, float(call.answer_limit))
         prompt = float(call.prompt_tokens or engine.mean_prompt_tokens)
         tokens = prompt + MEAN_ANSWER_SHARE * answer
-        return RouteDemand(tokens, prompt, self.rule.event_gap)
+        return RouteDemand(tokens, prompt, self.rule.event_gap, self.is_risky)
 
 
 class Progress:
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -116,6 +116,10 @@
             )
         return self._table.find_refused(context.traits, now)
 
+    def is_suspect(self, context: RequestContext) -> bool:
+        """Whether a request may crash its upstream, by the last ``find_refused``."""
+        return self._table.is_suspect(context.traits)
+
     def record_death(self, context: RequestContext, upstream: Upstream) -> None:
         """Record that an upstream died under a request that had no output from it."""
         now = trio.current_time()
--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import operator
 import random
 from collections import Counter
 from collections.abc import Callable, Container, Iterable
@@ -72,14 +73,23 @@
         Prompt tokens to process before the first event.
     event_gap : float
         Maximum gap between events, in seconds; zero for no maximum.
+    is_risky : bool
+        Whether the request may crash the first runner of its route.
     """
 
-    __slots__ = ("event_gap", "prompt", "tokens")
+    __slots__ = ("event_gap", "is_risky", "prompt", "tokens")
 
-    def __init__(self, tokens: float, prompt: float, event_gap: float = 0.0) -> None:
+    def __init__(
+        self,
+        tokens: float,
+        prompt: float,
+        event_gap: float = 0.0,
+        is_risky: bool = False,
+    ) -> None:
         self.tokens = tokens
         self.prompt = prompt
         self.event_gap = event_gap
+        self.is_risky = is_risky
 
 
 class Chain:
@@ -348,6 +358,9 @@
     ) -> RouteOffer | None:
         """Return the cheapest route with capacity for a request, None if there is none.
 
+        A risky request takes the route that serves fewest requests, so that others lose
+        little if it crashes a runner.
+
         Routers that choose concurrently on the same outdated state would all select the
         same route. With ``rng``, a few of the routes that this router prefers are
         therefore sampled, and the cheapest of these is used. If none of them has
@@ -374,6 +387,16 @@
             always among those compared, as the others can't make up for this router.
         """
         excluded_ids = set(excluded)
+        if demand.is_risky:
+            return self._choose_among(
+                self.chains,
+                demand,
+                ledger,
+                excluded_ids,
+                failure_domain,
+                closed,
+                lambda offer: (self.get_rate(offer.chain, ledger), offer.cost),
+            )
         if rng is not None and len(self.chains) > SAMPLED_ROUTES:
             preferred = self._list_preferred(ledger, router)
             candidates = [rng.choice(preferred) for _ in range(SAMPLED_ROUTES)]
@@ -447,7 +470,9 @@
         excluded_ids: set[str],
         failure_domain: str,
         closed: Container[str],
+        rank: Callable[[RouteOffer], object] = operator.attrgetter("cost"),
     ) -> RouteOffer | None:
+        """Return the route with capacity that ranks lowest, None if there is none."""
         best = None
         for chain in chains:
             if chain.runners[0].upstream_id in closed:
@@ -459,7 +484,7 @@
                 continue
             if chain.runners[0].failure_domain != failure_domain:
                 offer.cost += REMOTE_FIRST_STAGE_SECONDS
-            if best is None or offer.cost < best.cost:
+            if best is None or rank(offer) < rank(best):
                 best = offer
         return best
 
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -178,6 +178,13 @@
                 return trait
         return None
 
+    def is_suspect(self, traits: Iterable[str]) -> bool:
+        """Whether an upstream died under a trait that has never produced output."""
+        return any(
+            trait in self._upstreams_by_trait and trait not in self._output_at_by_trait
+            for trait in traits
+        )
+
     def get_companions(self, death: Death) -> frozenset[str]:
         """Return the other traits of the request under which the upstream died."""
         return self._companions_by_death.get(death, frozenset())
