Refuse the parts of a request that died twice, and no sound ones beside it

Change: the trait of the whole request does not count among those that must come together. Traits of different requests that saw the same two deaths are not refused yet; the next death tells them apart, on a route that little depends on.

--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -7,7 +7,7 @@
 from tests.router_world import RESTART_SECONDS
 from wigeondrift.platform.requests import PROMPT_PARTS, PlatformHeaderCodec
 from wigeondrift.router.suspects import SUSPECTS_PREFIX
-from wigeondrift.systems.suspects import make_digest
+from wigeondrift.systems.suspects import SuspectTable, make_digest
 from wigeondrift.wire.http_server import Request
 
 REPLICAS = 6
@@ -39,6 +39,37 @@
     queue_check(context, check)
 
 
+@given('a table of two deaths under "{one}" and, in other requests, "{other}"')
+def make_table(context, one, other):
+    context.suspects = SuspectTable()
+    for upstream in ("u1", "u2"):
+        for trait in (one, other):
+            context.suspects.record_death([f"{trait} alone", trait], upstream, 1.0)
+    context.traits = (one, other)
+
+
+@then("neither of the two traits is refused")
+def check_none_refused(context):
+    context.suspects.refresh(2.0)
+    for trait in context.traits:
+        request = [f"{trait} alone", trait]
+        assert context.suspects.find_refused(request, 2.0) is None
+        assert context.suspects.is_suspect(request)
+
+
+@when('another runner dies under "{trait}"')
+def add_death(context, trait):
+    context.suspects.record_death(["another", trait], "u3", 2.0)
+
+
+@then('of these only the trait "{trait}" is refused')
+def check_one_refused(context, trait):
+    context.suspects.refresh(2.0)
+    table = context.suspects
+    refused = [one for one in context.traits if table.find_refused([one], 2.0)]
+    assert refused == [trait], refused
+
+
 def list_runners(world):
     return [
         world.servers_by_id[name]
@@ -77,7 +108,11 @@
 
 
 async def ask(context, world, parts, **options):
-    answer = await world.call("/draft/1", headers=[make_header(parts)], **options)
+    # No two requests are equal as a whole.
+    body = f"body {len(context.answers)}".encode()
+    answer = await world.call(
+        "/draft/1", headers=[make_header(parts)], body=body, **options
+    )
     context.answers.append(answer)
     if world.deaths >= DEATH_LIMIT and not hasattr(context, "deadly_at_limit"):
         context.deadly_at_limit = count_deadly(world)
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -41,6 +41,12 @@
     When 1 request with the prompt parts "first, bad" comes through one router
     Then the runners that died are a fast one and the slow one
 
+  Scenario: Requests that saw the same two deaths are tried apart before one is refused
+    Given a table of two deaths under "first" and, in other requests, "second"
+    Then neither of the two traits is refused
+    When another runner dies under "first"
+    Then of these only the trait "first" is refused
+
   Scenario: A death that an external cause has is not held against popular requests
     When 8 streams with the prompt part "shared" run and three first stages die at once
     Then 5 further requests with the prompt part "shared" are complete
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -18,8 +18,9 @@
 
 from wigeondrift.errors import SUSPENSION_SECONDS
 
-# Deaths after which a trait that has never produced output is refused for some time.
-# Two deaths may be a coincidence, so that the trait is tried again after that time.
+# Deaths after which a trait that has never produced output is refused for some time,
+# unless other requests saw the same deaths. Two deaths may be a coincidence, so the
+# trait is tried again after that time.
 FIRST_REFUSAL_DEATHS = 2
 FIRST_REFUSAL_SECONDS = 15.0
 # Deaths after which such a trait is refused for as long as they are remembered.
@@ -142,7 +143,8 @@
         # Deaths that the store does not list yet, and how long they are kept.
         self._unlisted_until_by_death: dict[Death, float] = {}
         self._learned_at_by_death: dict[Death, float] = {}
-        # Other traits of the request that had the trait when the upstream died.
+        # Other traits of the request that had the trait when the upstream died, without
+        # that of the whole request.
         self._companions_by_death: dict[Death, frozenset[str]] = {}
         self._output_at_by_trait: dict[str, float] = {}
         # Deaths under traits that have just produced output.
@@ -201,6 +203,7 @@
         Parameters
         ----------
         traits : sequence of str
+            The first one is that of the whole request.
         upstream : str
             Digest of the upstream's incarnation.
         now : float
@@ -214,8 +217,9 @@
         added = []
         for trait in traits:
             death = Death(trait, upstream)
+            # No other request has the trait of the whole one.
             self._companions_by_death.setdefault(
-                death, frozenset(traits).difference([trait])
+                death, frozenset(traits[1:]).difference([trait])
             )
             if self._has_recent_output(trait, now):
                 self._is_stale = True
@@ -370,10 +374,19 @@
                 break
             # Traits that explain as many deaths can't be told apart yet.
             equals = [trait for trait, count in left.items() if count == most]
+            partners_by_trait = {
+                trait: self._get_partners(trait).intersection(equals)
+                for trait in equals
+            }
+            are_together = any(
+                len(partners) == len(equals) - 1
+                for partners in partners_by_trait.values()
+            )
+            if most < REFUSAL_DEATHS and not are_together:
+                break
             for trait in equals:
                 self._refusals_by_trait[trait] = Refusal(
-                    self._get_refused_until(trait),
-                    self._get_partners(trait).intersection(equals),
+                    self._get_refused_until(trait), partners_by_trait[trait]
                 )
             for trait in equals:
                 explained |= candidates.pop(trait)
