Try requests with a refused trait again, one router at a time

Found by reading: a service whose upstreams crash by themselves puts the parts of all its requests on record, and those with three deaths stayed refused for 5 to 10 minutes after the service had recovered, as a refused request can't show that its part is sound. With two deaths all routers tried again at the same moment, 15 s later.

The router whose turn it is comes first by rendezvous hashing; for each 5 s without a try one more may. suspect_tried (3402) logs it.

Tests: suspects.feature; three scenarios fail without the change, one of them anew: a part that runners survive again is served within a minute and a half.

--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -1,5 +1,7 @@
 """Steps on requests under which upstreams die."""
 
+import copy
+
 import trio
 from behave import given, then, when
 
@@ -53,7 +55,7 @@
     context.suspects.refresh(2.0)
     for trait in context.traits:
         request = [f"{trait} alone", trait]
-        assert context.suspects.find_refused(request, 2.0) is None
+        assert context.suspects.find_refused(request) is None
         assert context.suspects.is_suspect(request)
 
 
@@ -66,10 +68,47 @@
 def check_one_refused(context, trait):
     context.suspects.refresh(2.0)
     table = context.suspects
-    refused = [one for one in context.traits if table.find_refused([one], 2.0)]
+    refused = [one for one in context.traits if table.find_refused([one])]
     assert refused == [trait], refused
 
 
+@given('tables of {count:d} routers with {deaths:d} deaths under "{trait}"')
+def make_tables(context, count, deaths, trait):
+    context.trait = trait
+    names = [f"router-{number}" for number in range(count)]
+    context.tables = [SuspectTable(name) for name in names]
+    for table in context.tables:
+        table.set_peers(names)
+        for number in range(deaths):
+            table.record_death([f"request {number}", trait], f"u{number}", 0.0)
+
+
+@when('one more runner dies under "{trait}" {seconds:d} seconds after the deaths')
+def add_later_death(context, trait, seconds):
+    for table in context.tables:
+        table.record_death(["another", trait], "later", float(seconds))
+
+
+@then("{count:d} of them may try it {seconds:d} seconds after the deaths")
+@then("none of them may try it {seconds:d} seconds after the deaths")
+def check_trials(context, seconds, count=0):
+    trying = 0
+    for table in context.tables:
+        table.refresh(float(seconds))
+        assert table.find_refused([context.trait]) == context.trait
+        trying += copy.deepcopy(table).try_start_trial(context.trait, float(seconds))
+    assert trying == count, trying
+
+
+@then("the last one is complete")
+def check_last(context):
+    def check(world):
+        answer = context.answers[-1]
+        assert answer.is_whole and answer.status == 200, vars(answer)
+
+    queue_check(context, check)
+
+
 def list_runners(world):
     return [
         world.servers_by_id[name]
@@ -119,6 +158,7 @@
     return answer
 
 
+@when('a request with the prompt part "{parts}" comes each second, {count:d} times')
 @when('a request with the prompt parts "{parts}" comes each second, {count:d} times')
 def request_each_second(context, parts, count):
     async def request(world):
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -64,6 +64,22 @@
     Then a request with the prompt parts "first, bad" is refused at once
     And a request with the prompt parts "first, bad" is complete 16 seconds later
 
+  Scenario: A part that runners survive again is served within a minute and a half
+    Given runners die under requests with the prompt part "bad"
+    When a request with the prompt part "bad" comes each second, 40 times
+    And the runners survive the prompt part "bad" from now on
+    And a request with the prompt part "bad" comes each second, 90 times
+    Then the last one is complete
+
+  Scenario: One router tries a refused part, later others, and less often each time
+    Given tables of 9 routers with 3 deaths under "bad"
+    Then none of them may try it 29 seconds after the deaths
+    And 1 of them may try it 31 seconds after the deaths
+    And 3 of them may try it 41 seconds after the deaths
+    When one more runner dies under "bad" 42 seconds after the deaths
+    Then none of them may try it 101 seconds after the deaths
+    And 1 of them may try it 103 seconds after the deaths
+
   Scenario: A lost connection to a runner that lives on is no death
     Given the first stages of all replicas reset each stream before its first event
     When 6 requests with the prompt part "first" come through one router
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -153,6 +153,9 @@
         self.membership.subscribe(
             lambda: self.selector.limits.set_peers(self.membership.list_peers())
         )
+        self.membership.subscribe(
+            lambda: self.suspects.set_peers(self.membership.list_peers())
+        )
         self.replica.subscribe(self.selector.forget_absent_upstreams)
         self.relay = Relay(
             self.replica, self.relays, bounds, settings.host, settings.peer_port
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -82,6 +82,8 @@
         Longest pause between two events, in seconds.
     is_risky : bool
         Whether an upstream died under a request with one of its traits.
+    is_trial : bool
+        Whether it is tried although it has a refused trait.
     traits : tuple of str
         Digests of what the request has in common with others of its service.
     """
@@ -94,6 +96,7 @@
         "excluded",
         "expected_first",
         "is_risky",
+        "is_trial",
         "longest_gap",
         "may_have_run",
         "wait_seconds",
@@ -126,6 +129,7 @@
         self.expected_first: float | None = None
         self.longest_gap: float | None = None
         self.is_risky = False
+        self.is_trial = False
         whole = make_digest(service.name, "request", call.target, call.key, call.body)
         parts = call.prompt_parts[: MAX_TRAITS_PER_REQUEST - 1]
         self.traits = (whole, *(make_digest(service.name, part) for part in parts))
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import trio
@@ -86,7 +86,7 @@
         self._store = store
         self._replica = replica
         self._instance_id = instance_id
-        self._table = SuspectTable()
+        self._table = SuspectTable(instance_id)
         self._lease = 0
         self._lease_asked_at = 0.0
         self._listed_version = (0, 0)
@@ -102,8 +102,15 @@
         """Call ``callback`` with the deaths that this router has seen."""
         self._subscribers.append(callback)
 
+    def set_peers(self, names: Iterable[str]) -> None:
+        """Set the other routers."""
+        self._table.set_peers(names)
+
     def find_refused(self, context: RequestContext) -> str | None:
-        """Return a trait for which a request must not run, or None."""
+        """Return a trait for which a request must not run, or None.
+
+        Now and then a request is tried although it has a refused trait.
+        """
         now = trio.current_time()
         for trait, deaths in self._table.refresh(now).items():
             log_event(
@@ -114,7 +121,21 @@
                 deaths=deaths,
                 request_id=context.call.request_id,
             )
-        return self._table.find_refused(context.traits, now)
+        trait = self._table.find_refused(context.traits)
+        if trait is None or context.is_trial:
+            return None
+        if self._table.try_start_trial(trait, now):
+            context.is_trial = True
+            log_event(
+                self._logger,
+                logging.INFO,
+                Event.SUSPECT_TRIED,
+                trait=trait,
+                deaths=self._table.count_deaths(trait),
+                request_id=context.call.request_id,
+            )
+            return None
+        return trait
 
     def is_suspect(self, context: RequestContext) -> bool:
         """Whether a request may crash its upstream, by the last ``find_refused``."""
@@ -122,6 +143,7 @@
 
     def record_death(self, context: RequestContext, upstream: Upstream) -> None:
         """Record that an upstream died under a request that had no output from it."""
+        context.is_trial = False
         now = trio.current_time()
         incarnation = make_digest(upstream.upstream_id, upstream.started_at_ms)
         deaths = self._table.record_death(context.traits, incarnation, now)
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -17,16 +17,21 @@
 import msgspec
 
 from wigeondrift.errors import SUSPENSION_SECONDS
+from wigeondrift.systems.ranking import get_fraction
 
-# Deaths after which a trait that has never produced output is refused for some time,
-# unless other requests saw the same deaths. Two deaths may be a coincidence, so the
-# trait is tried again after that time.
-FIRST_REFUSAL_DEATHS = 2
-FIRST_REFUSAL_SECONDS = 15.0
-# Deaths after which such a trait is refused for as long as they are remembered.
-REFUSAL_DEATHS = 3
+# Deaths after which a trait that has never produced output is refused, and those after
+# which it is refused although other requests saw the same ones.
+REFUSAL_DEATHS = 2
+SHARED_REFUSAL_DEATHS = 3
 # The same for a trait that produced output before the first of the deaths.
 SOUND_REFUSAL_DEATHS = 5
+# Time after the last death at which one request with a refused trait is tried, as the
+# deaths may have had another cause. It doubles with each further death.
+FIRST_TRIAL_SECONDS = 15.0
+MAX_DOUBLINGS = 6
+# Time after which further routers may try a request, if the one whose turn it is has
+# none.
+TRIAL_TURN_SECONDS = 5.0
 # Time for which a death is remembered.
 SUSPECT_SECONDS = 2.0 * SUSPENSION_SECONDS
 # A trait that produced output within this time becomes a suspect at its second death.
@@ -95,13 +100,13 @@
 
     Attributes
     ----------
-    until : float
-        Time at which it ends, in seconds.
+    trial_at : float
+        Time from which a request may be tried, in seconds.
     partners : frozenset of str
         Other traits that a request must have to be refused.
     """
 
-    until: float
+    trial_at: float
     partners: frozenset[str]
 
 
@@ -119,6 +124,11 @@
 
     Deaths are only ever added or, when a request with the trait has produced output,
     removed, so that messages of several routers may arrive late or in any order.
+
+    Parameters
+    ----------
+    name : str
+        Instance of this router.
     """
 
     __slots__ = (
@@ -127,14 +137,21 @@
         "_is_stale",
         "_learned_at_by_death",
         "_listed",
+        "_name",
         "_output_at_by_trait",
         "_refusals_by_trait",
+        "_routers",
+        "_tried_at_by_trait",
         "_unconfirmed_by_trait",
         "_unlisted_until_by_death",
         "_upstreams_by_trait",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "") -> None:
+        self._name = name
+        self._routers = {name}
+        # Refused traits with a request that was tried, and when.
+        self._tried_at_by_trait: dict[str, float] = {}
         # Whether deaths were added or removed since the refused traits were found.
         self._is_stale = False
         self._listed: frozenset[Death] = frozenset()
@@ -152,6 +169,10 @@
         self._upstreams_by_trait: dict[str, set[str]] = {}
         self._refusals_by_trait: dict[str, Refusal] = {}
 
+    def set_peers(self, names: Iterable[str]) -> None:
+        """Set the other routers, which try requests in turn with this one."""
+        self._routers = {self._name, *names}
+
     def refresh(self, now: float) -> dict[str, int]:
         """Find the refused traits; return the new ones and their number of deaths."""
         if not self._is_stale:
@@ -165,21 +186,36 @@
             if trait not in known
         }
 
-    def find_refused(self, traits: Sequence[str], now: float) -> str | None:
+    def find_refused(self, traits: Sequence[str]) -> str | None:
         """Return a trait for which a request is refused, or None.
 
         Deaths count from the last call of ``refresh`` on.
         """
         for trait in traits:
             refusal = self._refusals_by_trait.get(trait)
-            if (
-                refusal is not None
-                and now < refusal.until
-                and refusal.partners.issubset(traits)
-            ):
+            if refusal is not None and refusal.partners.issubset(traits):
                 return trait
         return None
 
+    def try_start_trial(self, trait: str, now: float) -> bool:
+        """Return whether a request with a refused trait may be tried, and count it.
+
+        One router tries a request after the time that the deaths ask for. The longer it
+        has none, the more routers may.
+        """
+        refusal = self._refusals_by_trait[trait]
+        started_at = self._tried_at_by_trait.get(trait, -math.inf)
+        # A trial that brought neither output nor a death may be repeated.
+        due_at = max(refusal.trial_at, started_at + FIRST_TRIAL_SECONDS)
+        if now < due_at:
+            return False
+        own = get_fraction(self._name, trait)
+        rank = sum(get_fraction(name, trait) > own for name in self._routers)
+        if rank > (now - refusal.trial_at) / TRIAL_TURN_SECONDS:
+            return False
+        self._tried_at_by_trait[trait] = now
+        return True
+
     def is_suspect(self, traits: Iterable[str]) -> bool:
         """Whether an upstream died under a trait that has never produced output."""
         return any(
@@ -348,6 +384,11 @@
         explained: set[str] = set()
         for is_sound in (False, True):
             explained |= self._refuse_traits(is_sound, explained)
+        self._tried_at_by_trait = {
+            trait: tried_at
+            for trait, tried_at in self._tried_at_by_trait.items()
+            if trait in self._refusals_by_trait
+        }
 
     def _refuse_traits(self, is_sound: bool, explained: set[str]) -> set[str]:
         """Refuse the traits that explain most deaths; return all explained deaths.
@@ -359,7 +400,7 @@
         explained : set of str
             Upstreams whose death a refused trait explains.
         """
-        required = SOUND_REFUSAL_DEATHS if is_sound else FIRST_REFUSAL_DEATHS
+        required = SOUND_REFUSAL_DEATHS if is_sound else REFUSAL_DEATHS
         candidates = {
             trait: upstreams
             for trait, upstreams in self._upstreams_by_trait.items()
@@ -382,11 +423,11 @@
                 len(partners) == len(equals) - 1
                 for partners in partners_by_trait.values()
             )
-            if most < REFUSAL_DEATHS and not are_together:
+            if most < SHARED_REFUSAL_DEATHS and not are_together:
                 break
             for trait in equals:
                 self._refusals_by_trait[trait] = Refusal(
-                    self._get_refused_until(trait), partners_by_trait[trait]
+                    self._get_trial_time(trait, required), partners_by_trait[trait]
                 )
             for trait in equals:
                 explained |= candidates.pop(trait)
@@ -401,9 +442,8 @@
             )
         )
 
-    def _get_refused_until(self, trait: str) -> float:
+    def _get_trial_time(self, trait: str, required: int) -> float:
         upstreams = self._upstreams_by_trait[trait]
-        if len(upstreams) >= REFUSAL_DEATHS:
-            return math.inf
         learned_at = max(self._learned_at_by_death[trait, up] for up in upstreams)
-        return learned_at + FIRST_REFUSAL_SECONDS
+        doublings = min(MAX_DOUBLINGS, len(upstreams) - required)
+        return learned_at + FIRST_TRIAL_SECONDS * 2**doublings
--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -66,6 +66,7 @@
     ATTEMPT_FAILED = 3551, "A request failed at an upstream."
     RELOADED = 3561, "The settings file was reloaded."
     REQUEST_QUARANTINED = 3401, "A fingerprint is refused: upstreams died running it."
+    SUSPECT_TRIED = 3402, "A request runs although it has a refused trait, as a trial."
 
 
 def configure_logging(level: str, **fields: str) -> logging.Logger:
