Ignore SIGHUP while a router starts

The signal had no handler until the modules were imported, and its default action ends the process. The settings are read after the imports, so nothing is missed. The interpreter's own start is still unprotected.

Test: soak.feature, a signal at the import of the router's parts; failed before.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -24,3 +24,6 @@
       | seed | seconds |
       | 4    | 4       |
       | 7    | 4       |
+
+  Scenario: A signal to reload the settings during the start does not end a router
+    Then a router that gets SIGHUP while it imports its modules goes on to start
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -1,3 +1,4 @@
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -105,3 +106,35 @@
         timeout=SOAK_TIMEOUT_SECONDS,
     )
     assert done.returncode == 0, done.stdout + done.stderr
+
+
+SIGHUP_AT_IMPORT = """
+import builtins, os, runpy, signal
+find = builtins.__import__
+def signal_at_import(name, *args, **options):
+    if name == "wigeondrift.router.composition":
+        os.kill(os.getpid(), signal.SIGHUP)
+    return find(name, *args, **options)
+builtins.__import__ = signal_at_import
+runpy.run_module("wigeondrift.router", run_name="__main__")
+"""
+
+
+@then("a router that gets SIGHUP while it imports its modules goes on to start")
+def check_sighup_at_start(context):
+    environment = {
+        name: value
+        for name, value in os.environ.items()
+        if name != "WIGEONDRIFT_CONFIG"
+    }
+    done = subprocess.run(
+        [sys.executable, "-c", SIGHUP_AT_IMPORT],
+        cwd=ROOT,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=SOAK_TIMEOUT_SECONDS,
+    )
+    # Without a settings file, it ends with a message.
+    assert "wigeondrift-router: " in done.stderr, (done.returncode, done.stderr)
+    assert done.returncode == 1, done.returncode
--- a/wigeondrift/router/__main__.py
+++ b/wigeondrift/router/__main__.py
@@ -1,17 +1,23 @@
 """Main function of the router process."""
 
-import trio
-
-from wigeondrift.errors import SettingsError
-from wigeondrift.router.composition import (
-    compose_router,
-    exit_with_error,
-    load_settings,
-)
+import signal
 
 
 def main() -> None:
     """Run a router until it is stopped by a signal."""
+    # A change of the settings file while the modules are imported must not end the
+    # process. The file is read afterwards.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    import trio
+
+    from wigeondrift.errors import SettingsError
+    from wigeondrift.router.composition import (
+        compose_router,
+        exit_with_error,
+        load_settings,
+    )
+
     try:
         settings = load_settings()
     except SettingsError as error:
