Give the planned stop of an entry a load that fits its slots

Cause: the scenario sends ten streams to an entry whose share is eight slots. It passed only because each entry believes for its first half second that it is the only one, with all sixteen slots. Without any stop, on the same stack, two of the four late streams are refused once the entries know each other (1, 3 and 6 s after the start) and none before (0 and 0.3 s), so the stop is not the cause and the refusals are the documented ones of a full entry.

The check was wrong in that its load needed slots that the entry does not have. It stays as it is and the runners get ten slots, so that the load takes all of the entry's own, whether or not it knows the others: a stop that gives up slots, cuts or refuses fails it as before.

--- a/tests/features/steps/stack_steps.py
+++ b/tests/features/steps/stack_steps.py
@@ -19,6 +19,7 @@
 )
 from wigeondrift_emulator.stack import (
     MODEL,
+    KindSettings,
     Stack,
     StackSettings,
     call,
@@ -41,17 +42,27 @@
     return trio.run(main)
 
 
-@given("a stack of processes")
-def start_stack(context):
+def start_stack_of(context, **settings):
     settings = StackSettings(
         limit=LimitRow(tokens=1e6),
         entry={"stop": {"notice": 1.0, "bound": 30.0}},
+        **settings,
     )
     context.stack = Stack(settings)
     add_closer(context, context.stack.close)
     context.stack.start()
 
 
+@given("a stack of processes")
+def start_stack(context):
+    start_stack_of(context)
+
+
+@given("a stack of processes whose runners have {slots:d} slots")
+def start_stack_with_slots(context, slots):
+    start_stack_of(context, kinds=(KindSettings("a", slots, 0.005),))
+
+
 @given("a stack of processes whose entries send spans to a collector")
 def start_traced_stack(context):
     context.collector = Collector()
