Refuse a deadly prompt part beside any other once two requests had it in common

A death on record kept the other parts of the first request that saw it. If a second request with the same part, but beside other parts, saw the same death, what it had was dropped, and the part stayed refused only together with the first request's parts: further requests were sent on and could kill.

Cause: companions of a death were set once (setdefault) in place of reduced to what all requests had that saw it; class of fault: first report wins. Now the record keeps the intersection, also for news of other routers and for what the store lists, and a router tells the others again when it got narrower.

Tests: three of the four new examples failed before (at this router, by news, and the news itself); the one of the store's list passed.

--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -72,6 +72,57 @@
     assert refused == [trait], refused
 
 
+def make_traits(request, parts):
+    return [make_digest(request), *(make_digest(part) for part in parts.split(", "))]
+
+
+@given('a table of two deaths under a request with the parts "{parts}"')
+def make_table_of_request(context, parts):
+    context.suspects = SuspectTable()
+    for upstream in ("u1", "u2"):
+        traits = make_traits("the first request", parts)
+        context.suspects.record_death(traits, make_digest(upstream), 1.0)
+
+
+@when('the second death is also seen by one with the parts "{parts}" {where}')
+def add_request_at_death(context, parts, where):
+    traits = make_traits("the second request", parts)
+    table = context.suspects
+    if where == "at this router":
+        context.deaths = table.record_death(traits, make_digest("u2"), 1.1)
+        return
+    other = SuspectTable("another router")
+    deaths = other.record_death(traits, make_digest("u2"), 1.1)
+    if where == "at another router":
+        for news in other.list_news(deaths):
+            table.add_reported(news, 1.1)
+    else:
+        listed = {death: other.get_companions(death) for death in deaths}
+        table.set_listed(listed, 1.1)
+
+
+def is_refused(table, parts):
+    table.refresh(1.2)
+    return table.find_refused(make_traits("a new request", parts)) is not None
+
+
+@then('requests with the parts "{parts}" are refused')
+def check_parts_refused(context, parts):
+    assert is_refused(context.suspects, parts)
+
+
+@then('requests with the parts "{parts}" are not refused')
+def check_parts_served(context, parts):
+    assert not is_refused(context.suspects, parts)
+
+
+@then('the news of it tells that "{part}" was seen beside nothing else each time')
+def check_news_of_part(context, part):
+    death = (make_digest(part), make_digest("u2"))
+    (news,) = context.suspects.list_news(context.deaths)
+    assert dict(news.iter_deaths())[death] == frozenset()
+
+
 @given('tables of {count:d} routers with {deaths:d} deaths under "{trait}"')
 def make_tables(context, count, deaths, trait):
     context.trait = trait
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -47,6 +47,23 @@
     When another runner dies under "first"
     Then of these only the trait "first" is refused
 
+  Scenario Outline: A part is refused beside any other once two requests had it in common
+    Given a table of two deaths under a request with the parts "first, bad"
+    When the second death is also seen by one with the parts "second, bad" <where>
+    Then requests with the parts "third, bad" are refused
+    And requests with the parts "first, other" are not refused
+
+    Examples:
+      | where               |
+      | at this router      |
+      | at another router   |
+      | listed in the store |
+
+  Scenario: Further requests at a death are told to the other routers
+    Given a table of two deaths under a request with the parts "first, bad"
+    When the second death is also seen by one with the parts "second, bad" at this router
+    Then the news of it tells that "bad" was seen beside nothing else each time
+
   Scenario: A death that an external cause has is not held against popular requests
     When 8 streams with the prompt part "shared" run and three first stages die at once
     Then 5 further requests with the prompt part "shared" are complete
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -238,9 +238,12 @@
                 tuple(sorted(self._table.get_companions(death))),
             )
             value = msgspec.json.encode(report)
+            key = _make_key(death)
+            listed = self._replica.router_items_by_key.get(key)
+            revision = 0 if listed is None else listed.revision
             # Another router may have seen the same death.
             with contextlib.suppress(RevisionConflict):
-                await self._store.put(_make_key(death), value, 0, self._lease)
+                await self._store.put(key, value, revision, self._lease)
             pending.pop(death, None)
             self._table.confirm_written(death, trio.current_time())
 
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -160,8 +160,8 @@
         # Deaths that the store does not list yet, and how long they are kept.
         self._unlisted_until_by_death: dict[Death, float] = {}
         self._learned_at_by_death: dict[Death, float] = {}
-        # Other traits of the request that had the trait when the upstream died, without
-        # that of the whole request.
+        # Other traits that each request with the trait had when the upstream died,
+        # without that of the whole request.
         self._companions_by_death: dict[Death, frozenset[str]] = {}
         self._output_at_by_trait: dict[str, float] = {}
         # Deaths under traits that have just produced output.
@@ -224,7 +224,7 @@
         )
 
     def get_companions(self, death: Death) -> frozenset[str]:
-        """Return the other traits of the request under which the upstream died."""
+        """Return the other traits of all requests with the trait that saw the death."""
         return self._companions_by_death.get(death, frozenset())
 
     def count_deaths(self, trait: str) -> int:
@@ -251,12 +251,13 @@
             Deaths that the other routers must know.
         """
         added = []
+        narrowed = set()
         for trait in traits:
             death = Death(trait, upstream)
             # No other request has the trait of the whole one.
-            self._companions_by_death.setdefault(
-                death, frozenset(traits[1:]).difference([trait])
-            )
+            companions = frozenset(traits[1:]).difference([trait])
+            if self._narrow_companions(death, companions):
+                narrowed.add(death)
             if self._has_recent_output(trait, now):
                 self._is_stale = True
                 unconfirmed = self._unconfirmed_by_trait.setdefault(trait, [])
@@ -267,10 +268,24 @@
             added.extend(self._unconfirmed_by_trait.pop(trait, ()))
             added.append(death)
         known = self._listed.union(self._unlisted_until_by_death)
-        new = [death for death in dict.fromkeys(added) if death not in known]
-        for death in new:
-            self._add_unlisted(death, now + SUSPECT_SECONDS, now)
-        return new
+        told = []
+        for death in dict.fromkeys(added):
+            if death not in known:
+                self._add_unlisted(death, now + SUSPECT_SECONDS, now)
+            elif death not in narrowed:
+                continue
+            told.append(death)
+        return told
+
+    def _narrow_companions(self, death: Death, companions: frozenset[str]) -> bool:
+        """Keep the traits that all requests had that saw a death; return any change."""
+        known = self._companions_by_death.get(death)
+        common = companions if known is None else known & companions
+        if common == known:
+            return False
+        self._companions_by_death[death] = common
+        self._is_stale = True
+        return True
 
     def _has_recent_output(self, trait: str, now: float) -> bool:
         output_at = self._output_at_by_trait.get(trait, -math.inf)
@@ -278,11 +293,13 @@
 
     def add_reported(self, news: DeathNews, now: float) -> None:
         """Add the deaths that another router reports and is about to write."""
-        known = self._listed.union(self._unlisted_until_by_death, self._forgotten)
+        known = self._listed.union(self._unlisted_until_by_death)
         for death, companions in news.iter_deaths():
+            if death in self._forgotten:
+                continue
             if death not in known:
                 self._add_unlisted(death, now + LISTING_SECONDS, now)
-                self._companions_by_death.setdefault(death, companions)
+            self._narrow_companions(death, companions)
 
     def _add_unlisted(self, death: Death, until: float, now: float) -> None:
         while len(self._unlisted_until_by_death) >= MAX_TRAITS:
@@ -347,12 +364,13 @@
         Parameters
         ----------
         companions_by_death : dict of Death to frozenset of str
-            Other traits of the request that had the trait.
+            Other traits that each request with the trait had.
         now : float
             Current time in seconds.
         """
         listed = frozenset(companions_by_death)
-        self._companions_by_death.update(companions_by_death)
+        for death, companions in companions_by_death.items():
+            self._narrow_companions(death, companions)
         self._forgotten &= listed
         self._listed = listed - self._forgotten
         for death in listed:
