Tell a deadly request from those that ran beside it: events, and what peers served

Callers got 503 for want of a route for three seconds or longer.

Class of fault: evidence that exists is not used. Two kinds of it were at hand: - the deadly request had no event at either death; most of the others had one or two. Two deaths now count only if a request without any event saw them; with early events it takes three. - most of the others shared parts that other routers had served for long. A router that hears of deaths under a trait whose output it has seen now says so to all (suspects_vouched), after a random pause so that mostly one of them does. Such a trait takes five deaths, as at the router itself. News of several deaths no longer wait 20 ms each in a small fleet.

The choice of what is refused moves to systems/refusals.py; the news lists deaths in place of two nested dicts.

Tests: three scenarios that failed before (two without the rule on events, one without vouching).

--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -16,7 +16,7 @@
 from wigeondrift.systems.cache_usage import CacheLedger, PeerUsage, Usage
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.exchange import UsageExchange
-from wigeondrift.systems.suspects import DeathNews, make_digest
+from wigeondrift.systems.suspects import DeathNews, ReportedDeath, make_digest
 
 PACKAGE = Path(__file__).parent.parent.parent.parent / "wigeondrift"
 WALL_CLOCK_PATTERN = re.compile(r"time\.time|time_ns|datetime|CLOCK_REALTIME")
@@ -63,9 +63,13 @@
 
 
 def make_news(count, text=""):
-    companions_by_upstream = {make_digest("u1"): frozenset()}
     return DeathNews(
-        {make_digest(number) + text: companions_by_upstream for number in range(count)}
+        tuple(
+            ReportedDeath(
+                make_digest(number) + text, make_digest("u1"), frozenset(), True
+            )
+            for number in range(count)
+        )
     )
 
 
@@ -166,7 +170,7 @@
 
 @then("the router has got news of {count:d} deaths")
 def check_news(context, count):
-    deaths = [death for news in context.news for death in news.iter_deaths()]
+    deaths = [death for news in context.news for death in news.deaths]
     assert len(deaths) == count, deaths
 
 
--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -9,7 +9,7 @@
 from tests.router_world import RESTART_SECONDS
 from wigeondrift.platform.requests import PROMPT_PARTS, PlatformHeaderCodec
 from wigeondrift.router.suspects import SUSPECTS_PREFIX
-from wigeondrift.systems.suspects import SuspectTable, make_digest
+from wigeondrift.systems.suspects import SoundNews, SuspectTable, make_digest
 from wigeondrift.wire.http_server import Request
 
 REPLICAS = 6
@@ -97,8 +97,34 @@
         for news in other.list_news(deaths):
             table.add_reported(news, 1.1)
     else:
-        listed = {death: other.get_companions(death) for death in deaths}
-        table.set_listed(listed, 1.1)
+        table.set_listed([other.get_report(death) for death in deaths], 1.1)
+
+
+@given('the deaths are also seen by a request with the parts "{parts}" that had events')
+def add_bystander(context, parts):
+    traits = make_traits("a bystander", parts)
+    for number in (1, 2):
+        # It was silent only at the first death.
+        is_silent = number == 1
+        context.suspects.record_death(traits, make_digest(f"u{number}"), 1.0, is_silent)
+
+
+def make_spoken_deaths(count, part):
+    table = SuspectTable()
+    for number in range(count):
+        traits = make_traits(number, part)
+        table.record_death(traits, make_digest(f"u{number}"), 1.0, is_silent=False)
+    return table
+
+
+@given('{count:d} deaths under requests with the part "{part}" that had events')
+def make_late_deaths(context, count, part):
+    context.suspects = make_spoken_deaths(count, part)
+
+
+@then('after {count:d} such deaths requests with the parts "{part}" are not refused')
+def check_fewer_deaths(context, count, part):
+    assert not is_refused(make_spoken_deaths(count, part), part)
 
 
 def is_refused(table, parts):
@@ -118,9 +144,10 @@
 
 @then('the news of it tells that "{part}" was seen beside nothing else each time')
 def check_news_of_part(context, part):
-    death = (make_digest(part), make_digest("u2"))
     (news,) = context.suspects.list_news(context.deaths)
-    assert dict(news.iter_deaths())[death] == frozenset()
+    reports_by_trait = {report.trait: report for report in news.deaths}
+    report = reports_by_trait[make_digest(part)]
+    assert (report.upstream, report.companions) == (make_digest("u2"), frozenset())
 
 
 @given('tables of {count:d} routers with {deaths:d} deaths under "{trait}"')
@@ -253,14 +280,75 @@
 def connect_routers(context):
     async def connect(world):
         context.other_router = await world.add_router("router-2")
-        routers = (world.parts, context.other_router)
-        for one, other in (routers, routers[::-1]):
-            one.suspects.subscribe(other.suspects.apply_news)
+        subscribe_to_each_other(world.parts, context.other_router)
         world.store.is_down = True
 
     queue_action(context, connect)
 
 
+def subscribe_to_each_other(*routers):
+    for one, other in (routers, routers[::-1]):
+
+        def pass_on(news, suspects=other.suspects):
+            if isinstance(news, SoundNews):
+                suspects.apply_sound_news(news)
+            else:
+                suspects.apply_news(news)
+
+        one.suspects.subscribe(pass_on)
+
+
+@given("two routers that hear of each other at once")
+def connect_two_routers(context):
+    async def connect(world):
+        context.other_router = await world.add_router("router-2")
+        subscribe_to_each_other(world.parts, context.other_router)
+        context.sound_news = []
+        for router in (world.parts, context.other_router):
+            router.suspects.subscribe(
+                lambda news: (
+                    isinstance(news, SoundNews) and context.sound_news.append(news)
+                )
+            )
+
+    queue_action(context, connect)
+
+
+@when('three runners die under requests with the prompt part "{part}" at one router')
+def kill_under_requests(context, part):
+    async def kill(world):
+        async with trio.open_nursery() as nursery:
+            for _ in range(8):
+                nursery.start_soon(ask, context, world, part)
+            await trio.sleep(0.01)
+            for name in FIRST_STAGES[:3]:
+                await world.restart_after_death(world.servers_by_id[name])
+        assert world.deaths == 3
+
+    queue_action(context, kill)
+
+
+@then(
+    'one router tells the other within {seconds:g} seconds that "{part}" is sound, once'
+)
+def check_vouched(context, seconds, part):
+    async def check(world):
+        await trio.sleep(seconds)
+        told = [trait for news in context.sound_news for trait in news.traits]
+        assert told == [make_digest("model", part)], told
+
+    queue_action(context, check)
+
+
+@then('a request with the prompt part "{part}" is complete')
+def check_part_served(context, part):
+    async def check(world):
+        answer = await ask(context, world, part)
+        assert answer.is_whole and answer.status == 200, vars(answer)
+
+    queue_action(context, check)
+
+
 @when(
     "{seconds:d} seconds later one with the prompt parts"
     ' "{parts}" through another router'
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -64,6 +64,24 @@
     When the second death is also seen by one with the parts "second, bad" at this router
     Then the news of it tells that "bad" was seen beside nothing else each time
 
+  Scenario: Requests that had events when their upstream died don't shield a deadly one
+    Given a table of two deaths under a request with the parts "first, bad"
+    And the deaths are also seen by a request with the parts "other" that had events
+    Then requests with the parts "first, bad" are refused
+    And requests with the parts "other" are not refused
+
+  Scenario: A part whose requests all had events before the deaths is refused after three
+    Given 3 deaths under requests with the part "late" that had events
+    Then requests with the parts "late" are refused
+    But after 2 such deaths requests with the parts "late" are not refused
+
+  Scenario: Routers that have served a suspect tell the others that it is sound
+    Given two routers that hear of each other at once
+    When a stream with the prompt part "first" is complete at another router
+    And three runners die under requests with the prompt part "first" at one router
+    Then one router tells the other within 0.1 seconds that "first" is sound, once
+    And a request with the prompt part "first" is complete
+
   Scenario: A death that an external cause has is not held against popular requests
     When 8 streams with the prompt part "shared" run and three first stages die at once
     Then 5 further requests with the prompt part "shared" are complete
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -242,7 +242,7 @@
                 traits=context.traits[:MAX_LOGGED_PARTS],
             )
             if progress.events < OUTPUT_EVENTS:
-                self._suspects.record_death(context, upstream)
+                self._suspects.record_death(context, upstream, not progress.events)
         return tuple(suspects)
 
     async def _find_suspects(
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -48,7 +48,7 @@
 from wigeondrift.systems.freshness import Freshness
 from wigeondrift.systems.limits import LimitNews
 from wigeondrift.systems.relays import RelayTable
-from wigeondrift.systems.suspects import DeathNews
+from wigeondrift.systems.suspects import DeathNews, SoundNews
 from wigeondrift.telemetry.events import configure_rate_limited_logging
 from wigeondrift.telemetry.metrics import Metrics, PrometheusMetrics
 from wigeondrift.timer import TimerService, TrioClock
@@ -160,7 +160,9 @@
         self.relay = Relay(
             self.replica, self.relays, bounds, settings.host, settings.peer_port
         )
-        self.suspects = SuspectRegistry(self.store, self.replica, settings.instance_id)
+        self.suspects = SuspectRegistry(
+            self.store, self.replica, settings.instance_id, rng
+        )
         control = HttpRunnerControl(client)
         reach = self.selector.reach
         self.planner = Planner(
@@ -267,6 +269,7 @@
     parts.membership.subscribe(peers.update_peers)
     parts.suspects.subscribe(peers.announce)
     peers.subscribe(DeathNews, parts.suspects.apply_news)
+    peers.subscribe(SoundNews, parts.suspects.apply_sound_news)
     parts.selector.subscribe_to_limits(peers.announce)
     peers.subscribe(LimitNews, parts.selector.apply_limit_news)
     components = [
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -20,11 +20,11 @@
 from wigeondrift.systems.cache_usage import PeerUsage
 from wigeondrift.systems.exchange import Member, Message, UsageExchange
 from wigeondrift.systems.limits import LimitNews
-from wigeondrift.systems.suspects import DeathNews
+from wigeondrift.systems.suspects import DeathNews, SoundNews
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.address import parse_address
 
-News = DeathNews | LimitNews
+News = DeathNews | SoundNews | LimitNews
 
 MAX_DATAGRAM_BYTES = 60000
 SEND_SECONDS = 0.1
@@ -35,8 +35,9 @@
 # peers. Together they average 12 KB/s, the bound on control traffic.
 SEND_BYTES_PER_SECOND = 6000.0
 COLLECTOR_BYTES_PER_SECOND = 60000.0
-# Pause between two pieces of news.
-NEWS_PAUSE_SECONDS = 0.02
+# Pause between two pieces of news, for each peer that they are sent to, and its bound.
+NEWS_PAUSE_SECONDS_PER_PEER = 0.0002
+MAX_NEWS_PAUSE_SECONDS = 0.02
 # Pieces of news that may wait to be sent.
 MAX_PENDING_NEWS = 64
 
@@ -212,9 +213,11 @@
             self._news_added = trio.Event()
             while self._pending_news:
                 data = msgspec.msgpack.encode(self._pending_news.popleft())
-                for peer in list(self._membership.list_peers().values()):
+                peers = list(self._membership.list_peers().values())
+                for peer in peers:
                     await self._send_to(peer.address, data)
-                await trio.sleep(NEWS_PAUSE_SECONDS)
+                pause = NEWS_PAUSE_SECONDS_PER_PEER * len(peers)
+                await trio.sleep(min(pause, MAX_NEWS_PAUSE_SECONDS))
 
     async def _send_all(self, messages: Iterable[Message]) -> int:
         sent = 0
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import random
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -13,10 +14,12 @@
 from wigeondrift.router.replica import ROUTER_KEYS_PREFIX, Replica
 from wigeondrift.router.request_context import RequestContext
 from wigeondrift.store.revisions import Item, RevisionStore
+from wigeondrift.systems.refusals import Death
 from wigeondrift.systems.suspects import (
     SUSPECT_SECONDS,
-    Death,
     DeathNews,
+    ReportedDeath,
+    SoundNews,
     SuspectTable,
     make_digest,
 )
@@ -32,6 +35,13 @@
 MAX_PENDING = 256
 # Keys that one call to the store may delete.
 MAX_DELETED_KEYS = 32
+# Longest time for each router before one tells the others that a suspect has produced
+# output, and for all of them. Each waits a random part of it, so that mostly the first
+# one speaks for all that know.
+VOUCH_SECONDS_PER_ROUTER = 0.001
+MAX_VOUCH_SECONDS = 0.2
+
+SuspectNews = DeathNews | SoundNews
 
 
 class DeathReport(msgspec.Struct):
@@ -43,12 +53,15 @@
         Router that sent the request.
     request_id : str
     companions : tuple of str
-        Digests of the other traits of the request.
+        Digests of the other traits that each request with the trait had.
+    is_silent : bool
+        Whether one of them had no event from the upstream.
     """
 
     instance_id: str
     request_id: str
     companions: tuple[str, ...]
+    is_silent: bool = True
 
 
 class SuspectRegistry(Component):
@@ -63,6 +76,7 @@
     store : RevisionStore
     replica : Replica
     instance_id : str
+    rng : random.Random
     """
 
     __slots__ = (
@@ -74,14 +88,22 @@
         "_logger",
         "_pending_removals",
         "_pending_requests_by_death",
+        "_pending_vouches",
         "_replica",
+        "_rng",
+        "_router_count",
         "_store",
         "_subscribers",
         "_table",
+        "_vouch_added",
     )
 
     def __init__(
-        self, store: RevisionStore, replica: Replica, instance_id: str
+        self,
+        store: RevisionStore,
+        replica: Replica,
+        instance_id: str,
+        rng: random.Random,
     ) -> None:
         self._store = store
         self._replica = replica
@@ -93,17 +115,29 @@
         # Deaths to write, with the request that saw each.
         self._pending_requests_by_death: dict[Death, str] = {}
         self._pending_removals: dict[Death, None] = {}
-        self._subscribers: list[Callable[[DeathNews], None]] = []
+        # Suspects whose output this router has seen, to be told to the others.
+        self._pending_vouches: dict[str, None] = {}
+        self._vouch_added = trio.Event()
+        self._rng = rng
+        self._router_count = 1
+        self._subscribers: list[Callable[[SuspectNews], None]] = []
         self._changed = trio.Event()
         self._logger = logging.getLogger(LOGGER_NAME)
         replica.subscribe(self._read_listed)
 
-    def subscribe(self, callback: Callable[[DeathNews], None]) -> None:
-        """Call ``callback`` with the deaths that this router has seen."""
+    def subscribe(self, callback: Callable[[SuspectNews], None]) -> None:
+        """Call ``callback`` with what the other routers should know."""
         self._subscribers.append(callback)
 
+    def _announce(self, messages: Iterable[SuspectNews]) -> None:
+        for news in messages:
+            for callback in self._subscribers:
+                callback(news)
+
     def set_peers(self, names: Iterable[str]) -> None:
         """Set the other routers."""
+        names = tuple(names)
+        self._router_count = 1 + len(names)
         self._table.set_peers(names)
 
     def find_refused(self, context: RequestContext) -> str | None:
@@ -141,15 +175,24 @@
         """Whether a request may crash its upstream, by the last ``find_refused``."""
         return self._table.is_suspect(context.traits)
 
-    def record_death(self, context: RequestContext, upstream: Upstream) -> None:
-        """Record that an upstream died under a request that had no output from it."""
+    def record_death(
+        self, context: RequestContext, upstream: Upstream, is_silent: bool
+    ) -> None:
+        """Record that an upstream died under a request that had no output from it.
+
+        Parameters
+        ----------
+        context : RequestContext
+        upstream : Upstream
+        is_silent : bool
+            Whether the request had no event at all.
+        """
         context.is_trial = False
         now = trio.current_time()
         incarnation = make_digest(upstream.upstream_id, upstream.started_at_ms)
-        deaths = self._table.record_death(context.traits, incarnation, now)
-        for news in self._table.list_news(deaths):
-            for callback in self._subscribers:
-                callback(news)
+        deaths = self._table.record_death(context.traits, incarnation, now, is_silent)
+        self._announce(self._table.list_news(deaths))
+        self._vouch_for(death.trait for death in deaths)
         for death in deaths:
             if len(self._pending_requests_by_death) < MAX_PENDING:
                 self._pending_requests_by_death[death] = context.call.request_id
@@ -158,6 +201,34 @@
     def apply_news(self, news: DeathNews) -> None:
         """Apply the report of another router."""
         self._table.add_reported(news, trio.current_time())
+        self._vouch_for(report.trait for report in news.deaths)
+
+    def apply_sound_news(self, news: SoundNews) -> None:
+        """Apply what another router tells of suspects that have produced output."""
+        self._table.record_vouched(news.traits, trio.current_time())
+
+    def _vouch_for(self, traits: Iterable[str]) -> None:
+        unvouched = self._table.list_unvouched(traits, trio.current_time())
+        if unvouched:
+            self._pending_vouches.update(dict.fromkeys(unvouched))
+            self._vouch_added.set()
+
+    async def _send_vouches(self) -> None:
+        while True:
+            await self._vouch_added.wait()
+            longest = VOUCH_SECONDS_PER_ROUTER * self._router_count
+            await trio.sleep(self._rng.uniform(0.0, min(longest, MAX_VOUCH_SECONDS)))
+            self._vouch_added = trio.Event()
+            now = trio.current_time()
+            # Others may have told it in the meantime.
+            traits = self._table.list_unvouched(self._pending_vouches, now)
+            self._pending_vouches.clear()
+            self._table.record_vouched(traits, now)
+            if traits:
+                log_event(
+                    self._logger, logging.INFO, Event.SUSPECTS_VOUCHED, traits=traits
+                )
+            self._announce(self._table.list_sound_news(traits))
 
     def record_output(self, context: RequestContext) -> None:
         """Record that a request has produced output on an upstream."""
@@ -178,12 +249,11 @@
         if version == self._listed_version:
             return
         self._listed_version = version
-        companions_by_death = {
-            _parse_key(item.key): self._decode_companions(item) for item in items
-        }
-        self._table.set_listed(companions_by_death, trio.current_time())
+        reports = [self._decode_report(item) for item in items]
+        self._table.set_listed(reports, trio.current_time())
 
-    def _decode_companions(self, item: Item) -> frozenset[str]:
+    def _decode_report(self, item: Item) -> ReportedDeath:
+        trait, _, upstream = item.key.removeprefix(SUSPECTS_PREFIX).partition("/")
         try:
             report = msgspec.json.decode(item.value, type=DeathReport)
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
@@ -194,12 +264,14 @@
                 subject=item.key,
                 reason=str(error),
             )
-            return frozenset()
-        return frozenset(report.companions)
+            return ReportedDeath(trait, upstream, frozenset(), True)
+        companions = frozenset(report.companions)
+        return ReportedDeath(trait, upstream, companions, report.is_silent)
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Start to write deaths in ``nursery``."""
+        """Start to write deaths and to tell of sound traits in ``nursery``."""
         nursery.start_soon(self._run)
+        nursery.start_soon(self._send_vouches)
 
     async def _run(self) -> None:
         while True:
@@ -230,12 +302,18 @@
             if not self._lease or self._lease_age > MAX_LEASE_AGE_SECONDS:
                 self._lease_asked_at = self._replica.get_time()
                 self._lease = await self._store.grant_lease(SUSPECT_SECONDS)
+                continue
             # Those that may make other routers refuse a trait go first.
             death = max(pending, key=lambda one: self._table.count_deaths(one.trait))
+            known = self._table.get_report(death)
+            if known is None:
+                pending.pop(death)
+                continue
             report = DeathReport(
                 self._instance_id,
                 pending[death],
-                tuple(sorted(self._table.get_companions(death))),
+                tuple(sorted(known.companions)),
+                known.is_silent,
             )
             value = msgspec.json.encode(report)
             key = _make_key(death)
@@ -254,8 +332,3 @@
 
 def _make_key(death: Death) -> str:
     return f"{SUSPECTS_PREFIX}{death.trait}/{death.upstream}"
-
-
-def _parse_key(key: str) -> Death:
-    trait, _, upstream = key.removeprefix(SUSPECTS_PREFIX).partition("/")
-    return Death(trait, upstream)
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -1,34 +1,31 @@
-"""Traits of requests under which upstreams die, and which of them are refused.
+"""Deaths of upstreams on record, and the traits of requests that they are held against.
 
 A trait is something that several requests have in common: a part of their prompt, or
 path, caller and body together. All traits of a request are suspects if an upstream died
 before the request had produced output. Sound traits are on record for some deaths too,
 because they occur in the same requests or ran beside them, so a death that a refused
-trait explains does not count against the others, and output clears a trait. Traits that
-were always together in one request are refused together only, so that a request with
-one of them shows whether it is sound.
+trait explains does not count against the others, and output clears a trait. A router
+that hears of deaths under a trait whose output it has seen tells the others so. Traits
+that were always together in one request are refused together only, so that a request
+with one of them shows whether it is sound.
 """
 
 import hashlib
 import math
-from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
-from typing import NamedTuple
+from collections.abc import Collection, Iterable, Sequence
 
 import msgspec
 
 from wigeondrift.errors import SUSPENSION_SECONDS
 from wigeondrift.systems.ranking import get_fraction
+from wigeondrift.systems.refusals import (
+    FIRST_TRIAL_SECONDS,
+    Death,
+    Evidence,
+    Refusal,
+    RefusalSearch,
+)
 
-# Deaths after which a trait that has never produced output is refused, and those after
-# which it is refused although other requests saw the same ones.
-REFUSAL_DEATHS = 2
-SHARED_REFUSAL_DEATHS = 3
-# The same for a trait that produced output before the first of the deaths.
-SOUND_REFUSAL_DEATHS = 5
-# Time after the last death at which one request with a refused trait is tried, as the
-# deaths may have had another cause. It doubles with each further death.
-FIRST_TRIAL_SECONDS = 15.0
-MAX_DOUBLINGS = 6
 # Time after which further routers may try a request, if the one whose turn it is has
 # none.
 TRIAL_TURN_SECONDS = 5.0
@@ -39,28 +36,35 @@
 RECENT_OUTPUT_SECONDS = 3.0
 # Time that the store's list has to show a death after it was written there.
 LISTING_SECONDS = 10.0
+# Time after which the routers are told again that a trait has produced output, as some
+# may have started since.
+VOUCH_AGAIN_SECONDS = 30.0
 # Traits and deaths that one router remembers itself; the oldest are dropped first.
 MAX_TRAITS = 4096
 DIGEST_BYTES = 8
 DIGEST_CHARACTERS = 2 * DIGEST_BYTES
 # With these bounds a message fits into a datagram.
 MAX_TRAITS_PER_REQUEST = 48
-MAX_DEATHS_PER_MESSAGE = 32
+MAX_TRAITS_PER_MESSAGE = 32
 
 
-class Death(NamedTuple):
-    """Death of an upstream under a request with some trait.
+class ReportedDeath(msgspec.Struct, array_like=True):
+    """Death of an upstream under requests with some trait, as one router saw it.
 
     Attributes
     ----------
-    trait : str
-        Digest of the trait.
-    upstream : str
-        Digest of the upstream's incarnation.
+    trait, upstream : str
+        Digests.
+    companions : frozenset of str
+        Other traits that each of these requests had.
+    is_silent : bool
+        Whether one of them had no event from the upstream.
     """
 
     trait: str
     upstream: str
+    companions: frozenset[str]
+    is_silent: bool
 
 
 class DeathNews(msgspec.Struct, tag=True):
@@ -68,46 +72,38 @@
 
     Attributes
     ----------
-    companions_by_upstream_by_trait : dict
-        Other traits of the request, by upstream and trait.
+    deaths : tuple of ReportedDeath
     """
 
-    companions_by_upstream_by_trait: dict[str, dict[str, frozenset[str]]]
-
-    def iter_deaths(self) -> Iterator[tuple[Death, frozenset[str]]]:
-        """Yield each death and the other traits of the request."""
-        for (
-            trait,
-            companions_by_upstream,
-        ) in self.companions_by_upstream_by_trait.items():
-            for upstream, companions in companions_by_upstream.items():
-                yield Death(trait, upstream), companions
+    deaths: tuple[ReportedDeath, ...]
 
     @property
     def is_plausible(self) -> bool:
         """Whether the message is one that a router may have made."""
-        count = 0
-        for death, companions in self.iter_deaths():
-            count += 1
-            digests = (*death, *companions)
-            if any(len(digest) != DIGEST_CHARACTERS for digest in digests):
-                return False
-        return count <= MAX_DEATHS_PER_MESSAGE
+        return len(self.deaths) <= MAX_TRAITS_PER_MESSAGE and all(
+            _are_digests((one.trait, one.upstream, *one.companions))
+            for one in self.deaths
+        )
 
 
-class Refusal(NamedTuple):
-    """Refusal of a trait.
+class SoundNews(msgspec.Struct, tag=True):
+    """Message of a router about suspects whose output it has seen.
 
     Attributes
     ----------
-    trial_at : float
-        Time from which a request may be tried, in seconds.
-    partners : frozenset of str
-        Other traits that a request must have to be refused.
+    traits : tuple of str
     """
 
-    trial_at: float
-    partners: frozenset[str]
+    traits: tuple[str, ...]
+
+    @property
+    def is_plausible(self) -> bool:
+        """Whether the message is one that a router may have made."""
+        return len(self.traits) <= MAX_TRAITS_PER_MESSAGE and _are_digests(self.traits)
+
+
+def _are_digests(texts: Iterable[str]) -> bool:
+    return all(len(text) == DIGEST_CHARACTERS for text in texts)
 
 
 def make_digest(*fields: object) -> str:
@@ -132,10 +128,9 @@
     """
 
     __slots__ = (
-        "_companions_by_death",
+        "_evidence_by_death",
         "_forgotten",
         "_is_stale",
-        "_learned_at_by_death",
         "_listed",
         "_name",
         "_output_at_by_trait",
@@ -145,6 +140,7 @@
         "_unconfirmed_by_trait",
         "_unlisted_until_by_death",
         "_upstreams_by_trait",
+        "_vouched_at_by_trait",
     )
 
     def __init__(self, name: str = "") -> None:
@@ -159,11 +155,10 @@
         self._forgotten: set[Death] = set()
         # Deaths that the store does not list yet, and how long they are kept.
         self._unlisted_until_by_death: dict[Death, float] = {}
-        self._learned_at_by_death: dict[Death, float] = {}
-        # Other traits that each request with the trait had when the upstream died,
-        # without that of the whole request.
-        self._companions_by_death: dict[Death, frozenset[str]] = {}
+        self._evidence_by_death: dict[Death, Evidence] = {}
         self._output_at_by_trait: dict[str, float] = {}
+        # Suspects of which the routers were told that they have produced output.
+        self._vouched_at_by_trait: dict[str, float] = {}
         # Deaths under traits that have just produced output.
         self._unconfirmed_by_trait: dict[str, list[Death]] = {}
         self._upstreams_by_trait: dict[str, set[str]] = {}
@@ -223,16 +218,23 @@
             for trait in traits
         )
 
-    def get_companions(self, death: Death) -> frozenset[str]:
-        """Return the other traits of all requests with the trait that saw the death."""
-        return self._companions_by_death.get(death, frozenset())
+    def get_report(self, death: Death) -> ReportedDeath | None:
+        """Return what is known of a death, None if it is no longer on record."""
+        evidence = self._evidence_by_death.get(death)
+        if evidence is None:
+            return None
+        return ReportedDeath(*death, evidence.companions, evidence.is_silent)
 
     def count_deaths(self, trait: str) -> int:
         """Return the number of deaths on record."""
         return len(self._upstreams_by_trait.get(trait, ()))
 
     def record_death(
-        self, traits: Sequence[str], upstream: str, now: float
+        self,
+        traits: Sequence[str],
+        upstream: str,
+        now: float,
+        is_silent: bool = True,
     ) -> list[Death]:
         """Record that an upstream died under a request without output.
 
@@ -244,6 +246,8 @@
             Digest of the upstream's incarnation.
         now : float
             Current time in seconds.
+        is_silent : bool
+            Whether the request had no event from the upstream.
 
         Returns
         -------
@@ -251,13 +255,13 @@
             Deaths that the other routers must know.
         """
         added = []
-        narrowed = set()
+        changed = set()
         for trait in traits:
             death = Death(trait, upstream)
             # No other request has the trait of the whole one.
             companions = frozenset(traits[1:]).difference([trait])
-            if self._narrow_companions(death, companions):
-                narrowed.add(death)
+            if self._add_evidence(death, Evidence(companions, is_silent, now)):
+                changed.add(death)
             if self._has_recent_output(trait, now):
                 self._is_stale = True
                 unconfirmed = self._unconfirmed_by_trait.setdefault(trait, [])
@@ -271,19 +275,19 @@
         told = []
         for death in dict.fromkeys(added):
             if death not in known:
-                self._add_unlisted(death, now + SUSPECT_SECONDS, now)
-            elif death not in narrowed:
+                self._add_unlisted(death, now + SUSPECT_SECONDS)
+            elif death not in changed:
                 continue
             told.append(death)
         return told
 
-    def _narrow_companions(self, death: Death, companions: frozenset[str]) -> bool:
-        """Keep the traits that all requests had that saw a death; return any change."""
-        known = self._companions_by_death.get(death)
-        common = companions if known is None else known & companions
-        if common == known:
+    def _add_evidence(self, death: Death, evidence: Evidence) -> bool:
+        """Add what a request or a router tells of a death; return any change."""
+        known = self._evidence_by_death.get(death)
+        merged = evidence if known is None else known.merge(evidence)
+        if merged == known:
             return False
-        self._companions_by_death[death] = common
+        self._evidence_by_death[death] = merged
         self._is_stale = True
         return True
 
@@ -294,38 +298,62 @@
     def add_reported(self, news: DeathNews, now: float) -> None:
         """Add the deaths that another router reports and is about to write."""
         known = self._listed.union(self._unlisted_until_by_death)
-        for death, companions in news.iter_deaths():
+        for report in news.deaths:
+            death = Death(report.trait, report.upstream)
             if death in self._forgotten:
                 continue
             if death not in known:
-                self._add_unlisted(death, now + LISTING_SECONDS, now)
-            self._narrow_companions(death, companions)
+                self._add_unlisted(death, now + LISTING_SECONDS)
+            evidence = Evidence(report.companions, report.is_silent, now)
+            self._add_evidence(death, evidence)
 
-    def _add_unlisted(self, death: Death, until: float, now: float) -> None:
-        while len(self._unlisted_until_by_death) >= MAX_TRAITS:
-            del self._unlisted_until_by_death[next(iter(self._unlisted_until_by_death))]
+    def _add_unlisted(self, death: Death, until: float) -> None:
+        _make_room(self._unlisted_until_by_death)
         self._unlisted_until_by_death[death] = until
-        self._learned_at_by_death[death] = now
         self._is_stale = True
 
     def list_news(self, deaths: Sequence[Death]) -> list[DeathNews]:
         """Return the messages that report deaths."""
-        messages = []
-        for start in range(0, len(deaths), MAX_DEATHS_PER_MESSAGE):
-            news = DeathNews({})
-            for death in deaths[start : start + MAX_DEATHS_PER_MESSAGE]:
-                by_upstream = news.companions_by_upstream_by_trait.setdefault(
-                    death.trait, {}
-                )
-                by_upstream[death.upstream] = self.get_companions(death)
-            messages.append(news)
-        return messages
+        reports = [self.get_report(death) for death in deaths]
+        return [DeathNews(tuple(chunk)) for chunk in _split(reports)]
 
     def confirm_written(self, death: Death, now: float) -> None:
         """Record that the store has a death; soon only its list counts."""
         if death in self._unlisted_until_by_death:
             self._unlisted_until_by_death[death] = now + LISTING_SECONDS
 
+    def list_unvouched(self, traits: Iterable[str], now: float) -> list[str]:
+        """Return the traits whose output this router has seen, if it was not told.
+
+        Parameters
+        ----------
+        traits : iterable of str
+            Traits with deaths on record.
+        now : float
+            Current time in seconds.
+        """
+        return [
+            trait
+            for trait in dict.fromkeys(traits)
+            if trait in self._output_at_by_trait
+            and now - self._vouched_at_by_trait.get(trait, -math.inf)
+            >= VOUCH_AGAIN_SECONDS
+        ]
+
+    def record_vouched(self, traits: Iterable[str], now: float) -> None:
+        """Record that the routers were told that traits have produced output."""
+        for trait in traits:
+            _make_room(self._vouched_at_by_trait, trait)
+            self._vouched_at_by_trait[trait] = now
+            if trait not in self._output_at_by_trait:
+                _make_room(self._output_at_by_trait)
+                self._output_at_by_trait[trait] = now - RECENT_OUTPUT_SECONDS
+                self._is_stale = True
+
+    def list_sound_news(self, traits: Sequence[str]) -> list[SoundNews]:
+        """Return the messages that tell that traits have produced output."""
+        return [SoundNews(tuple(chunk)) for chunk in _split(traits)]
+
     def record_output(self, traits: Iterable[str], now: float) -> list[Death]:
         """Record that a request has produced output on an upstream that lives on.
 
@@ -336,15 +364,15 @@
         """
         cleared: set[str] = set()
         for trait in traits:
-            self._output_at_by_trait.pop(trait, None)
-            while len(self._output_at_by_trait) >= MAX_TRAITS:
-                del self._output_at_by_trait[next(iter(self._output_at_by_trait))]
+            _make_room(self._output_at_by_trait, trait)
             self._output_at_by_trait[trait] = now
             self._unconfirmed_by_trait.pop(trait, None)
             cleared.add(trait)
         return self._remove(cleared)
 
     def _remove(self, traits: Collection[str]) -> list[Death]:
+        if not self._listed and not self._unlisted_until_by_death:
+            return []
         deaths = self._listed.union(self._unlisted_until_by_death)
         removed = [death for death in deaths if death.trait in traits]
         if not removed:
@@ -356,112 +384,55 @@
             self._unlisted_until_by_death.pop(death, None)
         return removed
 
-    def set_listed(
-        self, companions_by_death: Mapping[Death, frozenset[str]], now: float
-    ) -> None:
-        """Replace the deaths that the store lists.
-
-        Parameters
-        ----------
-        companions_by_death : dict of Death to frozenset of str
-            Other traits that each request with the trait had.
-        now : float
-            Current time in seconds.
-        """
-        listed = frozenset(companions_by_death)
-        for death, companions in companions_by_death.items():
-            self._narrow_companions(death, companions)
+    def set_listed(self, reports: Iterable[ReportedDeath], now: float) -> None:
+        """Replace the deaths that the store lists."""
+        listed = set()
+        for report in reports:
+            death = Death(report.trait, report.upstream)
+            listed.add(death)
+            evidence = Evidence(report.companions, report.is_silent, now)
+            self._add_evidence(death, evidence)
         self._forgotten &= listed
-        self._listed = listed - self._forgotten
+        self._listed = frozenset(listed - self._forgotten)
         for death in listed:
             self._unlisted_until_by_death.pop(death, None)
-            self._learned_at_by_death.setdefault(death, now)
         self._is_stale = True
 
     def _rebuild(self, now: float) -> None:
         for death, until in list(self._unlisted_until_by_death.items()):
             if now >= until:
                 del self._unlisted_until_by_death[death]
-        deaths = self._listed.union(self._unlisted_until_by_death)
-        self._learned_at_by_death = {
-            death: self._learned_at_by_death[death] for death in deaths
-        }
         self._unconfirmed_by_trait = {
             trait: unconfirmed
             for trait, unconfirmed in self._unconfirmed_by_trait.items()
             if self._has_recent_output(trait, now)
         }
+        deaths = self._listed.union(self._unlisted_until_by_death)
         kept = deaths.union(*self._unconfirmed_by_trait.values())
-        self._companions_by_death = {
-            death: self._companions_by_death[death] for death in kept
+        self._evidence_by_death = {
+            death: self._evidence_by_death[death] for death in kept
         }
         self._upstreams_by_trait = {}
         for trait, upstream in deaths:
             self._upstreams_by_trait.setdefault(trait, set()).add(upstream)
-        self._refusals_by_trait = {}
-        explained: set[str] = set()
-        for is_sound in (False, True):
-            explained |= self._refuse_traits(is_sound, explained)
+        on_record = {death: self._evidence_by_death[death] for death in deaths}
+        search = RefusalSearch(on_record, self._output_at_by_trait)
+        self._refusals_by_trait = search.find()
         self._tried_at_by_trait = {
             trait: tried_at
             for trait, tried_at in self._tried_at_by_trait.items()
             if trait in self._refusals_by_trait
         }
 
-    def _refuse_traits(self, is_sound: bool, explained: set[str]) -> set[str]:
-        """Refuse the traits that explain most deaths; return all explained deaths.
 
-        Parameters
-        ----------
-        is_sound : bool
-            Whether to examine the traits that have produced output, or the others.
-        explained : set of str
-            Upstreams whose death a refused trait explains.
-        """
-        required = SOUND_REFUSAL_DEATHS if is_sound else REFUSAL_DEATHS
-        candidates = {
-            trait: upstreams
-            for trait, upstreams in self._upstreams_by_trait.items()
-            if len(upstreams) >= required
-            and (trait in self._output_at_by_trait) == is_sound
-        }
-        explained = set(explained)
-        while candidates:
-            left = {trait: len(ups - explained) for trait, ups in candidates.items()}
-            most = max(left.values())
-            if most < required:
-                break
-            # Traits that explain as many deaths can't be told apart yet.
-            equals = [trait for trait, count in left.items() if count == most]
-            partners_by_trait = {
-                trait: self._get_partners(trait).intersection(equals)
-                for trait in equals
-            }
-            are_together = any(
-                len(partners) == len(equals) - 1
-                for partners in partners_by_trait.values()
-            )
-            if most < SHARED_REFUSAL_DEATHS and not are_together:
-                break
-            for trait in equals:
-                self._refusals_by_trait[trait] = Refusal(
-                    self._get_trial_time(trait, required), partners_by_trait[trait]
-                )
-            for trait in equals:
-                explained |= candidates.pop(trait)
-        return explained
-
-    def _get_partners(self, trait: str) -> frozenset[str]:
-        """Return the traits that were in the same request at each death."""
-        return frozenset.intersection(
-            *(
-                self._companions_by_death[trait, upstream]
-                for upstream in self._upstreams_by_trait[trait]
-            )
-        )
+def _make_room(values_by_key: dict, key: object = None) -> None:
+    """Drop the oldest entries of a dict, and that of ``key``, so that one more fits."""
+    values_by_key.pop(key, None)
+    while len(values_by_key) >= MAX_TRAITS:
+        del values_by_key[next(iter(values_by_key))]
+
 
-    def _get_trial_time(self, trait: str, required: int) -> float:
-        upstreams = self._upstreams_by_trait[trait]
-        learned_at = max(self._learned_at_by_death[trait, up] for up in upstreams)
-        doublings = min(MAX_DOUBLINGS, len(upstreams) - required)
-        return learned_at + FIRST_TRIAL_SECONDS * 2**doublings
+def _split(values: Sequence) -> list[Sequence]:
+    """Return consecutive pieces, each for one message."""
+    step = MAX_TRAITS_PER_MESSAGE
+    return [values[start : start + step] for start in range(0, len(values), step)]
