Tell a deadly part from a single request that ran beside it by the number of requests

A sound request ran beside the deadly one at both deaths without an event, so that two groups of traits explained both, and neither was refused although three requests with the deadly part had died by then.

Cause: deaths were counted, not the requests that saw them. The record now keeps which requests without an event saw a death (eight at most), and among traits that explain as many deaths those of more requests go first.

The scenario in which two requests saw the same two deaths and neither is refused stays.

--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -66,7 +66,7 @@
     return DeathNews(
         tuple(
             ReportedDeath(
-                make_digest(number) + text, make_digest("u1"), frozenset(), True
+                make_digest(number) + text, make_digest("u1"), frozenset(), frozenset()
             )
             for number in range(count)
         )
--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -109,6 +109,13 @@
         context.suspects.record_death(traits, make_digest(f"u{number}"), 1.0, is_silent)
 
 
+@given('the deaths are also seen by a silent request with the parts "{parts}"')
+def add_silent_bystander(context, parts):
+    traits = make_traits("a bystander", parts)
+    for number in (1, 2):
+        context.suspects.record_death(traits, make_digest(f"u{number}"), 1.0)
+
+
 def make_spoken_deaths(count, part):
     table = SuspectTable()
     for number in range(count):
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -54,14 +54,14 @@
     request_id : str
     companions : tuple of str
         Digests of the other traits that each request with the trait had.
-    is_silent : bool
-        Whether one of them had no event from the upstream.
+    silent_requests : tuple of str
+        Digests of those that had no event from the upstream.
     """
 
     instance_id: str
     request_id: str
     companions: tuple[str, ...]
-    is_silent: bool = True
+    silent_requests: tuple[str, ...] = ()
 
 
 class SuspectRegistry(Component):
@@ -264,9 +264,13 @@
                 subject=item.key,
                 reason=str(error),
             )
-            return ReportedDeath(trait, upstream, frozenset(), True)
-        companions = frozenset(report.companions)
-        return ReportedDeath(trait, upstream, companions, report.is_silent)
+            return ReportedDeath(trait, upstream, frozenset(), frozenset())
+        return ReportedDeath(
+            trait,
+            upstream,
+            frozenset(report.companions),
+            frozenset(report.silent_requests),
+        )
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start to write deaths and to tell of sound traits in ``nursery``."""
@@ -313,7 +317,7 @@
                 self._instance_id,
                 pending[death],
                 tuple(sorted(known.companions)),
-                known.is_silent,
+                tuple(sorted(known.silent_requests)),
             )
             value = msgspec.json.encode(report)
             key = _make_key(death)
--- a/wigeondrift/systems/refusals.py
+++ b/wigeondrift/systems/refusals.py
@@ -15,6 +15,8 @@
 # deaths may have had another cause. It doubles with each further death.
 FIRST_TRIAL_SECONDS = 15.0
 MAX_DOUBLINGS = 6
+# Requests that are remembered for one death; more don't change what is refused.
+MAX_REQUESTS = 8
 
 
 class Death(NamedTuple):
@@ -39,21 +41,22 @@
     ----------
     companions : frozenset of str
         Other traits that each of them had, without that of the whole request.
-    is_silent : bool
-        Whether one of them had no event from the upstream.
+    silent_requests : frozenset of str
+        Digests of those that had no event from the upstream.
     learned_at : float
         Time at which the death was first heard of, in seconds.
     """
 
     companions: frozenset[str]
-    is_silent: bool
+    silent_requests: frozenset[str]
     learned_at: float
 
     def merge(self, other: "Evidence") -> "Evidence":
         """Return what is known with a further request or report."""
+        requests = sorted(self.silent_requests | other.silent_requests)
         return Evidence(
             self.companions & other.companions,
-            self.is_silent or other.is_silent,
+            frozenset(requests[:MAX_REQUESTS]),
             min(self.learned_at, other.learned_at),
         )
 
@@ -133,21 +136,22 @@
             trait: {
                 upstream
                 for upstream, one in self._evidence_by_upstream_by_trait[trait].items()
-                if one.is_silent or not must_be_silent
+                if one.silent_requests or not must_be_silent
             }
             for trait in traits
             if trait not in self._refusals_by_trait
         }
         while candidates:
-            left_by_trait = {
-                trait: len(upstreams - self._explained)
+            weights_by_trait = {
+                trait: self._weigh(trait, upstreams - self._explained)
                 for trait, upstreams in candidates.items()
             }
-            most = max(left_by_trait.values())
+            weight = max(weights_by_trait.values())
+            most = weight[0]
             if most < required:
                 return
-            # Traits that explain as many deaths can't be told apart yet.
-            equals = [trait for trait, left in left_by_trait.items() if left == most]
+            # Traits of the same weight can't be told apart yet.
+            equals = [one for one, own in weights_by_trait.items() if own == weight]
             partners_by_trait = {
                 trait: self._get_partners(trait).intersection(equals)
                 for trait in equals
@@ -165,6 +169,15 @@
             for trait in equals:
                 self._explained |= candidates.pop(trait)
 
+    def _weigh(self, trait: str, upstreams: Collection[str]) -> tuple[int, int]:
+        """Return how many deaths a trait explains, and in how many requests.
+
+        Requests that only ran beside a deadly one rarely have something in common.
+        """
+        deaths = self._evidence_by_upstream_by_trait[trait]
+        requests = [deaths[upstream].silent_requests for upstream in upstreams]
+        return len(upstreams), len(frozenset().union(*requests))
+
     def _get_partners(self, trait: str) -> frozenset[str]:
         """Return the traits that were in the same request at each death."""
         deaths = self._evidence_by_upstream_by_trait[trait].values()
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -20,6 +20,7 @@
 from wigeondrift.systems.ranking import get_fraction
 from wigeondrift.systems.refusals import (
     FIRST_TRIAL_SECONDS,
+    MAX_REQUESTS,
     Death,
     Evidence,
     Refusal,
@@ -57,14 +58,19 @@
         Digests.
     companions : frozenset of str
         Other traits that each of these requests had.
-    is_silent : bool
-        Whether one of them had no event from the upstream.
+    silent_requests : frozenset of str
+        Digests of those that had no event from the upstream.
     """
 
     trait: str
     upstream: str
     companions: frozenset[str]
-    is_silent: bool
+    silent_requests: frozenset[str]
+
+    @property
+    def digests(self) -> tuple[str, ...]:
+        """All digests in the report."""
+        return (self.trait, self.upstream, *self.companions, *self.silent_requests)
 
 
 class DeathNews(msgspec.Struct, tag=True):
@@ -81,7 +87,7 @@
     def is_plausible(self) -> bool:
         """Whether the message is one that a router may have made."""
         return len(self.deaths) <= MAX_TRAITS_PER_MESSAGE and all(
-            _are_digests((one.trait, one.upstream, *one.companions))
+            _are_digests(one.digests) and len(one.silent_requests) <= MAX_REQUESTS
             for one in self.deaths
         )
 
@@ -223,7 +229,7 @@
         evidence = self._evidence_by_death.get(death)
         if evidence is None:
             return None
-        return ReportedDeath(*death, evidence.companions, evidence.is_silent)
+        return ReportedDeath(*death, evidence.companions, evidence.silent_requests)
 
     def count_deaths(self, trait: str) -> int:
         """Return the number of deaths on record."""
@@ -256,11 +262,12 @@
         """
         added = []
         changed = set()
+        requests = frozenset(traits[:1] if is_silent else ())
         for trait in traits:
             death = Death(trait, upstream)
             # No other request has the trait of the whole one.
             companions = frozenset(traits[1:]).difference([trait])
-            if self._add_evidence(death, Evidence(companions, is_silent, now)):
+            if self._add_evidence(death, Evidence(companions, requests, now)):
                 changed.add(death)
             if self._has_recent_output(trait, now):
                 self._is_stale = True
@@ -304,7 +311,7 @@
                 continue
             if death not in known:
                 self._add_unlisted(death, now + LISTING_SECONDS)
-            evidence = Evidence(report.companions, report.is_silent, now)
+            evidence = Evidence(report.companions, report.silent_requests, now)
             self._add_evidence(death, evidence)
 
     def _add_unlisted(self, death: Death, until: float) -> None:
@@ -390,7 +397,7 @@
         for report in reports:
             death = Death(report.trait, report.upstream)
             listed.add(death)
-            evidence = Evidence(report.companions, report.is_silent, now)
+            evidence = Evidence(report.companions, report.silent_requests, now)
             self._add_evidence(death, evidence)
         self._forgotten &= listed
         self._listed = frozenset(listed - self._forgotten)
