Make the error of a request that can't be sent on in one place

No change of behaviour but for two texts: 'no other upstream' and 'no room to go on' now read as they do for a request that was not sent. 122 scenarios of router, limits and suspects pass.

--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -339,9 +339,7 @@
             if head.status not in NOT_RUN_STATUSES:
                 await exchange.respond(head.status, head.headers, body)
                 return
-        if context.may_have_run:
-            raise RequestError(ErrorKind.UPSTREAM_LOST, failure.reason)
-        raise RequestError(ErrorKind.UPSTREAM_REFUSED, failure.reason)
+        raise _make_error(context, ErrorKind.UPSTREAM_REFUSED, failure.reason)
 
     def _require_unsuspected(self, context: RequestContext) -> None:
         """Refuse a request that shares a trait under which several upstreams died."""
@@ -349,9 +347,7 @@
             context.is_risky = self._suspects.is_suspect(context)
             return
         reason = "upstreams died while they ran requests like this one"
-        if context.may_have_run:
-            raise RequestError(ErrorKind.UPSTREAM_LOST, reason)
-        raise RequestError(ErrorKind.SUSPENDED, reason)
+        raise _make_error(context, ErrorKind.SUSPENDED, reason)
 
     async def _try_once(self, exchange: Exchange, context: RequestContext) -> None:
         self._require_unsuspected(context)
@@ -370,9 +366,7 @@
             now = trio.current_time()
             if now + wait >= wait_until:
                 reason = "the upstreams take no more requests at present"
-                if context.may_have_run:
-                    raise RequestError(ErrorKind.UPSTREAM_LOST, reason)
-                raise RequestError(ErrorKind.UPSTREAM_LIMITED, reason)
+                raise _make_error(context, ErrorKind.UPSTREAM_LIMITED, reason)
             context.wait_seconds += wait
             await trio.sleep(wait)
 
@@ -397,9 +391,8 @@
             service, excluded = context.service.name, context.excluded
             member = self._selector.choose_member(service, excluded)
             if member is None:
-                if context.may_have_run:
-                    raise RequestError(ErrorKind.UPSTREAM_LOST, "no other upstream")
-                raise RequestError(ErrorKind.NO_UPSTREAM, "the service has no upstream")
+                reason = "the service has no upstream left"
+                raise _make_error(context, ErrorKind.NO_UPSTREAM, reason)
             if await self._acquire_permit(context, member):
                 return member
 
@@ -447,9 +440,8 @@
             )
             context.wait_seconds += trio.current_time() - asked_at
             if reservation is None:
-                if context.may_have_run:
-                    raise RequestError(ErrorKind.UPSTREAM_LOST, "no room to go on")
-                raise RequestError(ErrorKind.QUEUE_TIMEOUT, "no room came free in time")
+                reason = "no room came free in time"
+                raise _make_error(context, ErrorKind.QUEUE_TIMEOUT, reason)
             is_permitted = False
             try:
                 head = reservation.chain.runners[0]
@@ -461,5 +453,12 @@
                 return reservation
 
 
+def _make_error(context: RequestContext, kind: ErrorKind, reason: str) -> RequestError:
+    """Return the error of a request that can't be sent on; ``kind`` if it never was."""
+    if context.may_have_run:
+        kind = ErrorKind.UPSTREAM_LOST
+    return RequestError(kind, reason)
+
+
 def _round_optional(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
