--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -243,6 +243,11 @@
     return answer
 
 
+async def ask_successfully(context, world, parts, **options):
+    answer = await ask(context, world, parts, **options)
+    assert answer.is_whole and answer.status == 200, vars(answer)
+
+
 @when('a request with the prompt part "{parts}" comes each second, {count:d} times')
 @when('a request with the prompt parts "{parts}" comes each second, {count:d} times')
 def request_each_second(context, parts, count):
@@ -350,8 +355,7 @@
 @then('a request with the prompt part "{part}" is complete')
 def check_part_served(context, part):
     async def check(world):
-        answer = await ask(context, world, part)
-        assert answer.is_whole and answer.status == 200, vars(answer)
+        await ask_successfully(context, world, part)
 
     queue_action(context, check)
 
@@ -373,8 +377,7 @@
 def complete_stream(context, part):
     async def request(world):
         await trio.sleep(2.0)
-        answer = await ask(context, world, part, router=context.other_router)
-        assert answer.is_whole and answer.status == 200, vars(answer)
+        await ask_successfully(context, world, part, router=context.other_router)
 
     queue_action(context, request)
 
@@ -534,8 +537,7 @@
 def check_further(context, count, part):
     async def request(world):
         for _ in range(count):
-            answer = await ask(context, world, part)
-            assert answer.is_whole and answer.status == 200, vars(answer)
+            await ask_successfully(context, world, part)
 
     queue_action(context, request)
 
@@ -578,8 +580,7 @@
 def check_complete_later(context, parts, seconds):
     async def check(world):
         await trio.sleep(seconds)
-        answer = await ask(context, world, parts)
-        assert answer.is_whole and answer.status == 200, vars(answer)
+        await ask_successfully(context, world, parts)
 
     queue_action(context, check)
 
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -67,9 +67,10 @@
 class SuspectRegistry(Component):
     """Reports deaths of upstreams to the store and reads those that others reported.
 
-    Each death under each trait has a key of its own, so that routers that see the same
-    death need not agree, and a key is only created or deleted. The keys expire with
-    their lease. Subscribers may tell the other routers sooner than the store does.
+    Each death under each trait has a key of its own. Routers that see the same death
+    need not agree: what one of them writes only adds to what the others know. The keys
+    expire with their lease. Subscribers may tell the other routers sooner than the
+    store does.
 
     Parameters
     ----------
