Test that a router which starts after deaths serves the sound requests beside them

Passed from the start: output of sound requests at any router takes their deaths off the store's record. A mark in the store that a suspect is sound was tried for this and left out, as nothing needs it.

--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -340,6 +340,19 @@
     queue_action(context, kill)
 
 
+@when(
+    "a router that starts {seconds:d} seconds later serves a request with the prompt"
+    ' part "{part}"'
+)
+def start_router_later(context, seconds, part):
+    async def start(world):
+        await trio.sleep(seconds)
+        router = await world.add_router("router-3")
+        await ask_successfully(context, world, part, router=router)
+
+    queue_action(context, start)
+
+
 @then(
     'one router tells the other within {seconds:g} seconds that "{part}" is sound, once'
 )
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -90,6 +90,12 @@
     Then one router tells the other within 0.1 seconds that "first" is sound, once
     And a request with the prompt part "first" is complete
 
+  Scenario: A router that starts later learns from the store which suspects are sound
+    Given two routers that hear of each other at once
+    When a stream with the prompt part "first" is complete at another router
+    And three runners die under requests with the prompt part "first" at one router
+    And a router that starts 3 seconds later serves a request with the prompt part "first"
+
   Scenario: A death that an external cause has is not held against popular requests
     When 8 streams with the prompt part "shared" run and three first stages die at once
     Then 5 further requests with the prompt part "shared" are complete
