Let a request of sound parts not shield a deadly part beside it

A sound request had run beside the deadly one without an event at both deaths. Its parts were known to be sound, but the trait of the whole request explained both deaths as well as the deadly part did.

Cause: a whole request was weighed like a part, although refusing it costs no other request. Now only parts must not be told apart for a refusal to wait; whole requests that explain as much are refused with them.

Test: failed before. Two parts that explain the same two deaths still wait for a third one.

--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -116,6 +116,11 @@
         context.suspects.record_death(traits, make_digest(f"u{number}"), 1.0)
 
 
+@given('another router tells that "{part}" is sound')
+def vouch_for_part(context, part):
+    context.suspects.record_vouched([make_digest(part)], 1.1)
+
+
 def make_spoken_deaths(count, part):
     table = SuspectTable()
     for number in range(count):
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -78,6 +78,13 @@
     Then requests with the parts "first, bad" are refused
     And requests with the parts "other" are not refused
 
+  Scenario: A request of sound parts beside a deadly one does not shield it
+    Given a table of two deaths under a request with the parts "first, bad"
+    And the deaths are also seen by a silent request with the parts "other"
+    And another router tells that "other" is sound
+    Then requests with the parts "first, bad" are refused
+    And requests with the parts "other" are not refused
+
   Scenario: A part whose requests all had events before the deaths is refused after three
     Given 3 deaths under requests with the part "late" that had events
     Then requests with the parts "late" are refused
--- a/wigeondrift/systems/refusals.py
+++ b/wigeondrift/systems/refusals.py
@@ -156,9 +156,11 @@
                 trait: self._get_partners(trait).intersection(equals)
                 for trait in equals
             }
+            # To refuse a whole request as well costs no other one.
+            parts = [one for one in equals if not self._is_whole(one)] or equals
             are_together = any(
-                len(partners) == len(equals) - 1
-                for partners in partners_by_trait.values()
+                len(partners_by_trait[trait].intersection(parts)) == len(parts) - 1
+                for trait in parts
             )
             if most < SHARED_REFUSAL_DEATHS and not are_together:
                 return
@@ -178,6 +180,11 @@
         requests = [deaths[upstream].silent_requests for upstream in upstreams]
         return len(upstreams), len(frozenset().union(*requests))
 
+    def _is_whole(self, trait: str) -> bool:
+        """Whether a trait is that of a whole request without events."""
+        deaths = self._evidence_by_upstream_by_trait[trait].values()
+        return any(trait in evidence.silent_requests for evidence in deaths)
+
     def _get_partners(self, trait: str) -> frozenset[str]:
         """Return the traits that were in the same request at each death."""
         deaths = self._evidence_by_upstream_by_trait[trait].values()
