Count deaths of upstreams that leave the connection open

What callers saw: a request that silences the runner that runs it, or gets an error from it before it ends, was sent to runner after runner; in virtual time 60 and 52 requests with one part reached runners after the fifth death.

Cause: a death was recorded only after a connection broke, if a report or a refused connection showed it at once. A stream that fell silent, a deadline and an answer with an error left no record, and a 500 even counted as output, which clears the deaths on record.

Ruled out: asking each silent upstream again, which costs a probe for each failed answer and can't be told from a cut. The list of upstreams shows the next incarnation anyway, by its id or its address.

--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -213,6 +213,20 @@
         server.deadly = part
 
 
+@given("upstreams that {manner} when they die")
+def set_manner_of_death(context, manner):
+    world = context.world
+    for server in world.servers_by_id.values():
+        if manner == "fall silent and return under another id":
+            server.on_death = world.restart_after_silence
+        elif manner == "fall silent and answer again":
+            server.on_death = world.return_after_silence
+        elif manner == "answer with an error":
+            server.fault = "error"
+        else:
+            raise AssertionError(manner)
+
+
 @given("the first stages of all replicas reset each stream before its first event")
 def reset_streams(context):
     for name in FIRST_STAGES:
@@ -533,6 +547,18 @@
     queue_check(context, check)
 
 
+@then("all of the last {count:d} but one trial are refused as not run")
+def check_mostly_refused(context, count):
+    def check(world):
+        answers = context.answers[-count:]
+        refused = [answer for answer in answers if answer.status == 503]
+        assert len(refused) >= count - 1, [answer.status for answer in answers]
+        for answer in refused:
+            check_refused(answer)
+
+    queue_check(context, check)
+
+
 @then('the last {count:d} with the prompt part "{part}" alone are complete')
 def check_last_complete(context, count, part):
     def check(world):
@@ -573,6 +599,16 @@
     queue_check(context, check)
 
 
+@then("the store lists no death {seconds:d} seconds later")
+def check_no_death_later(context, seconds):
+    async def check(world):
+        await trio.sleep(seconds)
+        assert context.answers
+        assert not list_deaths(world)
+
+    queue_check(context, check)
+
+
 @then(
     'the store lists no death under the prompt part "{part}" after {seconds:d} seconds'
 )
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -153,6 +153,38 @@
       | status |
       | order  |
 
+  Scenario Outline: Deaths that leave the connection open are counted too
+    Given upstreams that <manner> when they die
+    And runners die under requests with the prompt part "bad"
+    When a request with the prompt parts "shared, bad" comes each second, 40 times
+    Then no more than 3 requests reach a runner after the fifth death
+    And the last 10 of them are refused as not run
+
+    Examples:
+      | manner                                  |
+      | fall silent and return under another id |
+      | answer with an error             |
+
+  Scenario: A runner that was silent and lives on has not died
+    Given upstreams that fall silent and answer again when they die
+    And runners die under requests with the prompt part "bad"
+    When 6 requests with the prompt part "bad" come through one router
+    Then the store lists no death 10 seconds later
+
+  Scenario Outline: Deaths of members that leave the connection open are counted too
+    Given upstreams that <manner> when they die
+    And members die under requests with the body "bad"
+    When a "<route>" request with the body "bad" comes each second, 40 times
+    Then no more than 3 such requests reach a member after the third death
+    And all of the last 10 but one trial are refused as not run
+
+    Examples:
+      | route  | manner                                  |
+      | status | fall silent and return under another id |
+      | order  | fall silent and return under another id |
+      | status | answer with an error             |
+      | order  | answer with an error             |
+
   Scenario: Equal requests that members survive are served after members died
     When 4 "status" requests with the body "good" are served and both members die
     Then 10 "status" requests with the body "good" are served once they are back
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -151,7 +151,9 @@
     def write_entry(self, upstream_id, **changes):
         entry = self.entries_by_id[upstream_id]
         entry.update(changes)
-        self.store.write(f"servers/{upstream_id}", msgspec.json.encode(entry))
+        # An upstream may be listed under another id after a restart.
+        key = f"servers/{self.servers_by_id[upstream_id].upstream_id}"
+        self.store.write(key, msgspec.json.encode(entry))
 
     def address_of(self, upstream_id):
         return self.entries_by_id[upstream_id]["address"]
@@ -200,19 +202,46 @@
 
     async def restart_after_death(self, server):
         """Close the connections of an upstream and restart it after some seconds."""
-        address = self.address_of(server.upstream_id)
         self.deaths += 1
+        self.nursery.start_soon(self._restart, server)
+        # Closing the connections cancels the request that is being served.
+        await self.network.crash(self.address_of(self._get_name(server)))
+
+    async def restart_after_silence(self, server):
+        """Let an upstream fall silent and restart it under a new id."""
+        self.deaths += 1
+        self.network.silent_addresses.add(self.address_of(self._get_name(server)))
+        self.nursery.start_soon(self._restart, server, True)
+        await trio.sleep_forever()
 
-        async def restart():
+    async def return_after_silence(self, server):
+        """Let an upstream fall silent for some seconds and answer again."""
+        address = self.address_of(self._get_name(server))
+        self.network.silent_addresses.add(address)
+
+        async def end():
             await trio.sleep(RESTART_SECONDS)
-            self.network.listen(address, server.handle)
-            born = self.entries_by_id[server.upstream_id]["born"] + 1
-            server.born = born
-            self.write_entry(server.upstream_id, born=born)
+            self.network.silent_addresses.discard(address)
+            self.write_entry(self._get_name(server), seq=2)
 
-        self.nursery.start_soon(restart)
-        # Closing the connections cancels the request that is being served.
+        self.nursery.start_soon(end)
+        await trio.sleep_forever()
+
+    async def _restart(self, server, has_new_id=False):
+        name = self._get_name(server)
+        address = self.address_of(name)
+        await trio.sleep(RESTART_SECONDS)
         await self.network.crash(address)
+        self.network.silent_addresses.discard(address)
+        self.network.listen(address, server.handle)
+        if has_new_id:
+            self.store.remove(f"servers/{server.upstream_id}")
+            server.upstream_id += "+"
+        server.born = self.entries_by_id[name]["born"] + 1
+        self.write_entry(name, born=server.born)
+
+    def _get_name(self, server):
+        return next(n for n, one in self.servers_by_id.items() if one is server)
 
     async def _run_timers(self):
         while True:
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -142,6 +142,10 @@
         except AttemptFailed as failure:
             context.may_have_run = may_have_run_before or failure.may_have_run
             raise
+        except trio.Cancelled:
+            if trio.current_time() >= context.deadline:
+                self._watch_upstream(context, upstream, progress)
+            raise
         except TransportError as error:
             suspects = await self._examine_failure(
                 context, upstream, reservation, progress, error
@@ -176,6 +180,7 @@
         if failure is not None:
             raise failure
         if not progress.ended:
+            self._watch_upstream(context, upstream, progress)
             raise AttemptFailed("the stream fell silent", True, progress.suspects)
 
     async def _watch_for_silence(
@@ -243,8 +248,17 @@
             )
             if progress.events < OUTPUT_EVENTS:
                 self._suspects.record_death(context, upstream, not progress.events)
+        else:
+            self._watch_upstream(context, upstream, progress)
         return tuple(suspects)
 
+    def _watch_upstream(
+        self, context: RequestContext, upstream: Upstream, progress: Progress
+    ) -> None:
+        """Record a death later if the upstream turns out to have died."""
+        if progress.events < OUTPUT_EVENTS:
+            self._suspects.watch_upstream(context, upstream, not progress.events)
+
     async def _find_suspects(
         self, upstream: Upstream, request_id: str
     ) -> tuple[str, ...]:
@@ -321,7 +335,7 @@
                 )
             else:
                 await self._forward_response(
-                    exchange, context, upstream, response, head
+                    exchange, context, upstream, response, head, progress
                 )
 
     async def _forward_response(
@@ -331,6 +345,7 @@
         upstream: Upstream,
         response: ClientResponse,
         head: UpstreamHead,
+        progress: Progress,
     ) -> None:
         body = await response.read()
         if head.is_not_run:
@@ -343,6 +358,10 @@
                 f"refused with status {head.status}", False, suspects, (head, body)
             )
         is_failure = head.status >= 500 or not head.is_signed
+        if is_failure:
+            self._watch_upstream(context, upstream, progress)
+        else:
+            self._suspects.record_output(context)
         if is_failure and (
             context.rule.is_idempotent or head.status in NOT_RUN_STATUSES
         ):
@@ -354,7 +373,6 @@
             )
         if not head.is_signed and head.status < 300:
             raise AttemptFailed("the answer bears no signature", True)
-        self._suspects.record_output(context)
         await _write_to_caller(exchange.respond(head.status, head.headers, body))
 
     async def _forward_stream(
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -171,7 +171,7 @@
             self.replica, self.relays, bounds, settings.host, settings.peer_port
         )
         self.suspects = SuspectRegistry(
-            self.store, self.replica, settings.instance_id, rng
+            self.store, self.replica, self.directory, settings.instance_id, rng
         )
         control = HttpRunnerControl(client)
         reach = self.selector.reach
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -12,8 +12,9 @@
 from wigeondrift.errors import LeaseEnded, PlatformError, RevisionConflict
 from wigeondrift.router.entities import Upstream
 from wigeondrift.router.replica import ROUTER_KEYS_PREFIX, Replica
-from wigeondrift.router.request_context import RequestContext
+from wigeondrift.router.request_context import MAX_LOGGED_PARTS, RequestContext
 from wigeondrift.store.revisions import Item, RevisionStore
+from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.refusals import Death
 from wigeondrift.systems.suspects import (
     SUSPECT_SECONDS,
@@ -23,6 +24,7 @@
     SuspectTable,
     make_digest,
 )
+from wigeondrift.systems.unconfirmed import UnconfirmedDeaths
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 
 SUSPECTS_PREFIX = ROUTER_KEYS_PREFIX + "suspects/"
@@ -76,12 +78,15 @@
     ----------
     store : RevisionStore
     replica : Replica
+    directory : Directory
+        Tells which upstreams were replaced.
     instance_id : str
     rng : random.Random
     """
 
     __slots__ = (
         "_changed",
+        "_directory",
         "_instance_id",
         "_lease",
         "_lease_asked_at",
@@ -96,6 +101,7 @@
         "_store",
         "_subscribers",
         "_table",
+        "_unconfirmed",
         "_vouch_added",
     )
 
@@ -103,11 +109,13 @@
         self,
         store: RevisionStore,
         replica: Replica,
+        directory: Directory,
         instance_id: str,
         rng: random.Random,
     ) -> None:
         self._store = store
         self._replica = replica
+        self._directory = directory
         self._instance_id = instance_id
         self._table = SuspectTable(instance_id)
         self._lease = 0
@@ -124,7 +132,9 @@
         self._subscribers: list[Callable[[SuspectNews], None]] = []
         self._changed = trio.Event()
         self._logger = logging.getLogger(LOGGER_NAME)
+        self._unconfirmed = UnconfirmedDeaths()
         replica.subscribe(self._read_listed)
+        replica.subscribe(self._confirm_deaths)
 
     def subscribe(self, callback: Callable[[SuspectNews], None]) -> None:
         """Call ``callback`` with what the other routers should know."""
@@ -189,14 +199,58 @@
             Whether the request had no event at all.
         """
         context.is_trial = False
+        self._add_death(upstream, context.call.request_id, context.traits, is_silent)
+
+    def watch_upstream(
+        self, context: RequestContext, upstream: Upstream, is_silent: bool
+    ) -> None:
+        """Record a death later if the list shows that the upstream has ended.
+
+        Parameters
+        ----------
+        context : RequestContext
+            A request that has failed without output.
+        upstream : Upstream
+        is_silent : bool
+            Whether the request had no event at all.
+        """
+        context.is_trial = False
+        request_id = context.call.request_id
+        now = trio.current_time()
+        self._unconfirmed.add(upstream, request_id, context.traits, is_silent, now)
+
+    def _confirm_deaths(self) -> None:
+        upstreams = self._directory.upstreams_by_id
+        now = trio.current_time()
+        for death in self._unconfirmed.pop_confirmed(upstreams, now):
+            log_event(
+                self._logger,
+                logging.WARNING,
+                Event.UPSTREAM_REPLACED,
+                request_id=death.request_id,
+                upstream=death.upstream.upstream_id,
+                born=death.upstream.started_at_ms,
+                traits=death.traits[:MAX_LOGGED_PARTS],
+            )
+            self._add_death(
+                death.upstream, death.request_id, death.traits, death.is_silent
+            )
+
+    def _add_death(
+        self,
+        upstream: Upstream,
+        request_id: str,
+        traits: tuple[str, ...],
+        is_silent: bool,
+    ) -> None:
         now = trio.current_time()
         incarnation = make_digest(upstream.upstream_id, upstream.started_at_ms)
-        deaths = self._table.record_death(context.traits, incarnation, now, is_silent)
+        deaths = self._table.record_death(traits, incarnation, now, is_silent)
         self._announce(self._table.list_news(deaths))
         self._vouch_for(death.trait for death in deaths)
         for death in deaths:
             if len(self._pending_requests_by_death) < MAX_PENDING:
-                self._pending_requests_by_death[death] = context.call.request_id
+                self._pending_requests_by_death[death] = request_id
                 self._changed.set()
 
     def apply_news(self, news: DeathNews) -> None:
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -53,7 +53,8 @@
         Start of the present incarnation, in milliseconds since the epoch.
     deadly : str
         Text that no request may have in its prompt parts or its body, if not empty:
-        the upstream dies when it begins to answer one.
+        the upstream dies when it begins to answer one, after an answer with the
+        fault ``error``.
     on_death : callable or None
         Coroutine function that is called with the upstream when it dies.
     """
@@ -137,6 +138,8 @@
         self.served.append(request)
         if self.deadly and self._is_deadly(request):
             await trio.sleep(EVENT_SECONDS)
+            if self.fault == "error":
+                await exchange.respond(500, headers, b"failed")
             await self.on_death(self)
             raise trio.BrokenResourceError
         if self.fault == "foreign":
