Log that the store was restored, with the eras and revisions before and after

Each answer of the store carries its era. Nothing read it, so the logs could not tell a restoration from a lost history, nor deaths that were forgotten with it from those that were never recorded. The router now logs event 3103; no decision uses the era yet. The emulated store plays restorations, takes 4 ms an answer and can be read-only.

--- a/wigeondrift/platform/store.py
+++ b/wigeondrift/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 from collections.abc import Sequence
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -18,12 +18,15 @@
     TransportError,
 )
 from wigeondrift.store.revisions import Item, Page, RevisionStore
-from wigeondrift.wire.http_client import HttpClient
+from wigeondrift.wire.http_client import ClientResponse, HttpClient
+from wigeondrift.wire.numbers import parse_whole_number
 
 # Responses take 4 ms; a store that is slowed down sixtyfold still responds in time.
 CALL_TIMEOUT_SECONDS = 0.7
 JSON_HEADERS = [("Content-Type", "application/json")]
 STATUS_OK = 200
+# In all answers; rises by one each time that the store is restored from a copy.
+ERA = "store-era"
 
 AnswerType = TypeVar("AnswerType")
 
@@ -70,6 +73,11 @@
     lease: int = 0
 
 
+class _Answer(NamedTuple):
+    body: bytes
+    era: int
+
+
 class HttpRevisionStore(RevisionStore):
     """The platform's store, reached over HTTP.
 
@@ -80,11 +88,13 @@
         ``host:port`` of the store.
     """
 
-    __slots__ = ("_address", "_client")
+    __slots__ = ("_address", "_client", "_era")
 
     def __init__(self, client: HttpClient, address: str) -> None:
         self._client = client
         self._address = address
+        # Highest era in any answer.
+        self._era = 0
 
     def set_address(self, address: str) -> None:
         """Use another address from now on."""
@@ -94,25 +104,29 @@
         """Return all items below ``prefix``."""
         items: list[Item] = []
         revision = 0
+        first_era = 0
         query = {"prefix": prefix}
         while True:
             target = "/wigeondrift/kv-range?" + urlencode(query)
-            body = await self._call("GET", target)
+            body, era = await self._call("GET", target)
+            if items and era != first_era:
+                raise HistoryLost(target)
+            first_era = era
             answer = _decode(body, _RangeAnswer)
             revision = revision or answer.as_of
             items.extend(item.decode() for item in answer.items)
             if not answer.more_pages or not answer.items:
-                return Page(tuple(items), revision)
+                return Page(tuple(items), revision, era)
             query["after"] = answer.items[-1].key
 
     async def watch(self, prefix: str, after: int, wait: float) -> Page:
         """Wait for up to ``wait`` seconds for changes after a revision; return them."""
         query = {"prefix": prefix, "after": after, "wait_ms": int(wait * 1000)}
         target = "/wigeondrift/kv-watch?" + urlencode(query)
-        body = await self._call("GET", target, wait=wait)
+        body, era = await self._call("GET", target, wait=wait)
         answer = _decode(body, _WatchAnswer)
         items = tuple(event.decode() for event in answer.events)
-        return Page(items, answer.as_of)
+        return Page(items, answer.as_of, era)
 
     async def put(self, key: str, value: bytes, expected: int, lease: int = 0) -> int:
         """Write a key if it is at revision ``expected``; return its new revision."""
@@ -127,7 +141,7 @@
             "puts": [item],
             "deletes": [],
         }
-        body = await self._call("POST", "/wigeondrift/kv-txn", call, key, expected)
+        body, _ = await self._call("POST", "/wigeondrift/kv-txn", call, key, expected)
         return _decode(body, _TxnAnswer).revision
 
     async def delete(self, keys: Sequence[str]) -> None:
@@ -138,7 +152,7 @@
     async def grant_lease(self, seconds: float) -> int:
         """Return the id of a new lease that expires after ``seconds``."""
         call = {"ttl_ms": int(seconds * 1000)}
-        body = await self._call("POST", "/wigeondrift/kv-lease", call)
+        body, _ = await self._call("POST", "/wigeondrift/kv-lease", call)
         return _decode(body, _LeaseAnswer).lease
 
     async def renew_lease(self, lease: int) -> None:
@@ -157,7 +171,7 @@
         key: str = "",
         expected: int = 0,
         wait: float = 0.0,
-    ) -> bytes:
+    ) -> _Answer:
         timeout = CALL_TIMEOUT_SECONDS + wait
         data = b"" if call is None else msgspec.json.encode(call)
         try:
@@ -171,13 +185,21 @@
                     head_timeout=timeout,
                 ) as response:
                     status, body = response.status, await response.read()
+                    era = self._get_era(response)
         except (TransportError, trio.TooSlowError) as error:
             # The fault may have broken the idle connections as well.
             await self._client.close_idle(self._address)
             raise PlatformUnavailable(f"{target}: {error!r}") from error
         if status != STATUS_OK:
             raise _make_error(status, target, body, key, expected)
-        return body
+        return _Answer(body, era)
+
+    def _get_era(self, response: ClientResponse) -> int:
+        era = parse_whole_number(response.header(ERA) or "")
+        if era is None:
+            return self._era
+        self._era = max(self._era, era)
+        return era
 
 
 def _decode(body: bytes, kind: type[AnswerType]) -> AnswerType:
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -87,6 +87,8 @@
         Recent changes, for routers that follow this one.
     answered_at : float
         Time of the store's last response, in seconds.
+    era : int or None
+        Era of the contents, see ``Page``; None until they have been read.
     unavailable_since : float or None
         Time of the first of the failed requests in a row, in seconds; None while the
         store responds.
@@ -104,6 +106,7 @@
         "_subscribers",
         "_unreadable_by_id",
         "answered_at",
+        "era",
         "expiry_activity",
         "configuration",
         "get_time",
@@ -134,6 +137,7 @@
         self.configuration: Configuration | None = None
         self.router_items_by_key: dict[str, Item] = {}
         self.change_log = ChangeLog()
+        self.era: int | None = None
         self.answered_at = get_time()
         self.expiry_activity = Activity()
 
@@ -188,6 +192,7 @@
         # One call for all, as each call counts and all are needed.
         page = await self._store.list_items("")
         self._record_answer(self.get_time(), 0.0)
+        self._record_era(page.era, page.revision)
         upstream_items = [item for item in page.items if item.key.startswith(prefix)]
         router_items = [
             item for item in page.items if item.key.startswith(ROUTER_KEYS_PREFIX)
@@ -225,6 +230,7 @@
     async def _read_changes(self) -> None:
         changes = await self._source.read(self.change_log.revision)
         self._record_answer(changes.answered_at, changes.max_silence)
+        self._record_era(changes.era, changes.revision)
         for item in changes.items:
             self._apply(item)
         self.change_log.extend(changes.items, changes.revision)
@@ -323,6 +329,19 @@
             self.unavailable_since = None
             log_event(self._logger, logging.INFO, Event.PLATFORM_BACK, age=self.age)
 
+    def _record_era(self, era: int, revision: int) -> None:
+        known, self.era = self.era, era
+        if known is not None and era != known:
+            log_event(
+                self._logger,
+                logging.WARNING,
+                Event.PLATFORM_RESTORED,
+                era=era,
+                revision=revision,
+                known_revision=self.change_log.revision,
+                version=self.configuration and self.configuration.version,
+            )
+
     def _record_unavailable(self, error: PlatformError) -> None:
         if self.unavailable_since is None:
             self.unavailable_since = self.get_time()
--- a/wigeondrift/router/sources.py
+++ b/wigeondrift/router/sources.py
@@ -48,6 +48,8 @@
     max_silence : float
         Time for which a store that is available may have sent no response before this
         one, in seconds; zero after a failed request.
+    era : int
+        Era of the revisions, see ``Page``.
     """
 
     items: tuple[Item, ...]
@@ -55,6 +57,7 @@
     confirmed_at: float
     answered_at: float
     max_silence: float = 0.0
+    era: int = 0
 
 
 class ChangeSource(abc.ABC):
@@ -165,6 +168,7 @@
             asked_at,
             self._get_time(),
             pause + self._get_wait() + STORE_MARGIN_SECONDS,
+            page.era,
         )
 
     def _get_wait(self) -> float:
--- a/wigeondrift/store/revisions.py
+++ b/wigeondrift/store/revisions.py
@@ -24,10 +24,20 @@
 
 
 class Page(msgspec.Struct, frozen=True):
-    """Items read or changes observed, and the store's revision at that time."""
+    """Items read or changes observed, and the store's revision at that time.
+
+    Attributes
+    ----------
+    items : tuple of Item
+    revision : int
+    era : int
+        Number of times that the store was restored from a copy of before. Revisions of
+        two eras can't be compared.
+    """
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
 
 
 class RevisionStore(abc.ABC):
@@ -43,6 +53,11 @@
 
         Pages are read one after another. The returned revision is that of the first
         page, so that a watch started there misses no change.
+
+        Raises
+        ------
+        HistoryLost
+            If the store was restored between two pages.
         """
 
     @abc.abstractmethod
--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -41,6 +41,7 @@
     TABLE_REFUSED = 3002, "A newer table failed its checks; the old one stays."
     PLATFORM_LOST = 3101, "The platform does not respond."
     PLATFORM_BACK = 3102, "The platform responds again."
+    PLATFORM_RESTORED = 3103, "The platform's store came back from a copy of before."
     AGENT_LOST = 3201, "The agent sends nothing; the last state stays in force."
     AGENT_BACK = 3202, "The agent sends messages again."
     PEER_LOST = 3203, "A peer agent sends nothing."
--- a/wigeondrift_emulator/revision_server.py
+++ b/wigeondrift_emulator/revision_server.py
@@ -1,6 +1,7 @@
 """Emulated revision store: watches, transactions and leases over HTTP."""
 
 import base64
+from typing import NamedTuple
 from urllib.parse import parse_qs
 
 import msgspec
@@ -9,6 +10,19 @@
 from wigeondrift.wire.http_server import Exchange
 
 PAGE_ITEMS = 50
+RESPONSE_SECONDS = 0.004
+WRITE_CALLS = frozenset({"kv-txn", "kv-lease"})
+# Keys of the operator and of the upstreams.
+REWRITTEN_PREFIXES = ("op/", "servers/")
+
+
+class StoreCopy(NamedTuple):
+    """Contents of the store at some time."""
+
+    revision: int
+    items_by_key: dict[str, dict]
+    changes: list[dict]
+    leases_by_id: dict[int, tuple[float, float]]
 
 
 class RevisionServer:
@@ -20,8 +34,12 @@
         Current revision.
     compacted_revision : int
         Watches that start before this revision are answered with status 410.
+    era : int
+        Number of times that the store was restored, in each answer.
     is_down : bool
         Whether every request is answered with status 503.
+    is_read_only : bool
+        Whether transactions and new leases are answered with status 503.
     drops_responses : bool
         Whether transactions are applied but never answered.
     calls_by_name : dict of str to int
@@ -31,12 +49,16 @@
     def __init__(self) -> None:
         self.revision = 1
         self.compacted_revision = 0
+        self.era = 1
         self.is_down = False
+        self.is_read_only = False
         self.drops_responses = False
         self.calls_by_name: dict[str, int] = {}
         self._items_by_key: dict[str, dict] = {}
         self._changes: list[dict] = []
         self._leases_by_id: dict[int, tuple[float, float]] = {}
+        # What is written again after a restoration: items and keys of removed ones.
+        self._unwritten: tuple[list[dict], list[str]] = ([], [])
         self._changed = trio.Event()
 
     def write(self, key: str, value: bytes, lease: int = 0) -> int:
@@ -71,6 +93,47 @@
         """Compact the history; watches from older revisions then get status 410."""
         self.compacted_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store may be restored later."""
+        return StoreCopy(
+            self.revision,
+            dict(self._items_by_key),
+            list(self._changes),
+            dict(self._leases_by_id),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy of before; revisions since are given out again.
+
+        The operator and the upstreams then write again what they wrote since.
+        """
+        lost = [
+            item
+            for key, item in self._items_by_key.items()
+            if copy.items_by_key.get(key) != item and key.startswith(REWRITTEN_PREFIXES)
+        ]
+        removed = [
+            key
+            for key in copy.items_by_key
+            if key not in self._items_by_key and key.startswith(REWRITTEN_PREFIXES)
+        ]
+        self.era += 1
+        self.revision = copy.revision
+        self._items_by_key = dict(copy.items_by_key)
+        self._changes = list(copy.changes)
+        self._leases_by_id = dict(copy.leases_by_id)
+        self._changed.set()
+        self._changed = trio.Event()
+        self._unwritten = lost, removed
+
+    def rewrite(self) -> None:
+        """Write again what the operator and the upstreams had written."""
+        lost, removed = self._unwritten
+        for item in lost:
+            self.write(item["key"], base64.b64decode(item["value"]))
+        for key in removed:
+            self.remove(key)
+
     def _append_change(self, change: dict) -> None:
         self._changes.append(change)
         self._changed.set()
@@ -95,9 +158,10 @@
         if request.path.startswith("/wigeondrift/kv-keep/"):
             name = "kv-keep"
         self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
-        if self.is_down:
-            await exchange.respond(503, [])
+        if self.is_down or (self.is_read_only and name in WRITE_CALLS):
+            await self._respond(exchange, 503)
             return
+        await trio.sleep(RESPONSE_SECONDS)
         self._expire_leases()
         query = {
             key: values[0] for key, values in parse_qs(request.query, True).items()
@@ -113,20 +177,22 @@
             self.revision += 1
             lease = self.revision
             self._leases_by_id[lease] = (trio.current_time() + seconds, seconds)
-            await _respond_json(exchange, {"lease": lease, "ttl_ms": seconds * 1000})
+            await self._respond(
+                exchange, 200, {"lease": lease, "ttl_ms": seconds * 1000}
+            )
         elif name == "kv-keep":
             lease = int(request.path.rsplit("/", 1)[-1])
             if lease not in self._leases_by_id:
-                await exchange.respond(404, [])
+                await self._respond(exchange, 404)
                 return
             seconds = self._leases_by_id[lease][1]
             self._leases_by_id[lease] = (trio.current_time() + seconds, seconds)
-            await _respond_json(exchange, {"ttl_ms": seconds * 1000})
+            await self._respond(exchange, 200, {"ttl_ms": seconds * 1000})
         else:
             lease = int(name)
             if lease in self._leases_by_id:
                 self._delete_lease(lease)
-            await _respond_json(exchange, {})
+            await self._respond(exchange, 200, {})
 
     async def _range(self, exchange: Exchange, query: dict[str, str]) -> None:
         keys = sorted(
@@ -137,20 +203,26 @@
         items = [self._items_by_key[key] for key in keys[:PAGE_ITEMS]]
         more = len(keys) > PAGE_ITEMS
         answer = {"items": items, "more_pages": more, "as_of": self.revision}
-        await _respond_json(exchange, answer)
+        await self._respond(exchange, 200, answer)
 
     async def _watch(self, exchange: Exchange, query: dict[str, str]) -> None:
-        after = int(query["after"])
+        after, era = int(query["after"]), self.era
         with trio.move_on_after(int(query["wait_ms"]) / 1000.0):
-            while after >= self.compacted_revision:
+            while era == self.era and self._is_known(after):
                 if self._list_changes(query["prefix"], after):
                     break
                 await self._changed.wait()
-        if after < self.compacted_revision:
-            await exchange.respond(410, [])
+        if era != self.era:
+            await self._respond(exchange, 503)
+            return
+        if not self._is_known(after):
+            await self._respond(exchange, 410)
             return
         events = self._list_changes(query["prefix"], after)
-        await _respond_json(exchange, {"events": events, "as_of": self.revision})
+        await self._respond(exchange, 200, {"events": events, "as_of": self.revision})
+
+    def _is_known(self, revision: int) -> bool:
+        return self.compacted_revision <= revision <= self.revision
 
     def _list_changes(self, prefix: str, after: int) -> list[dict]:
         return [
@@ -165,21 +237,23 @@
         for row, item in zip(rows, found, strict=True):
             if row["revision"] != (item["revision"] if item else 0):
                 items = [item for item in found if item]
-                await _respond_json(exchange, {"items": items}, 412)
+                await self._respond(exchange, 412, {"items": items})
                 return
         for row in call["puts"]:
             lease = row.get("lease", 0)
             if lease and lease not in self._leases_by_id:
-                await exchange.respond(404, [])
+                await self._respond(exchange, 404)
                 return
             self.write(row["key"], base64.b64decode(row["value"]), lease)
         for key in call["deletes"]:
             self.remove(key)
         if self.drops_responses:
             await trio.sleep_forever()
-        await _respond_json(exchange, {"revision": self.revision})
-
+        await self._respond(exchange, 200, {"revision": self.revision})
 
-async def _respond_json(exchange: Exchange, answer: dict, status: int = 200) -> None:
-    headers = [("Content-Type", "application/json")]
-    await exchange.respond(status, headers, msgspec.json.encode(answer))
+    async def _respond(
+        self, exchange: Exchange, status: int, answer: dict | None = None
+    ) -> None:
+        headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
+        body = b"" if answer is None else msgspec.json.encode(answer)
+        await exchange.respond(status, headers, body)
