Keep and write deaths that the router which saw them can't write

What callers saw: a request that two runners died under was sent on again by another router 12 s later, and by one that started later, if the router that saw the deaths could not write them or ended.

Cause: what a datagram told was kept for 10 s, as the store's list was to follow; nobody but the router that saw a death ever wrote it.

Now it is kept as long as an own death and written by those that were told, if the store does not list it 10 s and a random pause later; mostly one writes it. Ruled out: letting the list alone count from the start, as it comes later than the next request.

--- a/tests/features/steps/suspects_steps.py
+++ b/tests/features/steps/suspects_steps.py
@@ -317,6 +317,32 @@
     queue_action(context, connect)
 
 
+@when("no router can write to the store")
+def forbid_writes(context):
+    async def forbid(world):
+        world.store.is_read_only = True
+
+    queue_action(context, forbid)
+
+
+@when("that router has gone and the store can be written again")
+def stop_router(context):
+    async def stop(world):
+        world.stop_router()
+        world.store.is_read_only = False
+
+    queue_action(context, stop)
+
+
+@when("{seconds:d} seconds later a router starts")
+def start_other_router(context, seconds):
+    async def start(world):
+        await trio.sleep(seconds)
+        context.other_router = await world.add_router("router-3")
+
+    queue_action(context, start)
+
+
 def subscribe_to_each_other(*routers):
     for one, other in (routers, routers[::-1]):
 
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -35,6 +35,24 @@
     And 0 seconds later one with the prompt parts "first, bad" through another router
     Then that request is refused as not run and reached no runner
 
+  Scenario: Deaths that a router can't write are not forgotten by those that it told
+    Given two routers that hear of each other at once
+    And runners die under requests with the prompt part "bad"
+    When no router can write to the store
+    And 1 request with the prompt parts "first, bad" comes through one router
+    And 12 seconds later one with the prompt parts "first, bad" through another router
+    Then that request is refused as not run and reached no runner
+
+  Scenario: Deaths are written by others if the router that saw them has gone
+    Given two routers that hear of each other at once
+    And runners die under requests with the prompt part "bad"
+    When no router can write to the store
+    And 1 request with the prompt parts "first, bad" comes through one router
+    And that router has gone and the store can be written again
+    And 20 seconds later a router starts
+    And 0 seconds later one with the prompt parts "first, bad" through another router
+    Then that request is refused as not run and reached no runner
+
   Scenario: A request that may have killed a runner is tried where it harms least
     Given a runner of a seventh, slow replica
     And runners die under requests with the prompt part "bad"
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -170,8 +170,9 @@
                     self.network.listen(address, server.handle)
                 self.nursery = nursery
                 self.parts = self.make_parts(MemoryClient(self.network))
-                await self.parts.replica.start(nursery)
-                await self.parts.suspects.start(nursery)
+                self._router_nursery = await nursery.start(_hold_nursery)
+                await self.parts.replica.start(self._router_nursery)
+                await self.parts.suspects.start(self._router_nursery)
                 nursery.start_soon(self._run_timers)
                 await trio.sleep(0.1)
                 await scenario(self)
@@ -192,6 +193,10 @@
             trio.current_time,
         )
 
+    def stop_router(self):
+        """End the tasks of the first router."""
+        self._router_nursery.cancel_scope.cancel()
+
     async def add_router(self, instance_id):
         """Return the parts of another router that shares the store."""
         parts = self.make_parts(MemoryClient(self.network), instance_id)
@@ -322,6 +327,12 @@
         return self._calls
 
 
+async def _hold_nursery(task_status):
+    async with trio.open_nursery() as nursery:
+        task_status.started(nursery)
+        await trio.sleep_forever()
+
+
 async def _is_closed(stream):
     """Whether the peer closes an idle connection."""
     with trio.move_on_after(1.0):
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -17,6 +18,7 @@
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.refusals import Death
 from wigeondrift.systems.suspects import (
+    LISTING_SECONDS,
     SUSPECT_SECONDS,
     DeathNews,
     ReportedDeath,
@@ -42,6 +44,11 @@
 # one speaks for all that know.
 VOUCH_SECONDS_PER_ROUTER = 0.001
 MAX_VOUCH_SECONDS = 0.2
+# Longest time for each router before one writes a death that the router which saw it
+# has not written, and for all of them. Each waits a random part of it, so that mostly
+# the first one writes it.
+TAKE_OVER_SECONDS_PER_ROUTER = 0.2
+MAX_TAKE_OVER_SECONDS = 30.0
 
 SuspectNews = DeathNews | SoundNews
 
@@ -52,8 +59,9 @@
     Attributes
     ----------
     instance_id : str
-        Router that sent the request.
+        Router that wrote the report.
     request_id : str
+        Empty if another router sent the request.
     companions : tuple of str
         Digests of the other traits that each request with the trait had.
     silent_requests : tuple of str
@@ -87,6 +95,7 @@
     __slots__ = (
         "_changed",
         "_directory",
+        "_due_by_death",
         "_instance_id",
         "_lease",
         "_lease_asked_at",
@@ -123,6 +132,8 @@
         self._listed_version = (0, 0)
         # Deaths to write, with the request that saw each.
         self._pending_requests_by_death: dict[Death, str] = {}
+        # Deaths that others are to write, and when this router does so.
+        self._due_by_death: dict[Death, float] = {}
         self._pending_removals: dict[Death, None] = {}
         # Suspects whose output this router has seen, to be told to the others.
         self._pending_vouches: dict[str, None] = {}
@@ -255,9 +266,29 @@
 
     def apply_news(self, news: DeathNews) -> None:
         """Apply the report of another router."""
-        self._table.add_reported(news, trio.current_time())
+        now = trio.current_time()
+        self._table.add_reported(news, now)
+        deaths = [Death(report.trait, report.upstream) for report in news.deaths]
+        self._take_over_later(deaths, now + LISTING_SECONDS)
         self._vouch_for(report.trait for report in news.deaths)
 
+    def _take_over_later(self, deaths: Iterable[Death], after: float) -> None:
+        """Write deaths some time after ``after`` unless they are listed by then."""
+        longest = TAKE_OVER_SECONDS_PER_ROUTER * self._router_count
+        due_at = after + self._rng.uniform(0.0, min(longest, MAX_TAKE_OVER_SECONDS))
+        for death in deaths:
+            if self._table.is_unlisted(death) and len(self._due_by_death) < MAX_PENDING:
+                self._due_by_death.setdefault(death, due_at)
+                self._changed.set()
+
+    def _take_over(self, now: float) -> None:
+        for death, due_at in list(self._due_by_death.items()):
+            if not self._table.is_unlisted(death):
+                del self._due_by_death[death]
+            elif now >= due_at:
+                del self._due_by_death[death]
+                self._pending_requests_by_death.setdefault(death, "")
+
     def apply_sound_news(self, news: SoundNews) -> None:
         """Apply what another router tells of suspects that have produced output."""
         self._table.record_vouched(news.traits, trio.current_time())
@@ -334,8 +365,10 @@
 
     async def _run(self) -> None:
         while True:
-            await self._changed.wait()
+            with trio.move_on_at(min(self._due_by_death.values(), default=math.inf)):
+                await self._changed.wait()
             self._changed = trio.Event()
+            self._take_over(trio.current_time())
             try:
                 await self._remove_deaths()
                 await self._write_deaths()
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -310,7 +310,7 @@
             if death in self._forgotten:
                 continue
             if death not in known:
-                self._add_unlisted(death, now + LISTING_SECONDS)
+                self._add_unlisted(death, now + SUSPECT_SECONDS)
             evidence = Evidence(report.companions, report.silent_requests, now)
             self._add_evidence(death, evidence)
 
@@ -324,6 +324,10 @@
         reports = [self.get_report(death) for death in deaths]
         return [DeathNews(tuple(chunk)) for chunk in _split(reports)]
 
+    def is_unlisted(self, death: Death) -> bool:
+        """Whether a death is on record that the store does not list."""
+        return death in self._unlisted_until_by_death
+
     def confirm_written(self, death: Death, now: float) -> None:
         """Record that the store has a death; soon only its list counts."""
         if death in self._unlisted_until_by_death:
