Hold deaths that a restored store has lost, and write them again

What callers saw: two runners die under a request, the store is restored from a copy some seconds old, and all routers send the request on again.

Cause: once the store had listed a death, its list was the only record; a death that was gone from it had been removed because requests with it went well. A restoration removes deaths too.

Now the version of the list includes the store's era. Deaths that are gone from the list of another era stay on record and are written again after a random pause, mostly by one router. Ruled out: keeping all that vanish from the list, as deaths of sound requests are removed there.

--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -53,6 +53,23 @@
     And 0 seconds later one with the prompt parts "first, bad" through another router
     Then that request is refused as not run and reached no runner
 
+  Scenario Outline: Deaths that a restored store has lost are held and written again
+    Given two routers that hear of each other at once
+    And runners die under requests with the prompt part "bad"
+    When a copy of the store is made
+    And 1 request with the prompt parts "first, bad" comes through one router
+    And <seconds> seconds pass
+    And the store is restored from the copy
+    And <start>
+    And 0 seconds later one with the prompt parts "first, bad" through another router
+    Then that request is refused as not run and reached no runner
+
+    Examples:
+      | seconds | start                     |
+      | 1       | 0 seconds pass            |
+      | 4       | 0 seconds pass            |
+      | 4       | 3 seconds later a router starts |
+
   Scenario: A request that may have killed a runner is tried where it harms least
     Given a runner of a seventh, slow replica
     And runners die under requests with the prompt part "bad"
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -129,7 +129,8 @@
         self._table = SuspectTable(instance_id)
         self._lease = 0
         self._lease_asked_at = 0.0
-        self._listed_version = (0, 0)
+        # Era of the store, number of reports and newest revision of the last list.
+        self._listed_version: tuple[int, int, int] | None = None
         # Deaths to write, with the request that saw each.
         self._pending_requests_by_death: dict[Death, str] = {}
         # Deaths that others are to write, and when this router does so.
@@ -331,12 +332,18 @@
             for key, item in self._replica.router_items_by_key.items()
             if key.startswith(SUSPECTS_PREFIX)
         ]
-        version = (len(items), max((item.revision for item in items), default=0))
+        era = self._replica.era or 0
+        version = (era, len(items), max((item.revision for item in items), default=0))
         if version == self._listed_version:
             return
+        is_restored = self._listed_version is not None and (
+            era != self._listed_version[0]
+        )
         self._listed_version = version
         reports = [self._decode_report(item) for item in items]
-        self._table.set_listed(reports, trio.current_time())
+        now = trio.current_time()
+        lost = self._table.set_listed(reports, now, is_restored)
+        self._take_over_later(lost, now)
 
     def _decode_report(self, item: Item) -> ReportedDeath:
         trait, _, upstream = item.key.removeprefix(SUSPECTS_PREFIX).partition("/")
--- a/wigeondrift/systems/suspects.py
+++ b/wigeondrift/systems/suspects.py
@@ -395,9 +395,27 @@
             self._unlisted_until_by_death.pop(death, None)
         return removed
 
-    def set_listed(self, reports: Iterable[ReportedDeath], now: float) -> None:
-        """Replace the deaths that the store lists."""
+    def set_listed(
+        self, reports: Iterable[ReportedDeath], now: float, is_restored: bool = False
+    ) -> list[Death]:
+        """Replace the deaths that the store lists.
+
+        Parameters
+        ----------
+        reports : iterable of ReportedDeath
+        now : float
+            Current time in seconds.
+        is_restored : bool
+            Whether the store was restored from a copy of before, so that deaths that it
+            no longer lists were lost and not removed.
+
+        Returns
+        -------
+        list of Death
+            Deaths that a restored store has lost.
+        """
         listed = set()
+        known = self._listed
         for report in reports:
             death = Death(report.trait, report.upstream)
             listed.add(death)
@@ -408,6 +426,13 @@
         for death in listed:
             self._unlisted_until_by_death.pop(death, None)
         self._is_stale = True
+        if not is_restored:
+            return []
+        lost = [*known.difference(listed), *self._unlisted_until_by_death]
+        for death in lost:
+            learned_at = self._evidence_by_death[death].learned_at
+            self._add_unlisted(death, learned_at + SUSPECT_SECONDS)
+        return lost
 
     def _rebuild(self, now: float) -> None:
         for death, until in list(self._unlisted_until_by_death.items()):
