Number the store's changes by era and revision

What callers saw: after a restoration of the store, routes that had been added were answered 404 later than the bound (CONFIG), and all routers called the store without pause.

Cause: a revision was taken for a point in the store's history. After a restoration revisions are given out again: from a higher one the store answers 410, each list led back to it, and once the store had passed it the changes up to it were missed.

Now lists, watches, the change log and what relays pass on carry a position of era and revision. Another era starts the log anew, for a router, a relay and its followers. Ruled out: going by the 410 alone, which ends when the store has passed the revision.

--- a/tests/features/relays.feature
+++ b/tests/features/relays.feature
@@ -92,3 +92,27 @@
       | mode    |
       | refused |
       | silent  |
+
+  Scenario Outline: A change after a restoration is in force at all of many routers
+    Given <routers> routers of one failure domain
+    When the store is restored without <lost> changes, and <later> others follow
+    Then all have the configuration
+
+    Examples:
+      | routers | lost | later |
+      | 3       | 20   | 5     |
+      | 3       | 20   | 40    |
+      | 8       | 20   | 5     |
+      | 8       | 20   | 40    |
+      | 40      | 20   | 40    |
+
+  Scenario Outline: Both bounds on configurations hold beside restorations
+    Given 8 routers of one failure domain
+    Then both bounds hold for 60 seconds of faults and restorations with seed <seed>
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
--- a/tests/features/restored.feature
+++ b/tests/features/restored.feature
@@ -9,3 +9,28 @@
     And configuration version 2 adds the route "added"
     And the store is restored from the copy
     Then the log tells that a store at a lower revision has taken the place of another
+
+  Scenario Outline: A change after a restoration is in force at a router in time
+    When a copy of the store is made
+    And <lost> changes are made
+    And the store is restored, and at once version 3 and <later> changes written
+    Then a request for the route "added" is complete
+
+    Examples:
+      | lost | later |
+      | 6    | 0     |
+      | 6    | 3     |
+      | 6    | 9     |
+      | 60   | 90    |
+
+  Scenario Outline: A store that was restored is not asked without pause
+    When a copy of the store is made
+    And <lost> changes are made
+    And the store is restored from the copy
+    Then the router calls the store at most 30 times in 10 seconds
+
+    Examples:
+      | lost |
+      | 0    |
+      | 6    |
+      | 60   |
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import settings, strategies
 
 from tests.relay_world import RelayWorld, inject_faults
-from wigeondrift.store.revisions import Item
+from wigeondrift.store.revisions import Item, Position
 from wigeondrift.systems.changes import ChangeLog
 
 COUNT_SECONDS = 10.0
@@ -214,7 +214,7 @@
     )
     def check(keys, most, after):
         log = ChangeLog(most)
-        log.restart(0)
+        log.restart(Position(0, 0))
         last_by_key = {}
         for revision, key in enumerate(keys, start=1):
             item = Item(f"k{key}", b"", revision)
@@ -224,7 +224,7 @@
             (i for i in last_by_key.values() if i.revision > after),
             key=lambda item: item.revision,
         )
-        found = log.list_after(after)
+        found = log.list_after(Position(0, after))
         if found is None:
             assert len(last_by_key) > most
         else:
--- a/tests/features/steps/restored_steps.py
+++ b/tests/features/steps/restored_steps.py
@@ -1,11 +1,13 @@
 """Steps on a store that is restored from a copy of before."""
 
 import logging
+import random
 
 import trio
 from behave import then, when
 
 from tests.features.steps.router_steps import queue_action, queue_check
+from tests.relay_world import RelayWorld, inject_faults
 from tests.router_world import make_configuration, make_route
 from wigeondrift.telemetry.events import LOGGER_NAME, Event
 
@@ -49,16 +51,34 @@
     queue_action(context, copy)
 
 
+def write_route(world, version, name):
+    routes = [*make_configuration()["routes"], make_route(name, "safe", "desk")]
+    world.put_configuration(version=version, routes=routes)
+
+
 @when('configuration version {version:d} adds the route "{name}"')
 def add_route(context, version, name):
     async def add(world):
-        routes = [*make_configuration()["routes"], make_route(name, "safe", "desk")]
-        world.put_configuration(version=version, routes=routes)
+        write_route(world, version, name)
         await trio.sleep(2.0)
 
     queue_action(context, add)
 
 
+@when(
+    "the store is restored, and at once version {version:d}"
+    " and {later:d} changes written"
+)
+def restore_and_write(context, version, later):
+    async def step(world):
+        await restore(world, context.copy, is_rewritten=False)
+        write_route(world, version, "added")
+        write_changes(world, later)
+        await trio.sleep(2.0)
+
+    queue_action(context, step)
+
+
 async def restore(world, copy, is_rewritten=True):
     world.store.is_down = True
     await trio.sleep(OUTAGE_SECONDS)
@@ -69,6 +89,66 @@
         world.store.rewrite()
 
 
+def write_changes(world, count):
+    for number in range(count):
+        world.store.write("wigeondrift/other", b"%d" % number)
+
+
+@when("{count:d} changes are made")
+def make_changes(context, count):
+    async def change(world):
+        write_changes(world, count)
+        await trio.sleep(2.0)
+
+    queue_action(context, change)
+
+
+@then('a request for the route "{name}" is complete')
+def check_route(context, name):
+    async def check(world):
+        answer = await world.call(f"/{name}/1")
+        assert answer.status == 200 and answer.is_whole, vars(answer)
+
+    queue_action(context, check)
+
+
+@then("the router calls the store at most {count:d} times in {seconds:d} seconds")
+def check_calls(context, count, seconds):
+    async def check(world):
+        before = sum(world.store.calls_by_name.values())
+        await trio.sleep(seconds)
+        calls = sum(world.store.calls_by_name.values()) - before
+        assert calls <= count, calls
+
+    queue_action(context, check)
+
+
+@when("the store is restored without {lost:d} changes, and {later:d} others follow")
+def restore_store_of_many(context, lost, later):
+    async def step(world):
+        copy = world.store.copy()
+        write_changes(world, lost)
+        await trio.sleep(3.0)
+        await restore(world, copy, is_rewritten=False)
+        world.write(2)
+        write_changes(world, later)
+        await trio.sleep(3.0)
+
+    context.steps.append(step)
+
+
+@then(
+    "both bounds hold for {seconds:d} seconds of faults and restorations"
+    " with seed {seed:d}"
+)
+def check_bounds(context, seconds, seed):
+    async def check(world):
+        rng = random.Random(seed)
+        await inject_faults(world, rng, float(seconds), has_restorations=True)
+
+    RelayWorld(context.count).run(check)
+
+
 @when("the store is restored from the copy")
 def restore_store(context):
     async def step(world):
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -147,6 +147,22 @@
         for written, at in self.written_at_by_version.items():
             assert version >= written or at > until, (name, version, written, at)
 
+    async def restore(self, copy):
+        """Restore the store from a copy, and let the operator write again."""
+        self.store.is_down = True
+        await trio.sleep(0.5)
+        self.store.restore(copy)
+        self.store.is_down = False
+        await trio.sleep(0.2)
+        self.store.rewrite()
+        now = trio.current_time()
+        for link in self.store_links_by_name.values():
+            link.fault_changed_at = now
+        # What was lost counts from when it was written again.
+        for version, written_at in self.written_at_by_version.items():
+            if written_at > now - STABLE_SECONDS:
+                self.written_at_by_version[version] = now
+
     async def check_for(self, seconds):
         until = trio.current_time() + seconds
         while trio.current_time() < until:
@@ -154,9 +170,10 @@
             await trio.sleep(POLL_SECONDS)
 
 
-async def inject_faults(world, rng, seconds):
+async def inject_faults(world, rng, seconds, has_restorations=False):
     """Write configurations and set random faults, and check the bounds until after."""
     until = trio.current_time() + seconds
+    copy = world.store.copy()
     version = max(world.written_at_by_version)
     links = [*world.store_links_by_name.values(), *world.peer_links_by_name.values()]
     while trio.current_time() < until:
@@ -172,8 +189,13 @@
             for link in links:
                 if link.mode != "open" and rng.random() < 0.6:
                     link.set("open")
-        else:
+        elif not has_restorations:
             world.store.compact_history()
+        elif rng.random() < 0.5:
+            copy = world.store.copy()
+        else:
+            await world.restore(copy)
+            copy = world.store.copy()
         await world.check_for(rng.uniform(0.05, 2.0))
     for link in links:
         if link.mode != "open":
--- a/wigeondrift/platform/store.py
+++ b/wigeondrift/platform/store.py
@@ -17,7 +17,7 @@
     RevisionConflict,
     TransportError,
 )
-from wigeondrift.store.revisions import Item, Page, RevisionStore
+from wigeondrift.store.revisions import Item, Page, Position, RevisionStore
 from wigeondrift.wire.http_client import ClientResponse, HttpClient
 from wigeondrift.wire.numbers import parse_whole_number
 
@@ -103,30 +103,34 @@
     async def list_items(self, prefix: str) -> Page:
         """Return all items below ``prefix``."""
         items: list[Item] = []
-        revision = 0
-        first_era = 0
+        position = None
         query = {"prefix": prefix}
         while True:
             target = "/wigeondrift/kv-range?" + urlencode(query)
             body, era = await self._call("GET", target)
-            if items and era != first_era:
-                raise HistoryLost(target)
-            first_era = era
             answer = _decode(body, _RangeAnswer)
-            revision = revision or answer.as_of
+            position = position or Position(era, answer.as_of)
+            if era != position.era:
+                raise HistoryLost(target)
             items.extend(item.decode() for item in answer.items)
             if not answer.more_pages or not answer.items:
-                return Page(tuple(items), revision, era)
+                return Page(tuple(items), position)
             query["after"] = answer.items[-1].key
 
-    async def watch(self, prefix: str, after: int, wait: float) -> Page:
-        """Wait for up to ``wait`` seconds for changes after a revision; return them."""
-        query = {"prefix": prefix, "after": after, "wait_ms": int(wait * 1000)}
+    async def watch(self, prefix: str, after: Position, wait: float) -> Page:
+        """Wait for up to ``wait`` seconds for changes after a position; return them."""
+        query = {
+            "prefix": prefix,
+            "after": after.revision,
+            "wait_ms": int(wait * 1000),
+        }
         target = "/wigeondrift/kv-watch?" + urlencode(query)
         body, era = await self._call("GET", target, wait=wait)
+        if era != after.era:
+            raise HistoryLost(target)
         answer = _decode(body, _WatchAnswer)
         items = tuple(event.decode() for event in answer.events)
-        return Page(items, answer.as_of, era)
+        return Page(items, Position(era, answer.as_of))
 
     async def put(self, key: str, value: bytes, expected: int, lease: int = 0) -> int:
         """Write a key if it is at revision ``expected``; return its new revision."""
--- a/wigeondrift/router/relay.py
+++ b/wigeondrift/router/relay.py
@@ -31,7 +31,7 @@
     get_relay_batch,
     get_relay_wait,
 )
-from wigeondrift.store.revisions import Item
+from wigeondrift.store.revisions import Item, Position
 from wigeondrift.systems.relays import RelayTable
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.http_client import HttpClient
@@ -68,13 +68,13 @@
 
     Attributes
     ----------
-    after : int
-        Revision after which changes are wanted.
+    after : Position
+        Position after which changes are wanted.
     wait : float
         Time for which the relay may hold the query without changes, in seconds.
     """
 
-    after: int
+    after: Position
     wait: float
 
 
@@ -84,8 +84,8 @@
     Attributes
     ----------
     items : tuple of Item
-    revision : int
-        Revision up to which the changes are complete.
+    position : Position
+        Position up to which the changes are complete.
     held : float
         Time for which the query was held, in seconds.
     age : float
@@ -95,7 +95,7 @@
     """
 
     items: tuple[Item, ...]
-    revision: int
+    position: Position
     held: float
     age: float
     silence: float
@@ -157,8 +157,8 @@
         self._bounds = bounds
         self._store.update_bounds(bounds)
 
-    async def read(self, after: int) -> Changes:
-        """Return the changes after a revision."""
+    async def read(self, after: Position) -> Changes:
+        """Return the changes after a position."""
         name = self._choose_relay()
         if name is None:
             return await self._read_store(after)
@@ -177,13 +177,13 @@
         name = self._table.choose(self._get_time(), self._is_store_unavailable)
         return name if name in self._get_addresses() else None
 
-    async def _read_store(self, after: int) -> Changes:
+    async def _read_store(self, after: Position) -> Changes:
         self._is_store_unavailable = True
         changes = await self._store.read(after)
         self._is_store_unavailable = False
         return changes
 
-    async def _read_in_outage(self, after: int) -> Changes:
+    async def _read_in_outage(self, after: Position) -> Changes:
         """Query relays and, less often, the store; return the first reply.
 
         The relays retry the store often, and many followers would overload it. Either
@@ -224,13 +224,14 @@
             return results[0]
         raise errors[0]
 
-    async def _query_relay(self, name: str, after: int) -> Changes:
+    async def _query_relay(self, name: str, after: Position) -> Changes:
         address = self._get_addresses()[name]
         try:
             changes = await self._request_changes(address, after)
         except HistoryLost as error:
-            # The relay's change log starts after the revision that this router knows.
-            # This router reads the store once, and then queries the relay again.
+            # The relay's change log starts after the position that this router knows,
+            # or one of both has not learned yet that the store was restored. This
+            # router reads the store once, and then queries the relay again.
             raise RelayFailed(str(error)) from error
         except (TransportError, RelayFailed) as error:
             self._table.record_failure(name, self._get_time())
@@ -241,14 +242,14 @@
                 Event.RELAY_LOST,
                 peer=name,
                 reason=str(error),
-                revision=after,
+                revision=after.revision,
             )
             raise RelayFailed(str(error)) from error
         finally:
             self._store.poll_next()
         return changes
 
-    async def _request_changes(self, address: str, after: int) -> Changes:
+    async def _request_changes(self, address: str, after: Position) -> Changes:
         wait = RELAY_HOLD_SHARE * self._bounds.change_apply
         query = msgspec.msgpack.encode(ChangesQuery(after, wait))
         asked_at = self._get_time()
@@ -261,18 +262,20 @@
         except trio.TooSlowError as error:
             raise RelayFailed("no answer in time") from error
         if status == STATUS_HISTORY_LOST:
-            raise HistoryLost("the relay's change log starts after the known revision")
+            raise HistoryLost("the relay does not know the changes since")
         if status != STATUS_OK:
             raise RelayFailed(f"status {status}")
         try:
             answer = msgspec.msgpack.decode(body, type=ChangesReply)
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise RelayFailed(f"the answer can't be read: {error}") from error
+        if answer.position.era != after.era:
+            raise RelayFailed("the answer is from another era of the store")
         # The relay can't have replied before this time.
         replied_at = asked_at + answer.held
         return Changes(
             answer.items,
-            answer.revision,
+            answer.position,
             replied_at - answer.age,
             replied_at - answer.silence,
             get_relay_wait(self._bounds)
@@ -363,7 +366,7 @@
         now = replica.get_time()
         answer = ChangesReply(
             items,
-            replica.change_log.revision,
+            replica.change_log.position,
             now - asked_at,
             replica.age or 0.0,
             now - replica.answered_at,
@@ -401,6 +404,6 @@
         longest = 2.0 * get_relay_wait(self._bounds) + get_relay_batch(self._bounds)
         return age < longest + STORE_MARGIN_SECONDS
 
-    def _has_changes(self, after: int) -> bool:
+    def _has_changes(self, after: Position) -> bool:
         items = self._replica.change_log.list_after(after)
         return items is None or bool(items)
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -15,7 +15,7 @@
 )
 from wigeondrift.router.entities import Configuration, Upstream
 from wigeondrift.router.sources import ChangeSource
-from wigeondrift.store.revisions import Item, RevisionStore
+from wigeondrift.store.revisions import Item, Position, RevisionStore
 from wigeondrift.systems.changes import ChangeLog
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.freshness import Freshness
@@ -87,8 +87,6 @@
         Recent changes, for routers that follow this one.
     answered_at : float
         Time of the store's last response, in seconds.
-    era : int or None
-        Era of the contents, see ``Page``; None until they have been read.
     unavailable_since : float or None
         Time of the first of the failed requests in a row, in seconds; None while the
         store responds.
@@ -106,7 +104,6 @@
         "_subscribers",
         "_unreadable_by_id",
         "answered_at",
-        "era",
         "expiry_activity",
         "configuration",
         "get_time",
@@ -137,7 +134,6 @@
         self.configuration: Configuration | None = None
         self.router_items_by_key: dict[str, Item] = {}
         self.change_log = ChangeLog()
-        self.era: int | None = None
         self.answered_at = get_time()
         self.expiry_activity = Activity()
 
@@ -171,14 +167,18 @@
 
     async def _run(self) -> None:
         needs_all = True
+        read_all_at = -RETRY_SECONDS
         while True:
             try:
                 if needs_all:
                     await self._read_all()
+                    read_all_at = self.get_time()
                     needs_all = False
                 else:
                     await self._read_changes()
             except HistoryLost:
+                if needs_all or self.get_time() - read_all_at < RETRY_SECONDS:
+                    await trio.sleep(RETRY_SECONDS)
                 needs_all = True
             except PlatformError as error:
                 self._record_unavailable(error)
@@ -192,7 +192,7 @@
         # One call for all, as each call counts and all are needed.
         page = await self._store.list_items("")
         self._record_answer(self.get_time(), 0.0)
-        self._record_era(page.era, page.revision)
+        is_continued = self._record_position(page.position)
         upstream_items = [item for item in page.items if item.key.startswith(prefix)]
         router_items = [
             item for item in page.items if item.key.startswith(ROUTER_KEYS_PREFIX)
@@ -204,7 +204,10 @@
             [upstream for upstream in decoded if upstream is not None],
             self.get_time(),
         )
-        self._append_difference(page.items, known_keys, page.revision)
+        if is_continued:
+            self._append_difference(page.items, known_keys, page.position.revision)
+        else:
+            self.change_log.restart(page.position)
         self.router_items_by_key = {item.key: item for item in router_items}
         if self.configuration is not None:
             self._freshness.confirm(asked_at)
@@ -218,9 +221,6 @@
         Followers then continue from revisions that the store no longer knows.
         """
         known = self.change_log.revision
-        if not known:
-            self.change_log.restart(revision)
-            return
         gone = known_keys - {item.key for item in listed}
         changed = [item for item in listed if item.revision > known]
         changed.sort(key=lambda item: item.revision)
@@ -228,12 +228,11 @@
         self.change_log.extend(tuple(changed), revision)
 
     async def _read_changes(self) -> None:
-        changes = await self._source.read(self.change_log.revision)
+        changes = await self._source.read(self.change_log.position)
         self._record_answer(changes.answered_at, changes.max_silence)
-        self._record_era(changes.era, changes.revision)
         for item in changes.items:
             self._apply(item)
-        self.change_log.extend(changes.items, changes.revision)
+        self.change_log.extend(changes.items, changes.position.revision)
         if self.configuration is not None:
             self._freshness.confirm(changes.confirmed_at)
         if changes.items:
@@ -329,18 +328,24 @@
             self.unavailable_since = None
             log_event(self._logger, logging.INFO, Event.PLATFORM_BACK, age=self.age)
 
-    def _record_era(self, era: int, revision: int) -> None:
-        known, self.era = self.era, era
-        if known is not None and era != known:
-            log_event(
-                self._logger,
-                logging.WARNING,
-                Event.PLATFORM_RESTORED,
-                era=era,
-                revision=revision,
-                known_revision=self.change_log.revision,
-                version=self.configuration and self.configuration.version,
-            )
+    def _record_position(self, position: Position) -> bool:
+        """Return whether a list of all items continues the history that is known."""
+        known = self.change_log.position
+        if not known.revision:
+            return False
+        if position.era == known.era and position.revision >= known.revision:
+            return True
+        log_event(
+            self._logger,
+            logging.WARNING,
+            Event.PLATFORM_RESTORED,
+            era=position.era,
+            revision=position.revision,
+            known_era=known.era,
+            known_revision=known.revision,
+            version=self.configuration and self.configuration.version,
+        )
+        return False
 
     def _record_unavailable(self, error: PlatformError) -> None:
         if self.unavailable_since is None:
--- a/wigeondrift/router/sources.py
+++ b/wigeondrift/router/sources.py
@@ -7,7 +7,7 @@
 import trio
 
 from wigeondrift.router.settings import Bounds
-from wigeondrift.store.revisions import Item, RevisionStore
+from wigeondrift.store.revisions import Item, Position, RevisionStore
 from wigeondrift.systems.freshness import Freshness
 from wigeondrift.systems.relays import RelayTable
 
@@ -33,13 +33,13 @@
 
 
 class Changes(msgspec.Struct):
-    """Changes after a revision.
+    """Changes after a position.
 
     Attributes
     ----------
     items : tuple of Item
-    revision : int
-        Revision up to which the changes are complete.
+    position : Position
+        Position up to which the changes are complete.
     confirmed_at : float
         Time up to which the changes are complete, in seconds on the clock that
         includes time spent suspended.
@@ -48,29 +48,27 @@
     max_silence : float
         Time for which a store that is available may have sent no response before this
         one, in seconds; zero after a failed request.
-    era : int
-        Era of the revisions, see ``Page``.
     """
 
     items: tuple[Item, ...]
-    revision: int
+    position: Position
     confirmed_at: float
     answered_at: float
     max_silence: float = 0.0
-    era: int = 0
 
 
 class ChangeSource(abc.ABC):
     """Source of the store's changes."""
 
     @abc.abstractmethod
-    async def read(self, after: int) -> Changes:
-        """Wait for changes after a revision; return none if there are none in time.
+    async def read(self, after: Position) -> Changes:
+        """Wait for changes after a position; return none if there are none in time.
 
         Raises
         ------
         HistoryLost
-            If some changes since ``after`` are no longer known.
+            If some changes since ``after`` are no longer known, or the store was
+            restored.
         PlatformError
             If there is no response.
         """
@@ -143,8 +141,8 @@
         self._may_wait = False
         self._had_changes = False
 
-    async def read(self, after: int) -> Changes:
-        """Return the changes after a revision."""
+    async def read(self, after: Position) -> Changes:
+        """Return the changes after a position."""
         pause = BATCH_SECONDS
         if self._table.is_relay:
             pause = get_relay_batch(self._bounds)
@@ -164,11 +162,10 @@
         self._had_changes = bool(page.items)
         return Changes(
             page.items,
-            page.revision,
+            page.position,
             asked_at,
             self._get_time(),
             pause + self._get_wait() + STORE_MARGIN_SECONDS,
-            page.era,
         )
 
     def _get_wait(self) -> float:
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -332,7 +332,7 @@
             for key, item in self._replica.router_items_by_key.items()
             if key.startswith(SUSPECTS_PREFIX)
         ]
-        era = self._replica.era or 0
+        era = self._replica.change_log.era
         version = (era, len(items), max((item.revision for item in items), default=0))
         if version == self._listed_version:
             return
--- a/wigeondrift/store/revisions.py
+++ b/wigeondrift/store/revisions.py
@@ -23,21 +23,26 @@
     revision: int
 
 
-class Page(msgspec.Struct, frozen=True):
-    """Items read or changes observed, and the store's revision at that time.
+class Position(msgspec.Struct, frozen=True):
+    """Point in the history of the store.
 
     Attributes
     ----------
-    items : tuple of Item
-    revision : int
     era : int
         Number of times that the store was restored from a copy of before. Revisions of
         two eras can't be compared.
+    revision : int
     """
 
-    items: tuple[Item, ...]
+    era: int
     revision: int
-    era: int = 0
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Items read or changes observed, and the store's position at that time."""
+
+    items: tuple[Item, ...]
+    position: Position
 
 
 class RevisionStore(abc.ABC):
@@ -51,7 +56,7 @@
     async def list_items(self, prefix: str) -> Page:
         """Return all items whose key starts with ``prefix``.
 
-        Pages are read one after another. The returned revision is that of the first
+        Pages are read one after another. The returned position is that of the first
         page, so that a watch started there misses no change.
 
         Raises
@@ -61,15 +66,15 @@
         """
 
     @abc.abstractmethod
-    async def watch(self, prefix: str, after: int, wait: float) -> Page:
-        """Wait for changes after revision ``after`` and return them.
+    async def watch(self, prefix: str, after: Position, wait: float) -> Page:
+        """Wait for changes after the position ``after`` and return them.
 
         Returns no changes when ``wait`` seconds have passed.
 
         Raises
         ------
         HistoryLost
-            If the store no longer has the changes since ``after``.
+            If the store no longer has the changes since ``after``, or was restored.
         """
 
     @abc.abstractmethod
--- a/wigeondrift/systems/changes.py
+++ b/wigeondrift/systems/changes.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from wigeondrift.store.revisions import Item
+from wigeondrift.store.revisions import Item, Position
 
 # Covers several minutes of changes on a busy deployment.
 MAX_CHANGES = 2000
@@ -21,11 +21,13 @@
 
     Attributes
     ----------
+    era : int
+        Era of all revisions in the log.
     revision : int
-        Revision up to which the log has received all changes.
+        Revision up to which the log has received all changes; zero before the first.
     """
 
-    __slots__ = ("_complete_since", "_items", "_max_changes", "revision")
+    __slots__ = ("_complete_since", "_items", "_max_changes", "era", "revision")
 
     def __init__(self, max_changes: int = MAX_CHANGES) -> None:
         self._max_changes = max_changes
@@ -33,12 +35,19 @@
         # All changes after this revision are in the log, except those that a newer
         # change of the same key replaced.
         self._complete_since = 0
+        self.era = 0
         self.revision = 0
 
-    def restart(self, revision: int) -> None:
-        """Clear the log and restart at a revision."""
+    @property
+    def position(self) -> Position:
+        """Position up to which the log has received all changes."""
+        return Position(self.era, self.revision)
+
+    def restart(self, position: Position) -> None:
+        """Clear the log and restart at a position."""
         self._items.clear()
-        self._complete_since = self.revision = revision
+        self.era = position.era
+        self._complete_since = self.revision = position.revision
 
     def extend(self, items: tuple[Item, ...], revision: int) -> None:
         """Append the changes up to ``revision``, ordered by revision."""
@@ -52,8 +61,8 @@
                 )
         self.revision = max(self.revision, revision)
 
-    def list_after(self, revision: int) -> tuple[Item, ...] | None:
-        """Return the changes after a revision; None if some were discarded."""
-        if revision < self._complete_since:
+    def list_after(self, after: Position) -> tuple[Item, ...] | None:
+        """Return the changes after a position; None if some are not known."""
+        if after.era != self.era or after.revision < self._complete_since:
             return None
-        return tuple(item for item in self._items if item.revision > revision)
+        return tuple(item for item in self._items if item.revision > after.revision)
