End leases with the era of the store that they were granted in

What could be seen: after a restoration a router renewed, used or ended a lease that the store had granted to another router under the same number: entries kept by the wrong router or removed with it, and two planners that led at once.

Cause: numbers of leases are given out again, like revisions.

Now a lease carries its era. It is not sent in another era, and an answer from another era counts as its end, so that its holder asks for a new one. A lease that is ended by a router which has not yet heard from the restored store may still be another's; the platform offers no condition for that call.

--- a/tests/features/restored.feature
+++ b/tests/features/restored.feature
@@ -34,3 +34,20 @@
       | 0    |
       | 6    |
       | 60   |
+
+  Scenario Outline: A lease that a restored store has granted to another is left alone
+    When a copy of the store is made
+    And a router holds a lease that the store loses, and grants again to another
+    Then the first router can't <use> the lease, and the other's key stays
+
+    Examples:
+      | use   |
+      | renew |
+      | write |
+      | end   |
+
+  Scenario: A planner does not go on with a lease of a history that was lost
+    When a copy of the store is made
+    And the router leads the planning
+    And the store is restored from the copy, and a second router has its lease number
+    Then only one of the two leads the planning at any time
--- a/tests/features/steps/restored_steps.py
+++ b/tests/features/steps/restored_steps.py
@@ -6,12 +6,17 @@
 import trio
 from behave import then, when
 
+from tests.features.steps.relay_steps import run
 from tests.features.steps.router_steps import queue_action, queue_check
+from tests.platform_cases import expect_error
 from tests.relay_world import RelayWorld, inject_faults
 from tests.router_world import make_configuration, make_route
+from wigeondrift.errors import LeaseEnded
+from wigeondrift.router.membership import ROUTER_ENTRIES_PREFIX
 from wigeondrift.telemetry.events import LOGGER_NAME, Event
 
 OUTAGE_SECONDS = 1.0
+LEASE_SECONDS = 60.0
 # Time after which the operator and the upstreams have written again.
 REWRITE_SECONDS = 0.5
 
@@ -137,6 +142,76 @@
     context.steps.append(step)
 
 
+@when("a copy is made, {more:d} more start and the store is restored from the copy")
+def restore_before_start(context, more):
+    async def step(world):
+        copy = world.store.copy()
+        await start_more(world, more)
+        context.counts = [count_peers(world)]
+        world.nursery.start_soon(poll_peers, context, world)
+        await restore(world, copy)
+
+    context.steps.append(step)
+
+
+@when("a copy is made, 1 more starts and ends while the store is restored")
+def restore_and_end(context):
+    async def step(world):
+        copy = world.store.copy()
+        await start_more(world, 1)
+        world.stop_router(world.count)
+        await restore(world, copy)
+
+    context.steps.append(step)
+
+
+async def start_more(world, count):
+    for _ in range(count):
+        world.count += 1
+        await world.add_router(world.count)
+    await trio.sleep(5.0)
+
+
+def count_peers(world):
+    """Return the least number of other routers that any router knows."""
+    return min(
+        len(parts.membership.list_peers()) for parts in world.routers_by_name.values()
+    )
+
+
+async def poll_peers(context, world):
+    while True:
+        context.counts.append(count_peers(world))
+        await trio.sleep(0.05)
+
+
+@then("all have entries in the store {seconds:d} seconds later")
+def check_entries(context, seconds):
+    async def step(world):
+        await trio.sleep(seconds)
+        for name in world.routers_by_name:
+            assert world.store.get(ROUTER_ENTRIES_PREFIX + name), name
+
+    context.steps.append(step)
+
+
+@then("no router has missed another since")
+def check_peers(context):
+    async def check(world):
+        assert min(context.counts) == world.count - 1, context.counts
+
+    run(context, check)
+
+
+@then("the other routers list {count:d} peers {seconds:d} seconds later")
+def check_peer_count(context, count, seconds):
+    async def check(world):
+        await trio.sleep(seconds)
+        assert count_peers(world) == count
+
+    run(context, check)
+
+
 @then(
     "both bounds hold for {seconds:d} seconds of faults and restorations"
     " with seed {seed:d}"
@@ -166,3 +241,73 @@
         assert record.revision < record.known_revision, vars(record)
 
     queue_check(context, check)
+
+
+@when("a router holds a lease that the store loses, and grants again to another")
+def grant_twice(context):
+    async def step(world):
+        context.store = world.parts.store
+        context.lease = await context.store.grant_lease(LEASE_SECONDS)
+        await restore(world, context.copy)
+        other = (await world.add_router("router-2")).store
+        lease = await other.grant_lease(LEASE_SECONDS)
+        assert lease.number == context.lease.number
+        await other.put("wigeondrift/other", b"", 0, lease)
+
+    queue_action(context, step)
+
+
+@then("the first router can't {use} the lease, and the other's key stays")
+def check_lease(context, use):
+    async def check(world):
+        store, lease = context.store, context.lease
+        if use == "end":
+            await store.end_lease(lease)
+        elif use == "renew":
+            await expect_error(LeaseEnded, store.renew_lease, lease)
+        else:
+            await expect_error(LeaseEnded, store.put, "wigeondrift/k", b"", 0, lease)
+        assert world.store.get("wigeondrift/other") is not None
+        assert world.store.get("wigeondrift/k") is None
+
+    queue_action(context, check)
+
+
+@when("the router leads the planning")
+def lead(context):
+    async def step(world):
+        await world.parts.planner.start(world.nursery)
+        await trio.sleep(3.0)
+        assert world.parts.planner.is_leader
+
+    queue_action(context, step)
+
+
+@when("the store is restored from the copy, and a second router has its lease number")
+def lead_twice(context):
+    async def step(world):
+        number = world.parts.planner._lease.number
+        world.store.is_down = True
+        await trio.sleep(0.5)
+        world.store.restore(context.copy)
+        world.store.is_down = False
+        world.store.rewrite()
+        while world.store.grant_lease(LEASE_SECONDS) < number:
+            pass
+        context.other = await world.add_router("router-2")
+        await context.other.planner.start(world.nursery)
+
+    queue_action(context, step)
+
+
+@then("only one of the two leads the planning at any time")
+def check_leaders(context):
+    async def check(world):
+        leaders = []
+        for _ in range(200):
+            await trio.sleep(0.05)
+            planners = [world.parts.planner, context.other.planner]
+            leaders.append(sum(planner.is_leader for planner in planners))
+        assert max(leaders) == 1 and leaders[-1] == 1, leaders
+
+    queue_action(context, check)
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -11,7 +11,7 @@
 import trio
 from trio.testing import MockClock
 
-from tests.router_world import make_configuration
+from tests.router_world import hold_nursery, make_configuration
 from wigeondrift.router.composition import RouterParts
 from wigeondrift.router.settings import Bounds, RouterSettings
 from wigeondrift.telemetry.metrics import NullMetrics
@@ -83,6 +83,7 @@
         self.routers_by_name = {}
         self.store_links_by_name = {}
         self.peer_links_by_name = {}
+        self._nurseries_by_name = {}
 
     def write(self, version):
         data = msgspec.json.encode(make_configuration(version=version))
@@ -94,15 +95,17 @@
             async with trio.open_nursery() as nursery:
                 self.network = MemoryNetwork(nursery)
                 self.write(1)
+                self.nursery = nursery
                 for number in range(1, self.count + 1):
-                    await self._add_router(number, nursery)
+                    await self.add_router(number)
                 await trio.sleep(4.0)
                 await scenario(self)
                 nursery.cancel_scope.cancel()
 
         trio.run(main, clock=self.clock)
 
-    async def _add_router(self, number, nursery):
+    async def add_router(self, number):
+        nursery = await self.nursery.start(hold_nursery)
         name = f"router-{number}"
         store_address = f"10.0.0.{number}:80"
         peer_address = f"10.1.0.{number}:70"
@@ -128,6 +131,14 @@
         await parts.replica.start(nursery)
         await parts.membership.start(nursery)
 
+        self._nurseries_by_name[name] = nursery
+
+    def stop_router(self, number):
+        """End a router without a word."""
+        name = f"router-{number}"
+        self._nurseries_by_name[name].cancel_scope.cancel()
+        del self.routers_by_name[name]
+
     @property
     def relays(self):
         return [n for n, p in self.routers_by_name.items() if p.relays.is_relay]
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -170,7 +170,7 @@
                     self.network.listen(address, server.handle)
                 self.nursery = nursery
                 self.parts = self.make_parts(MemoryClient(self.network))
-                self._router_nursery = await nursery.start(_hold_nursery)
+                self._router_nursery = await nursery.start(hold_nursery)
                 await self.parts.replica.start(self._router_nursery)
                 await self.parts.suspects.start(self._router_nursery)
                 nursery.start_soon(self._run_timers)
@@ -327,7 +327,7 @@
         return self._calls
 
 
-async def _hold_nursery(task_status):
+async def hold_nursery(task_status):
     async with trio.open_nursery() as nursery:
         task_status.started(nursery)
         await trio.sleep_forever()
--- a/wigeondrift/platform/store.py
+++ b/wigeondrift/platform/store.py
@@ -17,7 +17,7 @@
     RevisionConflict,
     TransportError,
 )
-from wigeondrift.store.revisions import Item, Page, Position, RevisionStore
+from wigeondrift.store.revisions import Item, Lease, Page, Position, RevisionStore
 from wigeondrift.wire.http_client import ClientResponse, HttpClient
 from wigeondrift.wire.numbers import parse_whole_number
 
@@ -132,20 +132,25 @@
         items = tuple(event.decode() for event in answer.events)
         return Page(items, Position(era, answer.as_of))
 
-    async def put(self, key: str, value: bytes, expected: int, lease: int = 0) -> int:
+    async def put(
+        self, key: str, value: bytes, expected: int, lease: Lease | None = None
+    ) -> int:
         """Write a key if it is at revision ``expected``; return its new revision."""
         item: dict[str, object] = {
             "key": key,
             "value": base64.b64encode(value).decode(),
         }
-        if lease:
-            item["lease"] = lease
+        if lease is not None:
+            self._check_era(lease, self._era)
+            item["lease"] = lease.number
         call = {
             "expect": [{"key": key, "revision": expected}],
             "puts": [item],
             "deletes": [],
         }
-        body, _ = await self._call("POST", "/wigeondrift/kv-txn", call, key, expected)
+        body, era = await self._call("POST", "/wigeondrift/kv-txn", call, key, expected)
+        if lease is not None:
+            self._check_era(lease, era)
         return _decode(body, _TxnAnswer).revision
 
     async def delete(self, keys: Sequence[str]) -> None:
@@ -153,19 +158,26 @@
         call = {"expect": [], "puts": [], "deletes": list(keys)}
         await self._call("POST", "/wigeondrift/kv-txn", call)
 
-    async def grant_lease(self, seconds: float) -> int:
-        """Return the id of a new lease that expires after ``seconds``."""
+    async def grant_lease(self, seconds: float) -> Lease:
+        """Return a new lease that expires after ``seconds``."""
         call = {"ttl_ms": int(seconds * 1000)}
-        body, _ = await self._call("POST", "/wigeondrift/kv-lease", call)
-        return _decode(body, _LeaseAnswer).lease
+        body, era = await self._call("POST", "/wigeondrift/kv-lease", call)
+        return Lease(era, _decode(body, _LeaseAnswer).lease)
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Extend a lease by its full time."""
-        await self._call("POST", f"/wigeondrift/kv-keep/{lease}")
+        self._check_era(lease, self._era)
+        _, era = await self._call("POST", f"/wigeondrift/kv-keep/{lease.number}")
+        self._check_era(lease, era)
 
-    async def end_lease(self, lease: int) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """End a lease; its keys are removed."""
-        await self._call("DELETE", f"/wigeondrift/kv-lease-end/{lease}")
+        if lease.era == self._era:
+            await self._call("DELETE", f"/wigeondrift/kv-lease-end/{lease.number}")
+
+    def _check_era(self, lease: Lease, era: int) -> None:
+        if lease.era != era:
+            raise LeaseEnded(f"lease {lease.number} is of era {lease.era}, not {era}")
 
     async def _call(
         self,
--- a/wigeondrift/router/membership.py
+++ b/wigeondrift/router/membership.py
@@ -9,7 +9,7 @@
 from wigeondrift.application import Component
 from wigeondrift.errors import LeaseEnded, PlatformError, RevisionConflict
 from wigeondrift.router.replica import ROUTER_KEYS_PREFIX, Replica
-from wigeondrift.store.revisions import RevisionStore
+from wigeondrift.store.revisions import Lease, RevisionStore
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.address import parse_address
 
@@ -72,7 +72,7 @@
         self._replica = replica
         self._instance_id = instance_id
         self._entry = entry
-        self._lease = 0
+        self._lease: Lease | None = None
         self._peers_by_id: dict[str, RouterEntry] = {}
         # Number of entries and newest revision of the list that was read last.
         self._version = (0, 0)
@@ -136,7 +136,7 @@
 
     async def stop(self) -> None:
         """Remove this router's entry by ending its lease."""
-        if self._lease:
+        if self._lease is not None:
             try:
                 await self._store.end_lease(self._lease)
             except PlatformError as error:
@@ -153,7 +153,7 @@
         value = msgspec.json.encode(self._entry)
         while True:
             try:
-                if not self._lease:
+                if self._lease is None:
                     lease = await self._store.grant_lease(LEASE_SECONDS)
                     await self._register(key, value, lease)
                     self._lease = lease
@@ -161,12 +161,12 @@
                     await self._store.renew_lease(self._lease)
                 await trio.sleep(RENEW_SECONDS)
             except LeaseEnded:
-                self._lease = 0
+                self._lease = None
             except PlatformError:
                 # The replica logs outages of the store.
                 await trio.sleep(RETRY_SECONDS)
 
-    async def _register(self, key: str, value: bytes, lease: int) -> None:
+    async def _register(self, key: str, value: bytes, lease: Lease) -> None:
         known = self._replica.router_items_by_key.get(key)
         expected = known.revision if known is not None else 0
         for _ in range(2):
--- a/wigeondrift/router/planner.py
+++ b/wigeondrift/router/planner.py
@@ -21,7 +21,7 @@
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import EngineSpec, RunnerReport, Upstream
 from wigeondrift.router.replica import ROUTER_KEYS_PREFIX, Replica
-from wigeondrift.store.revisions import RevisionStore
+from wigeondrift.store.revisions import Lease, RevisionStore
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.placement import Placement, Range
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
@@ -129,7 +129,7 @@
         self._directory = directory
         self._control = control
         self._instance_id = instance_id
-        self._lease = 0
+        self._lease: Lease | None = None
         self._lease_asked_at = 0.0
         self._orders_by_id: dict[str, PendingOrder] = {}
         self._skipped_until_by_id: dict[str, float] = {}
@@ -145,7 +145,11 @@
     def is_leader(self) -> bool:
         """Whether this router holds the leader lease and may send orders."""
         age = self._replica.get_time() - self._lease_asked_at
-        return bool(self._lease) and age < LEASE_USABLE_SECONDS
+        return (
+            self._lease is not None
+            and self._lease.era == self._replica.change_log.era
+            and age < LEASE_USABLE_SECONDS
+        )
 
     @property
     def _tick_seconds(self) -> float:
@@ -161,8 +165,8 @@
     async def stop(self) -> None:
         """Step down and end the leader lease."""
         self._stopping = True
-        lease, self._lease = self._lease, 0
-        if lease:
+        lease, self._lease = self._lease, None
+        if lease is not None:
             try:
                 await self._store.end_lease(lease)
             except PlatformError as error:
@@ -211,11 +215,11 @@
         self._lease_asked_at = asked_at
         self._orders_by_id.clear()
         self._skipped_until_by_id.clear()
-        log_event(self._logger, logging.INFO, Event.PLANNER_LEADS, lease=lease)
+        log_event(self._logger, logging.INFO, Event.PLANNER_LEADS, lease=lease.number)
 
     def _step_down(self, reason: str) -> None:
         if self._lease:
-            self._lease = 0
+            self._lease = None
             log_event(self._logger, logging.INFO, Event.PLANNER_STOPPED, reason=reason)
 
     async def _run(self) -> None:
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -14,7 +14,7 @@
 from wigeondrift.router.entities import Upstream
 from wigeondrift.router.replica import ROUTER_KEYS_PREFIX, Replica
 from wigeondrift.router.request_context import MAX_LOGGED_PARTS, RequestContext
-from wigeondrift.store.revisions import Item, RevisionStore
+from wigeondrift.store.revisions import Item, Lease, RevisionStore
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.refusals import Death
 from wigeondrift.systems.suspects import (
@@ -127,7 +127,7 @@
         self._directory = directory
         self._instance_id = instance_id
         self._table = SuspectTable(instance_id)
-        self._lease = 0
+        self._lease: Lease | None = None
         self._lease_asked_at = 0.0
         # Era of the store, number of reports and newest revision of the last list.
         self._listed_version: tuple[int, int, int] | None = None
@@ -381,7 +381,7 @@
                 await self._write_deaths()
             except PlatformError as error:
                 if isinstance(error, LeaseEnded):
-                    self._lease = 0
+                    self._lease = None
                 # The replica logs outages of the store, and finds out when they end.
                 await trio.sleep(RETRY_SECONDS)
                 while self._replica.unavailable_since is not None:
@@ -398,7 +398,7 @@
     async def _write_deaths(self) -> None:
         pending = self._pending_requests_by_death
         while pending:
-            if not self._lease or self._lease_age > MAX_LEASE_AGE_SECONDS:
+            if self._lease is None or self._lease_age > MAX_LEASE_AGE_SECONDS:
                 self._lease_asked_at = self._replica.get_time()
                 self._lease = await self._store.grant_lease(SUSPECT_SECONDS)
                 continue
--- a/wigeondrift/store/revisions.py
+++ b/wigeondrift/store/revisions.py
@@ -38,6 +38,21 @@
     revision: int
 
 
+class Lease(msgspec.Struct, frozen=True):
+    """Lease of the store, whose keys are deleted when it ends.
+
+    Attributes
+    ----------
+    era : int
+        Era in which it was granted. In the next one it may be gone, and its number may
+        be that of another lease.
+    number : int
+    """
+
+    era: int
+    number: int
+
+
 class Page(msgspec.Struct, frozen=True):
     """Items read or changes observed, and the store's position at that time."""
 
@@ -78,7 +93,9 @@
         """
 
     @abc.abstractmethod
-    async def put(self, key: str, value: bytes, expected: int, lease: int = 0) -> int:
+    async def put(
+        self, key: str, value: bytes, expected: int, lease: Lease | None = None
+    ) -> int:
         """Write ``value`` if the key is at revision ``expected``.
 
         An absent key is at revision zero.
@@ -88,7 +105,8 @@
         RevisionConflict
             If the key is at another revision.
         LeaseEnded
-            If there is no such lease.
+            If there is no such lease, or the store was restored; then the value may
+            have been written.
         """
 
     @abc.abstractmethod
@@ -96,19 +114,19 @@
         """Delete keys regardless of their revisions."""
 
     @abc.abstractmethod
-    async def grant_lease(self, seconds: float) -> int:
-        """Return the ID of a new lease that expires after ``seconds``."""
+    async def grant_lease(self, seconds: float) -> Lease:
+        """Return a new lease that expires after ``seconds``."""
 
     @abc.abstractmethod
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Extend a lease by its full duration.
 
         Raises
         ------
         LeaseEnded
-            If the lease has expired.
+            If the lease has expired, or the store was restored.
         """
 
     @abc.abstractmethod
-    async def end_lease(self, lease: int) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """Revoke a lease; its keys are deleted."""
--- a/wigeondrift_emulator/revision_server.py
+++ b/wigeondrift_emulator/revision_server.py
@@ -84,6 +84,12 @@
                 {"key": key, "revision": self.revision, "removed": True}
             )
 
+    def grant_lease(self, seconds: float) -> int:
+        """Return the number of a new lease."""
+        self.revision += 1
+        self._leases_by_id[self.revision] = (trio.current_time() + seconds, seconds)
+        return self.revision
+
     def get(self, key: str) -> bytes | None:
         """Return the value of a key, or None."""
         item = self._items_by_key.get(key)
@@ -174,9 +180,7 @@
             await self._transact(exchange, msgspec.json.decode(request.body))
         elif name == "kv-lease":
             seconds = msgspec.json.decode(request.body)["ttl_ms"] / 1000.0
-            self.revision += 1
-            lease = self.revision
-            self._leases_by_id[lease] = (trio.current_time() + seconds, seconds)
+            lease = self.grant_lease(seconds)
             await self._respond(
                 exchange, 200, {"lease": lease, "ttl_ms": seconds * 1000}
             )
