Register routers again at once after a restoration, and keep lost ones meanwhile

What could be seen: routers that had registered after the copy was made were missing for up to 4 s, or for good where another router's lease had their number, though they ran: the others chose other relays and issuers of permits, and took larger shares of the budget of repeats.

Cause: a lease was looked at only at its next renewal, and a router that was gone from the list counted as gone. The version of the list (count, newest revision) could be the same before and after a restoration.

Now a new era wakes the registration, its number is part of the list's version, and routers that a restored store has lost are kept for 4 s.

--- a/tests/features/relays.feature
+++ b/tests/features/relays.feature
@@ -116,3 +116,21 @@
       | 2    |
       | 3    |
       | 4    |
+
+  Scenario Outline: Routers whose entries a restored store has lost are listed again
+    Given <routers> routers of one failure domain
+    When a copy is made, <more> more start and the store is restored from the copy
+    Then all have entries in the store 2 seconds later
+    And all have entries in the store 20 seconds later
+    And no router has missed another since
+
+    Examples:
+      | routers | more |
+      | 3       | 1    |
+      | 3       | 4    |
+      | 8       | 8    |
+
+  Scenario: A router that ended while the store was away is not listed for long
+    Given 3 routers of one failure domain
+    When a copy is made, 1 more starts and ends while the store is restored
+    Then the other routers list 2 peers 12 seconds later
--- a/wigeondrift/router/membership.py
+++ b/wigeondrift/router/membership.py
@@ -19,6 +19,9 @@
 LEASE_SECONDS = 10.0
 RENEW_SECONDS = 4.0
 RETRY_SECONDS = 1.0
+# Time for which routers that a restored store has lost are kept. Each of them registers
+# again at once, and the others read that within a pause or two.
+REREGISTRATION_SECONDS = 4.0
 
 
 class RouterEntry(msgspec.Struct):
@@ -52,10 +55,12 @@
     __slots__ = (
         "_entry",
         "_instance_id",
+        "_kept_until",
         "_lease",
         "_logger",
         "_peers_by_id",
         "_replica",
+        "_restored",
         "_store",
         "_subscribers",
         "_version",
@@ -74,8 +79,11 @@
         self._entry = entry
         self._lease: Lease | None = None
         self._peers_by_id: dict[str, RouterEntry] = {}
-        # Number of entries and newest revision of the list that was read last.
-        self._version = (0, 0)
+        # Era, number of entries and newest revision of the list that was read last.
+        self._version: tuple[int, int, int] | None = None
+        # Until when routers are kept that a restored store has lost.
+        self._kept_until: float | None = None
+        self._restored = trio.Event()
         self._subscribers: list[Callable[[], None]] = []
         self._logger = logging.getLogger(LOGGER_NAME)
         replica.subscribe(self._read_peers)
@@ -104,13 +112,23 @@
 
     def _read_peers(self) -> None:
         items_by_key = self._replica.router_items_by_key
+        era = self._replica.change_log.era
         revisions = [item.revision for item in items_by_key.values()]
-        version = (len(revisions), max(revisions, default=0))
+        version = (era, len(revisions), max(revisions, default=0))
         if version == self._version:
             return
+        if self._version is not None and era != self._version[0]:
+            self._kept_until = self._replica.get_time() + REREGISTRATION_SECONDS
+            self._restored.set()
         self._version = version
+        peers = self._list_listed_peers()
+        if self._kept_until is not None:
+            peers = {**self._peers_by_id, **peers}
+        self._set_peers(peers)
+
+    def _list_listed_peers(self) -> dict[str, RouterEntry]:
         peers = {}
-        for key, item in items_by_key.items():
+        for key, item in self._replica.router_items_by_key.items():
             name = key.removeprefix(ROUTER_ENTRIES_PREFIX)
             if name == key or name == self._instance_id or item.value is None:
                 continue
@@ -126,6 +144,9 @@
                     peer=name,
                     reason=str(error),
                 )
+        return peers
+
+    def _set_peers(self, peers: dict[str, RouterEntry]) -> None:
         self._peers_by_id = peers
         for callback in self._subscribers:
             callback()
@@ -153,19 +174,29 @@
         value = msgspec.json.encode(self._entry)
         while True:
             try:
+                self._restored = trio.Event()
+                self._drop_lost_peers()
                 if self._lease is None:
                     lease = await self._store.grant_lease(LEASE_SECONDS)
                     await self._register(key, value, lease)
                     self._lease = lease
                 else:
                     await self._store.renew_lease(self._lease)
-                await trio.sleep(RENEW_SECONDS)
+                with trio.move_on_after(RENEW_SECONDS):
+                    await self._restored.wait()
             except LeaseEnded:
                 self._lease = None
             except PlatformError:
                 # The replica logs outages of the store.
                 await trio.sleep(RETRY_SECONDS)
 
+    def _drop_lost_peers(self) -> None:
+        """Drop routers that did not register again after a restoration."""
+        if self._kept_until is None or self._replica.get_time() < self._kept_until:
+            return
+        self._kept_until = None
+        self._set_peers(self._list_listed_peers())
+
     async def _register(self, key: str, value: bytes, lease: Lease) -> None:
         known = self._replica.router_items_by_key.get(key)
         expected = known.revision if known is not None else 0
