Take what a restored store lists of upstreams for old until they write again

What could be seen: after a restoration requests went to upstreams that had left, as the copy listed them as ready, and none to those that had joined since.

Cause: the first list of another era was taken for the newest state. An outage shorter than two heartbeats gave missing upstreams no time to register again.

Now an incarnation that has left or is leaving stays so until an entry that is written in the new era says otherwise, and missing ones are kept for two seconds. Ruled out: waiting two seconds before the list is used at all, as upstreams that crashed meanwhile would be used on.

Three scenarios, two of which failed before.

--- a/tests/features/restored.feature
+++ b/tests/features/restored.feature
@@ -51,3 +51,21 @@
     And the router leads the planning
     And the store is restored from the copy, and a second router has its lease number
     Then only one of the two leads the planning at any time
+
+  Scenario Outline: Upstreams that had left are not used when a copy lists them
+    When a copy of the store is made
+    And member "d3" joins and the other members <leave>
+    And the store is restored from the copy, and not written again for 1 seconds
+    Then 10 requests are served by "d3" alone
+    And all other members are used again once their next incarnations are listed
+
+    Examples:
+      | leave         |
+      | drain         |
+      | are delisted  |
+
+  Scenario: Upstreams that a restored store has lost are dropped if they stay missing
+    When a copy of the store is made
+    And member "d3" joins and the other members stay
+    And the store is restored from the copy, and not written again for 3 seconds
+    Then 10 requests are served, none of them by "d3"
--- a/tests/features/steps/restored_steps.py
+++ b/tests/features/steps/restored_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 
 from tests.features.steps.relay_steps import run
-from tests.features.steps.router_steps import queue_action, queue_check
+from tests.features.steps.router_steps import MEMBERS, queue_action, queue_check
 from tests.platform_cases import expect_error
 from tests.relay_world import RelayWorld, inject_faults
 from tests.router_world import make_configuration, make_route
@@ -311,3 +311,72 @@
         assert max(leaders) == 1 and leaders[-1] == 1, leaders
 
     queue_action(context, check)
+
+
+@when('member "{name}" joins and the other members {leave}')
+def replace_members(context, name, leave):
+    async def step(world):
+        world.add_upstream(name, "desk")
+        world.network.listen(world.address_of(name), world.servers_by_id[name].handle)
+        for member in MEMBERS:
+            if leave == "drain":
+                world.write_entry(member, state="draining")
+            elif leave == "are delisted":
+                world.store.remove(f"servers/{member}")
+        await trio.sleep(2.0)
+
+    queue_action(context, step)
+
+
+@when(
+    "the store is restored from the copy, and not written again for {seconds:d} seconds"
+)
+def restore_without_writes(context, seconds):
+    async def step(world):
+        await restore(world, context.copy, is_rewritten=False)
+        await trio.sleep(seconds)
+
+    queue_action(context, step)
+
+
+async def count_served(world, count):
+    """Return how many of some further requests each member served."""
+    members = [n for n, e in world.entries_by_id.items() if e["service"] == "desk"]
+    before = {name: len(world.servers_by_id[name].served) for name in members}
+    for _ in range(count):
+        answer = await world.call("/status/1")
+        assert answer.status == 200, vars(answer)
+    return {
+        name: len(world.servers_by_id[name].served) - served
+        for name, served in before.items()
+    }
+
+
+@then('{count:d} requests are served by "{name}" alone')
+def check_served_by(context, count, name):
+    async def check(world):
+        served = await count_served(world, count)
+        assert served[name] == count, served
+
+    queue_action(context, check)
+
+
+@then('{count:d} requests are served, none of them by "{name}"')
+def check_not_served_by(context, count, name):
+    async def check(world):
+        served = await count_served(world, count)
+        assert served[name] == 0, served
+
+    queue_action(context, check)
+
+
+@then("all other members are used again once their next incarnations are listed")
+def check_next_incarnations(context):
+    async def check(world):
+        for member in MEMBERS:
+            world.write_entry(member, state="ready", born=2)
+        await trio.sleep(2.0)
+        served = await count_served(world, 20)
+        assert all(served[member] for member in MEMBERS), served
+
+    queue_action(context, check)
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -192,7 +192,8 @@
         # One call for all, as each call counts and all are needed.
         page = await self._store.list_items("")
         self._record_answer(self.get_time(), 0.0)
-        is_continued = self._record_position(page.position)
+        is_first = not self.change_log.revision
+        is_restored = not is_first and self._is_restored(page.position)
         upstream_items = [item for item in page.items if item.key.startswith(prefix)]
         router_items = [
             item for item in page.items if item.key.startswith(ROUTER_KEYS_PREFIX)
@@ -203,11 +204,12 @@
         self._directory.replace_all(
             [upstream for upstream in decoded if upstream is not None],
             self.get_time(),
+            is_restored,
         )
-        if is_continued:
-            self._append_difference(page.items, known_keys, page.position.revision)
-        else:
+        if is_first or is_restored:
             self.change_log.restart(page.position)
+        else:
+            self._append_difference(page.items, known_keys, page.position.revision)
         self.router_items_by_key = {item.key: item for item in router_items}
         if self.configuration is not None:
             self._freshness.confirm(asked_at)
@@ -328,13 +330,11 @@
             self.unavailable_since = None
             log_event(self._logger, logging.INFO, Event.PLATFORM_BACK, age=self.age)
 
-    def _record_position(self, position: Position) -> bool:
-        """Return whether a list of all items continues the history that is known."""
+    def _is_restored(self, position: Position) -> bool:
+        """Return whether a list of all items is of another history than is known."""
         known = self.change_log.position
-        if not known.revision:
-            return False
         if position.era == known.era and position.revision >= known.revision:
-            return True
+            return False
         log_event(
             self._logger,
             logging.WARNING,
@@ -345,7 +345,7 @@
             known_revision=known.revision,
             version=self.configuration and self.configuration.version,
         )
-        return False
+        return True
 
     def _record_unavailable(self, error: PlatformError) -> None:
         if self.unavailable_since is None:
--- a/wigeondrift/systems/directory.py
+++ b/wigeondrift/systems/directory.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from wigeondrift.router.entities import Upstream
 
 # Heartbeat intervals for which an entry stays registered; a shorter outage of the
@@ -10,6 +12,8 @@
 # Time within which live upstreams are listed again after an outage, in seconds; given
 # by the requirements on the platform.
 REREGISTRATION_SECONDS = 2.0
+# Upstreams that have left and are remembered; the oldest are dropped first.
+MAX_DEPARTED = 1024
 
 
 class Directory:
@@ -27,6 +31,7 @@
 
     __slots__ = (
         "_answered_at",
+        "_departed_starts_by_id",
         "_heartbeat",
         "_missing_ids",
         "_recovered_at",
@@ -39,6 +44,8 @@
         self._answered_at: float | None = None
         self._recovered_at = -REREGISTRATION_SECONDS
         self._missing_ids: set[str] = set()
+        # Start of the incarnation that has left, in milliseconds since the epoch.
+        self._departed_starts_by_id: dict[str, int] = {}
         self.upstreams_by_id: dict[str, Upstream] = {}
         self.change_count = 0
 
@@ -67,17 +74,52 @@
         """Whether entries that may have expired in an outage are still kept."""
         return bool(self._missing_ids)
 
-    def replace_all(self, upstreams: Iterable[Upstream], now: float) -> None:
-        """Replace all entries by a complete list."""
+    def replace_all(
+        self, upstreams: Iterable[Upstream], now: float, is_restored: bool = False
+    ) -> None:
+        """Replace all entries by a complete list.
+
+        Parameters
+        ----------
+        upstreams : iterable of Upstream
+        now : float
+        is_restored : bool
+            Whether the list is a copy of before. Then an incarnation that has left or
+            is leaving stays so until its next entry, and those that are missing may
+            register again.
+        """
         listed = {upstream.upstream_id: upstream for upstream in upstreams}
+        if is_restored:
+            self._recovered_at = now
+            listed = {
+                upstream_id: self._mark_if_leaving(upstream)
+                for upstream_id, upstream in listed.items()
+                if not self._has_departed(upstream)
+            }
         for upstream in listed.values():
             self.put(upstream)
         for upstream_id in list(self.upstreams_by_id):
             if upstream_id not in listed:
                 self.remove(upstream_id, now)
 
+    def _has_departed(self, upstream: Upstream) -> bool:
+        started_at_ms = self._departed_starts_by_id.get(upstream.upstream_id)
+        return started_at_ms == upstream.started_at_ms
+
+    def _mark_if_leaving(self, upstream: Upstream) -> Upstream:
+        known = self.upstreams_by_id.get(upstream.upstream_id)
+        is_leaving = (
+            known is not None
+            and known.is_leaving
+            and known.started_at_ms == upstream.started_at_ms
+        )
+        if not is_leaving:
+            return upstream
+        return msgspec.structs.replace(upstream, is_leaving=True)
+
     def put(self, upstream: Upstream) -> None:
         """Add or update one entry."""
+        self._departed_starts_by_id.pop(upstream.upstream_id, None)
         self._missing_ids.discard(upstream.upstream_id)
         if self.upstreams_by_id.get(upstream.upstream_id) != upstream:
             self.upstreams_by_id[upstream.upstream_id] = upstream
@@ -109,7 +151,10 @@
 
     def _drop(self, upstream_id: str) -> None:
         self._missing_ids.discard(upstream_id)
-        del self.upstreams_by_id[upstream_id]
+        upstream = self.upstreams_by_id.pop(upstream_id)
+        while len(self._departed_starts_by_id) >= MAX_DEPARTED:
+            del self._departed_starts_by_id[next(iter(self._departed_starts_by_id))]
+        self._departed_starts_by_id[upstream_id] = upstream.started_at_ms
         self.change_count += 1
 
     def list_service(self, service: str) -> list[Upstream]:
