Apply a configuration that comes again with other contents under its number

What could be seen: a version that a restored store has lost is written again with another route, and a router that had read the lost one never serves it.

Cause: versions were compared by number alone. Now contents that differ are applied under the same number too; a lower version still stays out of force.

Two scenarios, one of which failed before; the other guards against a step back.

--- a/tests/features/restored.feature
+++ b/tests/features/restored.feature
@@ -69,3 +69,16 @@
     And member "d3" joins and the other members stay
     And the store is restored from the copy, and not written again for 3 seconds
     Then 10 requests are served, none of them by "d3"
+
+  Scenario: A version that a restored store has lost may come again with other contents
+    When a copy of the store is made
+    And configuration version 2 adds the route "lost"
+    And the store is restored from the copy, and not written again for 1 seconds
+    And configuration version 2 adds the route "added"
+    Then a request for the route "added" is complete
+
+  Scenario: A version that was in force stays so until a restored store has it again
+    When a copy of the store is made
+    And configuration version 2 adds the route "added"
+    And the store is restored from the copy, and not written again for 3 seconds
+    Then a request for the route "added" is complete
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -267,7 +267,10 @@
             )
             return
         known = self.configuration
-        if known is not None and configuration.version <= known.version:
+        # A version that a restored store has lost may be written with other contents.
+        if known is not None and (
+            configuration.version < known.version or configuration == known
+        ):
             return
         self.configuration = configuration
         log_event(
