--- a/tests/features/restored.feature
+++ b/tests/features/restored.feature
@@ -82,3 +82,4 @@
     And configuration version 2 adds the route "added"
     And the store is restored from the copy, and not written again for 3 seconds
     Then a request for the route "added" is complete
+    And each version was applied once
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -16,6 +16,7 @@
 from wigeondrift.router.selector import UpstreamSelector
 from wigeondrift.store.revisions import Item
 from wigeondrift.systems.cache_usage import CacheLedger, PeerUsage, Usage
+from wigeondrift.systems.changes import ChangeLog
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.exchange import UsageExchange
 from wigeondrift.systems.limits import LimitNews, PermitAnswer, PermitRequest
@@ -239,6 +240,7 @@
 
     def __init__(self, items):
         self.router_items_by_key = items
+        self.change_log = ChangeLog()
         self._callbacks = []
 
     def subscribe(self, callback):
--- a/tests/features/steps/restored_steps.py
+++ b/tests/features/steps/restored_steps.py
@@ -48,6 +48,7 @@
 @when("a copy of the store is made")
 def copy_store(context):
     context.restorations = record_log(context, Event.PLATFORM_RESTORED)
+    context.applied = record_log(context, Event.CONFIGURATION_APPLIED)
 
     async def copy(world):
         await trio.sleep(1.0)
@@ -117,6 +118,15 @@
     queue_action(context, check)
 
 
+@then("each version was applied once")
+def check_applied(context):
+    def check(world):
+        versions = [record.version for record in context.applied]
+        assert versions == [1, 2], versions
+
+    queue_check(context, check)
+
+
 @then("the router calls the store at most {count:d} times in {seconds:d} seconds")
 def check_calls(context, count, seconds):
     async def check(world):
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -95,6 +95,7 @@
     """
 
     __slots__ = (
+        "_configuration_data",
         "_directory",
         "_freshness",
         "_layout",
@@ -132,6 +133,7 @@
         self._subscribers: list[Callable[[], None]] = []
         self._unreadable_by_id: dict[str, bytes] = {}
         self.configuration: Configuration | None = None
+        self._configuration_data: bytes | None = None
         self.router_items_by_key: dict[str, Item] = {}
         self.change_log = ChangeLog()
         self.answered_at = get_time()
@@ -255,6 +257,9 @@
     def _apply_configuration(self, item: Item) -> None:
         if item.key != self._layout.configuration_key or item.value is None:
             return
+        # A version that a restored store has lost may be written with other contents.
+        if item.value == self._configuration_data:
+            return
         try:
             configuration = self._layout.decode_configuration(item.value)
         except ConfigurationError as error:
@@ -267,12 +272,10 @@
             )
             return
         known = self.configuration
-        # A version that a restored store has lost may be written with other contents.
-        if known is not None and (
-            configuration.version < known.version or configuration == known
-        ):
+        if known is not None and configuration.version < known.version:
             return
         self.configuration = configuration
+        self._configuration_data = item.value
         log_event(
             self._logger,
             logging.INFO,
