--- a/tests/features/restored.feature
+++ b/tests/features/restored.feature
@@ -28,6 +28,7 @@
     And <lost> changes are made
     And the store is restored from the copy
     Then the router calls the store at most 30 times in 10 seconds
+    And each version was applied once
 
     Examples:
       | lost |
--- a/tests/features/steps/restored_steps.py
+++ b/tests/features/steps/restored_steps.py
@@ -122,7 +122,7 @@
 def check_applied(context):
     def check(world):
         versions = [record.version for record in context.applied]
-        assert versions == [1, 2], versions
+        assert versions == sorted(set(versions)) and versions, versions
 
     queue_check(context, check)
 
