Take no answer without an id on a connection that was used before

What callers could see: an upstream that has refused a request with a signed 429 writes that refusal once more, without the id, when the connection is used again, and the next caller is told to come back for a request that the upstream runs.

Cause: an answer without an id passed the check, which compared ids only where there is one. Answers that say 'not run' were safe already, as their connection is closed.

Now an answer without an id on a connection that was used before is a lost connection. Scenarios on repeated refusals, on streams that broke off and on cut heads; one of them failed before, the others passed from the start. A signed 404 in place of a stream's rest ended in an unexpected exception (the caller saw the connection close); it is a failed attempt now.

--- /dev/null
+++ b/tests/features/steps/faulty_answers_steps.py
@@ -0,0 +1,230 @@
+"""Steps on upstreams whose answers are repeated, cut or not the one expected."""
+
+import re
+
+import trio
+from behave import given, then, when
+
+from tests.features.steps.router_steps import (
+    MEMBERS,
+    make_call,
+    queue_action,
+    queue_check,
+)
+
+REQUEST_ID = re.compile(rb"wigeondrift-request-id: *([^\r]+)", re.IGNORECASE)
+SEAL = b"Wigeondrift-Response-Seal: stand-in\r\n"
+NOT_RUN = b"Wigeondrift-Not-Executed: 1\r\n"
+EVENTS = [b"id: %d\ndata: token %d\n\n" % (number, number) for number in range(6)]
+PAGE = b"an error page\n\n"
+ANSWERS_BY_NAME = {
+    "500 with a seal": b"HTTP/1.1 500 Failed\r\n" + SEAL,
+    "404 with a seal": b"HTTP/1.1 404 Absent\r\n" + SEAL,
+    "400 without a seal": b"HTTP/1.1 400 Bad\r\n",
+    "200 with a page and a seal": b"HTTP/1.1 200 OK\r\n" + SEAL,
+}
+CUT_ANSWERS_BY_NAME = {
+    "half a head": b"HTTP/1.1 200 OK\r\n" + SEAL + b"Content-Le",
+    "half a status line": b"HTTP/1.1 20",
+}
+
+
+def make_head(head, request_id):
+    if request_id is None:
+        return head
+    return head + b"Wigeondrift-Request-Id: " + request_id + b"\r\n"
+
+
+def make_refusal(request_id, more=b""):
+    head = make_head(b"HTTP/1.1 503 Full\r\n" + NOT_RUN + more, request_id)
+    return head + b"Content-Length: 0\r\n\r\n"
+
+
+def make_busy(request_id):
+    """Return a refusal that is forwarded, after which the connection is kept."""
+    head = make_head(b"HTTP/1.1 429 Busy\r\n" + SEAL, request_id)
+    return head + b"Content-Length: 0\r\n\r\n"
+
+
+def make_stream(request_id, events=EVENTS, is_whole=True):
+    head = make_head(b"HTTP/1.1 200 OK\r\n" + SEAL, request_id)
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(event), event) for event in events)
+    end = b"0\r\n\r\n" if is_whole else b""
+    return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + end
+
+
+class ScriptedUpstream(trio.abc.Stream):
+    """Client side of a connection to an upstream that answers by a script.
+
+    Parameters
+    ----------
+    answer : callable
+        Takes the id of a request and its number on the connection, from zero, and
+        returns the bytes to answer with, and whether the connection closes then.
+    """
+
+    def __init__(self, answer):
+        self._answer = answer
+        self._pending = bytearray()
+        self._is_closed = False
+        self._changed = trio.Event()
+        self.count = 0
+
+    async def send_all(self, data):
+        await trio.lowlevel.checkpoint()
+        match = REQUEST_ID.search(data)
+        if match is None:
+            # A question for the report, which the script does not answer.
+            self._is_closed = True
+        else:
+            answer, self._is_closed = self._answer(match[1], self.count)
+            self._pending += answer
+            self.count += 1
+        self._changed.set()
+
+    async def wait_send_all_might_not_block(self):
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes=None):
+        while not self._pending and not self._is_closed:
+            self._changed = trio.Event()
+            await self._changed.wait()
+        await trio.lowlevel.checkpoint()
+        data = bytes(self._pending)
+        self._pending.clear()
+        return data
+
+    async def aclose(self):
+        await trio.lowlevel.checkpoint()
+
+
+def script(context, names, answer):
+    """Let upstreams answer by a script on each connection."""
+
+    async def listen(world):
+        for name in names:
+            world.network.listen_with(
+                world.address_of(name), lambda: ScriptedUpstream(answer)
+            )
+
+    context.steps.append(listen)
+
+
+@given("the first stage of the first replica refuses a stream, and says so again {how}")
+def repeat_refusal(context, how):
+    context.repeats = 0
+    refused_ids = []
+
+    def answer(request_id, number):
+        if not refused_ids:
+            refused_ids.append(request_id)
+            return make_busy(request_id), False
+        if number == 1:
+            again = refused_ids[0] if how == "with the id of before" else None
+            context.repeats += 1
+            return make_busy(again) + make_stream(request_id), False
+        return make_stream(request_id), False
+
+    script(context, ["a1"], answer)
+
+
+@given(
+    "the first stage of the first replica refuses a stream for its second stage,"
+    " and says so again"
+)
+def repeat_refusal_of_request(context):
+    context.runs = 0
+
+    def answer(request_id, number):
+        address = context.world.address_of("a2").encode()
+        refusal = make_refusal(request_id, b"At-Server: " + address + b"\r\n")
+        if not context.runs and number == 0:
+            context.runs = 1
+            return refusal, False
+        context.runs += 1
+        return (refusal if number else b"") + make_stream(request_id), False
+
+    script(context, ["a1"], answer)
+
+
+@given("there is no other replica")
+def remove_second_replica(context):
+    # A spare of the second stage takes the place of the one that is at fault.
+    context.world.add_upstream("a3", "model", kind="large", held=(40, 80))
+
+    async def remove(world):
+        for name in ("b1", "b2"):
+            world.store.remove(f"servers/{name}")
+        await trio.sleep(2.0)
+
+    context.steps.append(remove)
+
+
+@given("every first stage breaks streams off after an event, and then answers {name}")
+def break_off(context, name):
+    context.asked = 0
+
+    def answer(request_id, number):
+        context.asked += 1
+        if context.asked == 1:
+            return make_stream(request_id, EVENTS[:1], is_whole=False), True
+        if name in CUT_ANSWERS_BY_NAME:
+            return CUT_ANSWERS_BY_NAME[name], True
+        head = make_head(ANSWERS_BY_NAME[name], request_id)
+        return head + b"Content-Length: %d\r\n\r\n" % len(PAGE) + PAGE, False
+
+    script(context, ["a1", "b1"], answer)
+
+
+@given("every upstream answers {name}")
+def answer_cut(context, name):
+    script(
+        context,
+        ["a1", "b1", *MEMBERS],
+        lambda request_id, number: (CUT_ANSWERS_BY_NAME[name], True),
+    )
+
+
+@when("{count:d} callers request streams one after another")
+def request_streams(context, count):
+    for _ in range(count):
+        queue_action(context, make_call(context, "/draft/1"))
+
+
+@when('a caller sends a "{route}" request')
+def send_request(context, route):
+    queue_action(context, make_call(context, f"/{route}/1"))
+
+
+@then("the first caller is refused, and the others get whole streams")
+def check_whole(context):
+    def check(world):
+        assert context.repeats, "the connection was not used again"
+        first, *others = context.answers
+        assert first.status == 429, vars(first)
+        for answer in others:
+            assert answer.status == 200 and answer.is_whole, vars(answer)
+            assert len(answer.event_ids) == 6, answer.body
+
+    queue_check(context, check)
+
+
+@then("the caller is not told that its request has not run")
+def check_not_told(context):
+    def check(world):
+        (answer,) = context.answers
+        assert context.runs > 1
+        assert answer.status not in {408, 421, 429, 503}, vars(answer)
+
+    queue_check(context, check)
+
+
+@then("the caller gets the first event and a connection that ends early")
+def check_cut(context):
+    def check(world):
+        (answer,) = context.answers
+        assert context.asked >= 2, context.asked
+        assert answer.body == EVENTS[0], answer.body
+        assert not answer.is_whole
+
+    queue_check(context, check)
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -13,7 +13,7 @@
     TransportError,
     WigeondriftError,
 )
-from wigeondrift.router.calls import UpstreamHead
+from wigeondrift.router.calls import CallerRequest, UpstreamHead
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import RequestKind, RunnerReport, Upstream
 from wigeondrift.router.header_codec import HeaderCodec
@@ -323,8 +323,7 @@
         ) as response:
             self._selector.record_answer(upstream)
             head = self._header_codec.decode_head(response.status, response.headers)
-            if head.request_id and head.request_id != call.request_id:
-                raise ConnectionLost("the answer belongs to another request")
+            _check_request_id(head, call, response)
             self._selector.record_limit(upstream, head.limit, now, call.request_id)
             if head.running is not None:
                 load = head.running + (head.waiting or 0)
@@ -357,6 +356,9 @@
             raise AttemptFailed(
                 f"refused with status {head.status}", False, suspects, (head, body)
             )
+        if exchange.started:
+            reason = f"a stream can't go on with status {head.status}"
+            raise AttemptFailed(reason, True, (upstream.upstream_id,))
         is_failure = head.status >= 500 or not head.is_signed
         if is_failure:
             self._watch_upstream(context, upstream, progress)
@@ -423,6 +425,17 @@
         await _write_to_caller(exchange.finish())
 
 
+def _check_request_id(
+    head: UpstreamHead, call: CallerRequest, response: ClientResponse
+) -> None:
+    """Raise ``ConnectionLost`` unless a response belongs to a request."""
+    if head.request_id:
+        if head.request_id != call.request_id:
+            raise ConnectionLost("the answer belongs to another request")
+    elif call.request_id and response.is_on_reused_connection:
+        raise ConnectionLost("the answer may belong to an earlier request")
+
+
 async def _write_to_caller(writing: Awaitable[None]) -> None:
     """Write to the caller; a lost connection there is not the upstream's failure."""
     try:
--- a/wigeondrift/wire/http_client.py
+++ b/wigeondrift/wire/http_client.py
@@ -110,6 +110,14 @@
         self.headers = headers
         self._channel = channel
 
+    @property
+    def is_on_reused_connection(self) -> bool:
+        """Whether the connection has carried another request before.
+
+        The response may then be a second copy of one to an earlier request.
+        """
+        return self._channel.is_reused
+
     def header(self, name: str) -> str | None:
         """Return the value of a header given by its lower-case name, if present."""
         for key, value in self.headers:
@@ -158,7 +166,7 @@
 class ClientChannel:
     """HTTP/1.1 client connection that carries one request at a time."""
 
-    __slots__ = ("_body_memory", "_connection", "_stream", "usable_until")
+    __slots__ = ("_body_memory", "_connection", "_stream", "is_reused", "usable_until")
 
     def __init__(
         self, stream: trio.abc.Stream, body_memory: BodyMemory | None = None
@@ -166,6 +174,7 @@
         self._body_memory = body_memory or BodyMemory()
         self._stream = stream
         self._connection = h11.Connection(h11.CLIENT)
+        self.is_reused = False
         self.usable_until = math.inf
 
     def set_idle_deadline(self, keep_alive: str | None) -> None:
@@ -211,6 +220,7 @@
     def start_next(self) -> None:
         """Reset the protocol state for the next request."""
         self._connection.start_next_cycle()
+        self.is_reused = True
 
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes
