Let a stream hold nothing but events

What callers could see: a stream broke off, the next upstream answered 200 with a page, and the page's text came in the middle of the stream.

Cause: any bytes up to an empty line were forwarded as an event. Now each line must be a field of an event (a name in lower case and a colon) or a comment; anything else breaks the protocol, and the stream is resumed elsewhere or cut. Ruled out: comparing Content-Type, which the platform does not promise.

One scenario, failed before.

--- a/tests/features/faulty_answers.feature
+++ b/tests/features/faulty_answers.feature
@@ -30,6 +30,7 @@
       | 500 with a seal                |
       | 404 with a seal                |
       | 400 without a seal             |
+      | 200 with a page and a seal     |
       | half a head                    |
 
   Scenario Outline: An answer whose head is cut is no answer
--- a/wigeondrift/router/event_stream.py
+++ b/wigeondrift/router/event_stream.py
@@ -7,6 +7,8 @@
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)")
+# A line that is no field of an event. Names of fields are in lower case.
+OTHER_LINE = re.compile(rb"^(?![a-z-]*:)[^\r\n]", re.MULTILINE)
 # Bytes of a separator that may have arrived before the rest of it.
 MAX_PARTIAL_END_BYTES = 3
 # Bytes without a new event id that are accepted. It bounds the memory of one stream; an
@@ -46,8 +48,8 @@
         Raises
         ------
         ProtocolViolation
-            If an id is invalid or does not increase, or too many bytes come without a
-            new id.
+            If an id is invalid or does not increase, a line is no field of an event, or
+            too many bytes come without a new id.
         """
         # The part searched before can only hold the first bytes of a separator.
         searched = max(0, len(self._pending) - MAX_PARTIAL_END_BYTES)
@@ -58,6 +60,8 @@
         events = bytes(self._pending[:end])
         del self._pending[:end]
         self._unidentified_bytes += len(events)
+        if OTHER_LINE.search(events):
+            raise ProtocolViolation("the stream holds something else than events")
         for text in EVENT_ID.findall(events):
             self._apply_id(text)
         if self._unidentified_bytes + len(self._pending) > MAX_UNIDENTIFIED_BYTES:
