Give no new requests to an upstream that says in an answer that it is leaving

What could be seen: an upstream that leaves while the store is away, or before its entry has changed, got new requests for as long as the list called it ready.

Cause: nothing read the mark in its answers. The adapter decodes it from answers and reports; the directory then counts that incarnation as leaving for all of its roles, whatever the list says, until the next one is listed. Requests under way go on. A mark that can't be read counts as none.

Whether other routers are told is not decided here.

--- a/wigeondrift/platform/requests.py
+++ b/wigeondrift/platform/requests.py
@@ -26,6 +26,9 @@
 LOAD = "wigeondrift-server-load"
 # Requests a second that an upstream in need takes from all routers together.
 LIMIT = "server-limit"
+# In all answers of an upstream that is leaving.
+LEAVING = "server-leaving"
+LEAVING_VALUE = "1"
 STAGE_AT_FAULT = "at-server"
 URGENCY = "wigeondrift-request-urgency"
 BEARER = "bearer "
@@ -134,9 +137,15 @@
             waiting=load[1] if len(load) == 3 else None,
             faulty_address=values.get(STAGE_AT_FAULT, ""),
             limit=parse_decimal(values.get(LIMIT, "")),
+            is_leaving=is_leaving(values.get(LEAVING)),
         )
 
 
+def is_leaving(value: str | None) -> bool:
+    """Whether the header of an answer says that its upstream is leaving."""
+    return value is not None and value.strip() == LEAVING_VALUE
+
+
 def format_route(route: Route) -> str:
     """Return the stages of a route in the format that runners expect."""
     return ",".join(
--- a/wigeondrift/platform/upstreams.py
+++ b/wigeondrift/platform/upstreams.py
@@ -9,10 +9,11 @@
     TransportError,
     UpstreamEntryError,
 )
+from wigeondrift.platform.requests import LEAVING, is_leaving
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import RunnerReport, Upstream
 from wigeondrift.wire.address import parse_address
-from wigeondrift.wire.http_client import HttpClient
+from wigeondrift.wire.http_client import ClientResponse, HttpClient
 
 UPSTREAMS_PREFIX = "servers/"
 STATE_READY = "ready"
@@ -87,9 +88,15 @@
     )
 
 
-def decode_report(data: bytes) -> RunnerReport:
+def decode_report(data: bytes, has_leaving_mark: bool = False) -> RunnerReport:
     """Decode a runner's report.
 
+    Parameters
+    ----------
+    data : bytes
+    has_leaving_mark : bool
+        Whether the head of the answer says that the runner is leaving.
+
     Raises
     ------
     ProtocolViolation
@@ -109,6 +116,7 @@
         stalled_by_request={
             entry.get("id", ""): entry.get("address", "") for entry in wire.stalled
         },
+        is_leaving=has_leaving_mark,
     )
 
 
@@ -127,10 +135,10 @@
 
     async def get_report(self, upstream: Upstream) -> RunnerReport:
         """Return the runner's report."""
-        status, body = await self._call(upstream, "GET", "/wigeondrift/report")
-        if status != 200:
-            raise ProtocolViolation(f"the report came with status {status}")
-        return decode_report(body)
+        response, body = await self._call(upstream, "GET", "/wigeondrift/report")
+        if response.status != 200:
+            raise ProtocolViolation(f"the report came with status {response.status}")
+        return decode_report(body, is_leaving(response.header(LEAVING)))
 
     async def place(
         self, upstream: Upstream, first_layer: int, end_layer: int, order_count: int
@@ -144,7 +152,7 @@
             "mode": "queue",
             "expect": order_count,
         }
-        status, body = await self._call(
+        response, body = await self._call(
             upstream,
             "POST",
             "/wigeondrift/order",
@@ -152,9 +160,9 @@
             # The next order to this runner is far off, and a leader orders all of them.
             closes=True,
         )
-        if status not in STATUSES_ACCEPTED:
+        if response.status not in STATUSES_ACCEPTED:
             reason = body[:200].decode("latin-1")
-            raise OrderRejected(f"status {status}: {reason}")
+            raise OrderRejected(f"status {response.status}: {reason}")
 
     async def _call(
         self,
@@ -163,7 +171,7 @@
         target: str,
         body: bytes = b"",
         closes: bool = False,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[ClientResponse, bytes]:
         headers = list(JSON_HEADERS) if body else []
         if closes:
             headers.append(("Connection", "close"))
@@ -173,6 +181,6 @@
                 async with self._client.request(
                     upstream.address, method, target, headers, body
                 ) as response:
-                    return response.status, await response.read(MAX_BODY_BYTES)
+                    return response, await response.read(MAX_BODY_BYTES)
         except trio.TooSlowError as error:
             raise TransportError(f"{upstream.address} did not respond") from error
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -276,6 +276,8 @@
             self._selector.record_unreachable(upstream, str(error))
             return None
         self._selector.record_answer(upstream)
+        if report.is_leaving:
+            self._selector.record_leaving(upstream)
         return report
 
     def _list_stalling(self, report: RunnerReport, request_id: str) -> tuple[str, ...]:
@@ -324,6 +326,8 @@
             self._selector.record_answer(upstream)
             head = self._header_codec.decode_head(response.status, response.headers)
             _check_request_id(head, call, response)
+            if head.is_leaving:
+                self._selector.record_leaving(upstream, call.request_id)
             self._selector.record_limit(upstream, head.limit, now, call.request_id)
             if head.running is not None:
                 load = head.running + (head.waiting or 0)
--- a/wigeondrift/router/calls.py
+++ b/wigeondrift/router/calls.py
@@ -100,6 +100,8 @@
         Load reported by the upstream, in requests; None if not stated.
     faulty_address : str
         Address of the stage that made the request fail; empty if not stated.
+    is_leaving : bool
+        Whether the upstream is leaving and must get no new requests.
     limit : float or None
         Requests per second that the upstream takes from all routers together; None if
         it names no limit.
@@ -108,6 +110,7 @@
     __slots__ = (
         "faulty_address",
         "headers",
+        "is_leaving",
         "is_not_run",
         "is_signed",
         "limit",
@@ -129,6 +132,7 @@
         waiting: int | None,
         faulty_address: str,
         limit: float | None = None,
+        is_leaving: bool = False,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -139,3 +143,4 @@
         self.waiting = waiting
         self.faulty_address = faulty_address
         self.limit = limit
+        self.is_leaving = is_leaving
--- a/wigeondrift/router/entities.py
+++ b/wigeondrift/router/entities.py
@@ -253,6 +253,8 @@
     started_at_ms : int
     stalled_by_request : dict of str to str
         Address of the stage that stalls a request, by request id.
+    is_leaving : bool
+        Whether the runner is leaving and must get no new requests.
     """
 
     order_count: int
@@ -261,3 +263,4 @@
     end_layer: int
     started_at_ms: int
     stalled_by_request: dict[str, str]
+    is_leaving: bool = False
--- a/wigeondrift/router/probing.py
+++ b/wigeondrift/router/probing.py
@@ -85,6 +85,8 @@
             )
             return
         self._selector.record_answer(runner)
+        if report.is_leaving:
+            self._selector.record_leaving(runner)
         is_fit = _is_as_listed(runner, report)
         self._selector.record_fitness(runner, is_fit)
         if not is_fit:
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -247,6 +247,18 @@
             upstream.failure_domain, upstream.upstream_id, trio.current_time()
         )
 
+    def record_leaving(self, upstream: Upstream, request_id: str = "") -> None:
+        """Record that an upstream says in an answer that it is leaving."""
+        if self._directory.record_leaving(upstream):
+            log_event(
+                self._logger,
+                logging.INFO,
+                Event.UPSTREAM_LEAVING,
+                upstream=upstream.upstream_id,
+                born=upstream.started_at_ms,
+                request_id=request_id,
+            )
+
     def choose_chain(
         self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
     ) -> Reservation | None:
--- a/wigeondrift/systems/directory.py
+++ b/wigeondrift/systems/directory.py
@@ -12,7 +12,8 @@
 # Time within which live upstreams are listed again after an outage, in seconds; given
 # by the requirements on the platform.
 REREGISTRATION_SECONDS = 2.0
-# Upstreams that have left and are remembered; the oldest are dropped first.
+# Upstreams that have left or are leaving and are remembered; the oldest are dropped
+# first.
 MAX_DEPARTED = 1024
 
 
@@ -33,6 +34,7 @@
         "_answered_at",
         "_departed_starts_by_id",
         "_heartbeat",
+        "_leaving_starts_by_id",
         "_missing_ids",
         "_recovered_at",
         "change_count",
@@ -46,6 +48,8 @@
         self._missing_ids: set[str] = set()
         # Start of the incarnation that has left, in milliseconds since the epoch.
         self._departed_starts_by_id: dict[str, int] = {}
+        # The same of incarnations that have said so themselves.
+        self._leaving_starts_by_id: dict[str, int] = {}
         self.upstreams_by_id: dict[str, Upstream] = {}
         self.change_count = 0
 
@@ -120,11 +124,34 @@
     def put(self, upstream: Upstream) -> None:
         """Add or update one entry."""
         self._departed_starts_by_id.pop(upstream.upstream_id, None)
+        started_at_ms = self._leaving_starts_by_id.get(upstream.upstream_id)
+        if started_at_ms == upstream.started_at_ms:
+            upstream = msgspec.structs.replace(upstream, is_leaving=True)
+        elif started_at_ms is not None:
+            del self._leaving_starts_by_id[upstream.upstream_id]
         self._missing_ids.discard(upstream.upstream_id)
         if self.upstreams_by_id.get(upstream.upstream_id) != upstream:
             self.upstreams_by_id[upstream.upstream_id] = upstream
             self.change_count += 1
 
+    def record_leaving(self, upstream: Upstream) -> bool:
+        """Record that an upstream has said that it is leaving; return any change.
+
+        Only its next incarnation gets new requests again, whatever the list says.
+        """
+        known = self.upstreams_by_id.get(upstream.upstream_id)
+        if known is None or known.started_at_ms != upstream.started_at_ms:
+            return False
+        if upstream.upstream_id in self._leaving_starts_by_id:
+            return False
+        _add_bounded(self._leaving_starts_by_id, upstream)
+        if known.is_leaving:
+            return False
+        leaving = msgspec.structs.replace(known, is_leaving=True)
+        self.upstreams_by_id[upstream.upstream_id] = leaving
+        self.change_count += 1
+        return True
+
     def remove(self, upstream_id: str, now: float) -> None:
         """Remove one entry; after an outage, only mark it as missing."""
         if upstream_id not in self.upstreams_by_id:
@@ -152,9 +179,10 @@
     def _drop(self, upstream_id: str) -> None:
         self._missing_ids.discard(upstream_id)
         upstream = self.upstreams_by_id.pop(upstream_id)
-        while len(self._departed_starts_by_id) >= MAX_DEPARTED:
-            del self._departed_starts_by_id[next(iter(self._departed_starts_by_id))]
-        self._departed_starts_by_id[upstream_id] = upstream.started_at_ms
+        _add_bounded(self._departed_starts_by_id, upstream)
+        if not upstream.started_at_ms:
+            # Its next incarnation can't be told from this one.
+            self._leaving_starts_by_id.pop(upstream_id, None)
         self.change_count += 1
 
     def list_service(self, service: str) -> list[Upstream]:
@@ -171,3 +199,10 @@
             if upstream.address == address:
                 return upstream.upstream_id
         return None
+
+
+def _add_bounded(starts_by_id: dict[str, int], upstream: Upstream) -> None:
+    """Remember the start of an incarnation, and drop the oldest of too many."""
+    while len(starts_by_id) >= MAX_DEPARTED:
+        del starts_by_id[next(iter(starts_by_id))]
+    starts_by_id[upstream.upstream_id] = upstream.started_at_ms
--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -58,6 +58,7 @@
     PERMIT_REFUSED = 3518, "No permit is to be had for a limited upstream for a time."
     ISSUER_SILENT = 3519, "The router that issues permits does not answer."
     UPSTREAM_DIED = 3516, "An upstream died while it ran a request."
+    UPSTREAM_LEAVING = 3524, "An upstream said in an answer that it is leaving."
     UPSTREAM_REPLACED = 3520, "An upstream had ended when a request failed at it."
     PEER_UNREADABLE = 3521, "A peer's entry or message is invalid."
     RELAY_LOST = 3523, "A router that reads the store for this one failed."
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -9,6 +9,7 @@
 
 EVENT_SECONDS = 0.02
 SEAL_HEADER = ("Wigeondrift-Response-Seal", "stand-in")
+LEAVING_HEADER = "Server-Leaving"
 NOT_EXECUTED_HEADER = ("Wigeondrift-Not-Executed", "1")
 
 
@@ -49,6 +50,8 @@
         Number of times that the report was requested.
     limit : str
         Limit named in each answer, none if empty.
+    leaving_mark : str
+        Value of the header of leaving upstreams in each answer, none if empty.
     born : int
         Start of the present incarnation, in milliseconds since the epoch.
     deadly : str
@@ -73,6 +76,7 @@
         self.reports = 0
         self.born = 1
         self.limit = ""
+        self.leaving_mark = ""
         self.deadly = ""
         self.on_death: Callable[[ModelServer], Awaitable[None]] | None = None
 
@@ -113,7 +117,11 @@
             "layers": {"from": self.layers[0], "to": self.layers[1], "version": 1},
             "stalled": stalled,
         }
-        await exchange.respond(200, [], msgspec.json.encode(report))
+        headers = self._make_leaving_headers()
+        await exchange.respond(200, headers, msgspec.json.encode(report))
+
+    def _make_leaving_headers(self) -> list[tuple[str, str]]:
+        return [(LEAVING_HEADER, self.leaving_mark)] if self.leaving_mark else []
 
     async def _handle_order(self, exchange: Exchange) -> None:
         order = msgspec.json.decode(exchange.request.body)
@@ -132,8 +140,9 @@
         headers = [("Wigeondrift-Request-Id", request_id), SEAL_HEADER]
         if self.limit:
             headers.append(("Server-Limit", self.limit))
+        headers.extend(self._make_leaving_headers())
         if self.fault == "refuse":
-            await exchange.respond(503, [NOT_EXECUTED_HEADER])
+            await exchange.respond(503, [*headers[2:], NOT_EXECUTED_HEADER])
             return
         self.served.append(request)
         if self.deadly and self._is_deadly(request):
