Send nothing to an upstream for as long as it asks for with a 503

What could be seen: an upstream that turns a request away and names a time got requests on as if it had named none.

Cause: nothing read Retry-After in an upstream's answer. Now it is left out by this router for that time, 60 s at most, in all of its roles and for probes. If all upstreams of a service want nothing for longer than a request may wait, it is refused at once as not run, and the time that is left is the caller's Retry-After. A value that can't be read is logged (event 3526) and counts as none.

--- a/tests/features/leaving.feature
+++ b/tests/features/leaving.feature
@@ -48,3 +48,45 @@
 
   Scenario: An incarnation that has said that it is leaving stays so under any news
     Then the directory agrees with a simple model under random news and answers
+
+  Scenario Outline: An upstream that names a time in its refusal gets nothing for so long
+    When "<name>" refuses requests and wants none for 2.5 seconds
+    And 10 requests for "<route>" come in each second, for 2 seconds
+    Then "<name>" has refused 1 request
+    When 2 seconds pass
+    And 10 requests for "<route>" come in each second, for 1 seconds
+    Then "<name>" has refused 2 requests
+
+    Examples:
+      | name | route  |
+      | d1   | status |
+      | d1   | order  |
+      | a1   | draft  |
+
+  Scenario Outline: If all upstreams want nothing, callers are told for how long
+    When all upstreams refuse requests and want none for <seconds> seconds
+    And 10 requests for "<route>" come in each second, for 1 seconds
+    Then the last 5 are refused at once as not run, to come back after <seconds> seconds
+
+    Examples:
+      | route  | seconds |
+      | status | 5       |
+      | order  | 5       |
+      | draft  | 5       |
+
+  Scenario Outline: A time that can't be read or is absurd is logged and bounded
+    When "d1" refuses requests and wants none for "<seconds>" seconds
+    And 10 requests for "status" come in each second, for 1 seconds
+    Then all of them are complete
+    And the log names "<event>"
+
+    Examples:
+      | seconds                       | event             |
+      | soon                          | HEADER_UNREADABLE |
+      | -5                            | HEADER_UNREADABLE |
+      | Wed, 21 Oct 2026 07:28:00 GMT | HEADER_UNREADABLE |
+      | 99999999999999999999          | HEADER_UNREADABLE |
+      | 999999999                     | UPSTREAM_BACK_OFF |
+
+  Scenario: The longest of the times that an upstream named counts
+    Then 300 random times of back-offs agree with a simple model
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -5,10 +5,13 @@
 from hypothesis import given as given_data
 from hypothesis import settings, strategies
 
+from tests.features.steps.restored_steps import record_log
 from tests.features.steps.router_steps import queue_action
 from wigeondrift.platform.requests import STAGES
 from wigeondrift.platform.upstreams import decode_upstream
+from wigeondrift.systems.back_offs import MAX_BACK_OFF_SECONDS, BackOffs
 from wigeondrift.systems.directory import Directory
+from wigeondrift.telemetry.events import Event
 
 HEARTBEAT_SECONDS = 1.0
 
@@ -185,3 +188,112 @@
                 assert not listed.is_leaving, events
 
     check()
+
+
+def refuse(world, names, seconds):
+    for name in names:
+        world.servers_by_id[name].fault = "refuse"
+        world.servers_by_id[name].retry_after = seconds
+
+
+@when('"{name}" refuses requests and wants none for {seconds:g} seconds')
+@when('"{name}" refuses requests and wants none for "{seconds}" seconds')
+def refuse_for(context, name, seconds):
+    context.logged = [
+        record_log(context, event)
+        for event in (Event.HEADER_UNREADABLE, Event.UPSTREAM_BACK_OFF)
+    ]
+
+    async def step(world):
+        refuse(world, [name], str(seconds))
+
+    queue_action(context, step)
+
+
+@when("all upstreams refuse requests and want none for {seconds:g} seconds")
+def refuse_all(context, seconds):
+    async def step(world):
+        refuse(world, world.servers_by_id, str(seconds))
+
+    queue_action(context, step)
+
+
+@when('{count:d} requests for "{route}" come in each second, for {seconds:d} seconds')
+def request_for(context, count, route, seconds):
+    async def step(world):
+        context.answers.clear()
+        until = trio.current_time() + seconds
+        while trio.current_time() < until:
+            context.answers.append(await world.call(f"/{route}/1"))
+            await trio.sleep(1.0 / count)
+
+    queue_action(context, step)
+
+
+@then('"{name}" has refused {count:d} request')
+@then('"{name}" has refused {count:d} requests')
+def check_refusals(context, name, count):
+    async def check(world):
+        assert world.servers_by_id[name].refusals == count, world.servers_by_id[
+            name
+        ].refusals
+        statuses = [answer.status for answer in context.answers]
+        assert statuses.count(200) >= len(statuses) - 1, statuses
+
+    queue_action(context, check)
+
+
+@then(
+    "the last {count:d} are refused at once as not run,"
+    " to come back after {seconds:g} seconds"
+)
+def check_refused(context, count, seconds):
+    async def check(world):
+        for answer in context.answers[-count:]:
+            assert answer.status == 503 and answer.seconds < 0.01, vars(answer)
+            named = float(answer.headers["retry-after"])
+            assert seconds - 1.5 < named < seconds + 1.5, named
+
+    queue_action(context, check)
+
+
+@then("all of them are complete")
+def check_complete(context):
+    async def check(world):
+        statuses = [answer.status for answer in context.answers]
+        assert statuses.count(200) >= len(statuses) - 1, statuses
+
+    queue_action(context, check)
+
+
+@then('the log names "{event}"')
+def check_logged(context, event):
+    async def check(world):
+        unreadable, back_offs = context.logged
+        if event == "HEADER_UNREADABLE":
+            assert unreadable and not back_offs
+        else:
+            assert back_offs[0].seconds <= MAX_BACK_OFF_SECONDS, vars(back_offs[0])
+
+    queue_action(context, check)
+
+
+@then("300 random times of back-offs agree with a simple model")
+def check_back_offs(context):
+    times = strategies.tuples(
+        strategies.floats(0.0, 200.0), strategies.floats(0.0, 30.0)
+    )
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given_data(strategies.lists(times, max_size=10))
+    def check(times):
+        back_offs, until, now = BackOffs(), 0.0, 0.0
+        for seconds, pause in times:
+            back_offs.record("d1", seconds, now)
+            until = max(until, now + min(seconds, MAX_BACK_OFF_SECONDS))
+            now += pause
+            assert ("d1" in back_offs.list_closed(now)) == (now < until)
+            wait = back_offs.get_wait(["d1", "other"], now)
+            assert wait == max(0.0, until - now), (wait, until, now)
+
+    check()
--- a/wigeondrift/platform/requests.py
+++ b/wigeondrift/platform/requests.py
@@ -29,6 +29,9 @@
 # In all answers of an upstream that is leaving.
 LEAVING = "server-leaving"
 LEAVING_VALUE = "1"
+# With status 503, the time for which the upstream wants no requests from this router.
+RETRY_AFTER = "retry-after"
+STATUS_UNAVAILABLE = 503
 STAGE_AT_FAULT = "at-server"
 URGENCY = "wigeondrift-request-urgency"
 BEARER = "bearer "
@@ -125,6 +128,10 @@
     def decode_head(self, status: int, headers: Headers) -> UpstreamHead:
         """Decode the head of an upstream's response; header names are in lower case."""
         values = dict(headers)
+        retry_after, unreadable = None, ()
+        if status == STATUS_UNAVAILABLE and RETRY_AFTER in values:
+            retry_after = parse_decimal(values[RETRY_AFTER])
+            unreadable = (RETRY_AFTER,) if retry_after is None else ()
         load = [parse_whole_number(part) for part in values.get(LOAD, "").split(",")]
         return UpstreamHead(
             status=status,
@@ -138,6 +145,8 @@
             faulty_address=values.get(STAGE_AT_FAULT, ""),
             limit=parse_decimal(values.get(LIMIT, "")),
             is_leaving=is_leaving(values.get(LEAVING)),
+            retry_after=retry_after,
+            unreadable=unreadable,
         )
 
 
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -326,6 +326,8 @@
             self._selector.record_answer(upstream)
             head = self._header_codec.decode_head(response.status, response.headers)
             _check_request_id(head, call, response)
+            if head.retry_after is not None or head.unreadable:
+                self._record_back_off(upstream, head, call)
             if head.is_leaving:
                 self._selector.record_leaving(upstream, call.request_id)
             self._selector.record_limit(upstream, head.limit, now, call.request_id)
@@ -341,6 +343,21 @@
                     exchange, context, upstream, response, head, progress
                 )
 
+    def _record_back_off(
+        self, upstream: Upstream, head: UpstreamHead, call: CallerRequest
+    ) -> None:
+        if head.retry_after is not None:
+            self._selector.record_back_off(upstream, head.retry_after, call.request_id)
+        for name in head.unreadable:
+            log_event(
+                self._logger,
+                logging.WARNING,
+                Event.HEADER_UNREADABLE,
+                upstream=upstream.upstream_id,
+                header=name,
+                request_id=call.request_id,
+            )
+
     async def _forward_response(
         self,
         exchange: Exchange,
--- a/wigeondrift/router/calls.py
+++ b/wigeondrift/router/calls.py
@@ -102,6 +102,11 @@
         Address of the stage that made the request fail; empty if not stated.
     is_leaving : bool
         Whether the upstream is leaving and must get no new requests.
+    retry_after : float or None
+        Time for which the upstream wants no requests from this router, in seconds; None
+        if it names none.
+    unreadable : tuple of str
+        Names of the headers whose values can't be read.
     limit : float or None
         Requests per second that the upstream takes from all routers together; None if
         it names no limit.
@@ -115,8 +120,10 @@
         "is_signed",
         "limit",
         "request_id",
+        "retry_after",
         "running",
         "status",
+        "unreadable",
         "waiting",
     )
 
@@ -133,6 +140,8 @@
         faulty_address: str,
         limit: float | None = None,
         is_leaving: bool = False,
+        retry_after: float | None = None,
+        unreadable: tuple[str, ...] = (),
     ) -> None:
         self.status = status
         self.headers = headers
@@ -144,3 +153,5 @@
         self.faulty_address = faulty_address
         self.limit = limit
         self.is_leaving = is_leaving
+        self.retry_after = retry_after
+        self.unreadable = unreadable
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -171,7 +171,7 @@
             outcome = error.kind.value
             if error.kind in METRICS_BY_KIND:
                 self._metrics.count(METRICS_BY_KIND[error.kind])
-            await self._refuse(exchange, error, call)
+            await self._refuse(exchange, error, context)
         except CallerDisconnected as error:
             outcome = "caller_gone"
             raise ConnectionLost(str(error)) from error
@@ -260,7 +260,7 @@
         return budget
 
     async def _refuse(
-        self, exchange: Exchange, error: RequestError, call: CallerRequest
+        self, exchange: Exchange, error: RequestError, context: RequestContext | None
     ) -> None:
         if exchange.started:
             # A truncated response must not look complete.
@@ -271,6 +271,9 @@
                 seconds = float(error.retry_after)
             else:
                 seconds = max(RETRY_AFTER_SECONDS, self._wait_queue.estimate_wait())
+                if context is not None:
+                    wait = self._selector.get_limit_wait(context.service, ())
+                    seconds = max(seconds, wait)
             seconds += RETRY_AFTER_JITTER * self._rng.random()
             headers.append(("Retry-After", f"{seconds:.2f}"))
         await exchange.respond(error.status, headers, error.reason.encode())
--- a/wigeondrift/router/probing.py
+++ b/wigeondrift/router/probing.py
@@ -60,11 +60,14 @@
         health = self._selector.health
         now = trio.current_time()
         cut_off = set(self._selector.reach.list_cut_off(now))
+        closed = self._selector.back_offs.list_closed(now)
         avoided = []
         for service in configuration.services_by_name.values():
             if service.engine is None:
                 continue
             for runner in self._directory.list_service(service.name):
+                if runner.upstream_id in closed:
+                    continue
                 if health.is_avoided(runner.upstream_id, now):
                     avoided.append(runner)
                 elif runner.failure_domain in cut_off:
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -7,6 +7,7 @@
 import trio
 
 from wigeondrift.router.entities import EngineSpec, ServiceSpec, Upstream
+from wigeondrift.systems.back_offs import BackOffs
 from wigeondrift.systems.cache_usage import CacheLedger
 from wigeondrift.systems.chains import ChainSet, RouteDemand, RouteOffer
 from wigeondrift.systems.directory import Directory
@@ -104,6 +105,7 @@
         "_reported_load_by_id",
         "_cache_capacity_by_key",
         "_unfit_entry_by_id",
+        "back_offs",
         "health",
         "ledger",
         "limits",
@@ -134,6 +136,7 @@
         self.peer_count = 0
         self.health = Health()
         self.reach = Reachability(failure_domain)
+        self.back_offs = BackOffs()
         self.limits = RequestLimits(instance_id)
         self.ledger = CacheLedger(self._get_cache_capacity)
 
@@ -259,6 +262,22 @@
                 request_id=request_id,
             )
 
+    def record_back_off(
+        self, upstream: Upstream, seconds: float, request_id: str
+    ) -> None:
+        """Send nothing to an upstream for as long as it asks for in an answer."""
+        now = trio.current_time()
+        left_out = self.back_offs.record(upstream.upstream_id, seconds, now)
+        log_event(
+            self._logger,
+            logging.INFO,
+            Event.UPSTREAM_BACK_OFF,
+            upstream=upstream.upstream_id,
+            asked_seconds=seconds,
+            seconds=round(left_out, 3),
+            request_id=request_id,
+        )
+
     def choose_chain(
         self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
     ) -> Reservation | None:
@@ -268,7 +287,7 @@
         offer = self.get_chains(service).choose(
             demand,
             self.ledger,
-            excluded,
+            {*excluded, *self.back_offs.list_closed(now)},
             self._failure_domain,
             rng,
             self._instance_id,
@@ -279,26 +298,32 @@
         return Reservation(offer, demand, self.ledger)
 
     def get_limit_wait(self, service: ServiceSpec, excluded: Collection[str]) -> float:
-        """Return the time until a limit may let a request through, in seconds.
+        """Return the time until some upstream may take a request, in seconds.
 
-        It is zero if an upstream that may be used is not at its limit, or if there is
-        no upstream.
+        It is zero if an upstream that may be used is neither at its limit nor left out
+        because it asked for it, or if there is no upstream.
         """
-        if self.limits.is_empty:
+        now = trio.current_time()
+        if self.limits.is_empty and not self.back_offs.list_closed(now):
             return 0.0
         if service.engine is not None and service.engine.layers:
-            upstreams = [
-                chain.runners[0]
+            routes = [
+                chain.route.instance_ids
                 for chain in self.get_chains(service).chains
                 if not set(excluded).intersection(chain.route.instance_ids)
             ]
         else:
-            upstreams = self._list_members(service.name, excluded)
-        now = trio.current_time()
-        return min(
-            (self.limits.get_wait(one.upstream_id, now) for one in upstreams),
-            default=0.0,
-        )
+            members = self._list_members(service.name, excluded)
+            routes = [(member.upstream_id,) for member in members]
+        # Only the first upstream of a route has a limit for requests.
+        waits = [
+            max(
+                self.limits.get_wait(route[0], now),
+                self.back_offs.get_wait(route, now),
+            )
+            for route in routes
+        ]
+        return min(waits, default=0.0)
 
     def _list_members(self, service: str, excluded: Collection[str]) -> list[Upstream]:
         return [
@@ -314,7 +339,7 @@
         their limit not at all.
         """
         now = trio.current_time()
-        closed = self.limits.list_closed(now)
+        closed = {*self.limits.list_closed(now), *self.back_offs.list_closed(now)}
         members = [
             member
             for member in self._list_members(service, excluded)
--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -59,6 +59,8 @@
     ISSUER_SILENT = 3519, "The router that issues permits does not answer."
     UPSTREAM_DIED = 3516, "An upstream died while it ran a request."
     UPSTREAM_LEAVING = 3524, "An upstream said in an answer that it is leaving."
+    UPSTREAM_BACK_OFF = 3525, "An upstream wants no requests from here for a time."
+    HEADER_UNREADABLE = 3526, "A header of an upstream's answer can't be read."
     UPSTREAM_REPLACED = 3520, "An upstream had ended when a request failed at it."
     PEER_UNREADABLE = 3521, "A peer's entry or message is invalid."
     RELAY_LOST = 3523, "A router that reads the store for this one failed."
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -26,6 +26,8 @@
     ----------
     served : list of Request
         Requests that the upstream started to run.
+    refusals : int
+        Number of requests answered with the fault ``refuse``.
     fault : str
         Injected fault, none if empty: ``refuse`` (full: 503, not executed),
         ``reset`` (connection reset after some events, or at once if the answer is no
@@ -50,6 +52,8 @@
         Number of times that the report was requested.
     limit : str
         Limit named in each answer, none if empty.
+    retry_after : str
+        Time named in each refusal, none if empty.
     leaving_mark : str
         Value of the header of leaving upstreams in each answer, none if empty.
     born : int
@@ -66,6 +70,7 @@
         self.upstream_id = upstream_id
         self.events = events
         self.served: list[Request] = []
+        self.refusals = 0
         self.fault = ""
         self.events_before_fault = 3
         self.reported_stall_address = ""
@@ -77,6 +82,7 @@
         self.born = 1
         self.limit = ""
         self.leaving_mark = ""
+        self.retry_after = ""
         self.deadly = ""
         self.on_death: Callable[[ModelServer], Awaitable[None]] | None = None
 
@@ -142,7 +148,11 @@
             headers.append(("Server-Limit", self.limit))
         headers.extend(self._make_leaving_headers())
         if self.fault == "refuse":
-            await exchange.respond(503, [*headers[2:], NOT_EXECUTED_HEADER])
+            headers = [*headers[2:], NOT_EXECUTED_HEADER]
+            if self.retry_after:
+                headers.append(("Retry-After", self.retry_after))
+            self.refusals += 1
+            await exchange.respond(503, headers)
             return
         self.served.append(request)
         if self.deadly and self._is_deadly(request):
