Use an upstream again that is listed on after a restoration without a new entry

Found in the read-through: an upstream that was dropped while it was cut off from the store, and that a copy lists again, was left out until its entry changed, which it need not. Now it is used once the entry has outlived four heartbeats. One scenario, failed before.

The search of replaced upstreams no longer compares each death with all others.

--- a/tests/features/restored.feature
+++ b/tests/features/restored.feature
@@ -84,3 +84,10 @@
     And the store is restored from the copy, and not written again for 3 seconds
     Then a request for the route "added" is complete
     And each version was applied once
+
+  Scenario: An upstream that lives and is listed without a new entry is used again
+    When a copy of the store is made
+    And member "d3" joins and the other members are delisted
+    And the store is restored from the copy, and not written again for 1 seconds
+    Then 10 requests are served by "d3" alone
+    And after 6 seconds all members that are still listed are used
--- a/tests/features/steps/restored_steps.py
+++ b/tests/features/steps/restored_steps.py
@@ -390,3 +390,13 @@
         assert all(served[member] for member in MEMBERS), served
 
     queue_action(context, check)
+
+
+@then("after {seconds:d} seconds all members that are still listed are used")
+def check_listed_are_used(context, seconds):
+    async def check(world):
+        await trio.sleep(seconds)
+        served = await count_served(world, 20)
+        assert all(served[member] for member in MEMBERS), served
+
+    queue_action(context, check)
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -164,7 +164,7 @@
                 self._logger, logging.INFO, Event.UPSTREAM_GONE, upstream=upstream_id
             )
             self._notify()
-        if not self._directory.has_missing:
+        if not self._directory.has_uncertain:
             self.expiry_activity.end()
 
     async def _run(self) -> None:
@@ -366,7 +366,7 @@
             self._notify()
 
     def _notify(self) -> None:
-        if self._directory.has_missing:
+        if self._directory.has_uncertain:
             self.expiry_activity.begin()
         for callback in self._subscribers:
             callback()
--- a/wigeondrift/systems/directory.py
+++ b/wigeondrift/systems/directory.py
@@ -12,6 +12,9 @@
 # Time within which live upstreams are listed again after an outage, in seconds; given
 # by the requirements on the platform.
 REREGISTRATION_SECONDS = 2.0
+# Heartbeat intervals after which an upstream that does not write again is no longer
+# listed.
+LISTED_HEARTBEATS = 4.0
 # Upstreams that have left or are leaving and are remembered; the oldest are dropped
 # first.
 MAX_DEPARTED = 1024
@@ -33,6 +36,8 @@
     __slots__ = (
         "_answered_at",
         "_departed_starts_by_id",
+        "_doubted_by_id",
+        "_doubted_until",
         "_heartbeat",
         "_leaving_starts_by_id",
         "_missing_ids",
@@ -48,6 +53,9 @@
         self._missing_ids: set[str] = set()
         # Start of the incarnation that has left, in milliseconds since the epoch.
         self._departed_starts_by_id: dict[str, int] = {}
+        # Entries of such incarnations in the first list of a restored store.
+        self._doubted_by_id: dict[str, Upstream] = {}
+        self._doubted_until = 0.0
         # The same of incarnations that have said so themselves.
         self._leaving_starts_by_id: dict[str, int] = {}
         self.upstreams_by_id: dict[str, Upstream] = {}
@@ -74,9 +82,9 @@
         return now - self._recovered_at < REREGISTRATION_SECONDS
 
     @property
-    def has_missing(self) -> bool:
-        """Whether entries that may have expired in an outage are still kept."""
-        return bool(self._missing_ids)
+    def has_uncertain(self) -> bool:
+        """Whether entries are kept, or left out, that time will tell of."""
+        return bool(self._missing_ids or self._doubted_by_id)
 
     def replace_all(
         self, upstreams: Iterable[Upstream], now: float, is_restored: bool = False
@@ -89,16 +97,22 @@
         now : float
         is_restored : bool
             Whether the list is a copy of before. Then an incarnation that has left or
-            is leaving stays so until its next entry, and those that are missing may
-            register again.
+            is leaving stays so until its next entry, or until it is still listed after
+            it should have lapsed, and those that are missing may register again.
         """
         listed = {upstream.upstream_id: upstream for upstream in upstreams}
         if is_restored:
             self._recovered_at = now
+            self._doubted_until = now + LISTED_HEARTBEATS * self._heartbeat
+            self._doubted_by_id = {
+                upstream_id: upstream
+                for upstream_id, upstream in listed.items()
+                if self._has_departed(upstream)
+            }
             listed = {
                 upstream_id: self._mark_if_leaving(upstream)
                 for upstream_id, upstream in listed.items()
-                if not self._has_departed(upstream)
+                if upstream_id not in self._doubted_by_id
             }
         for upstream in listed.values():
             self.put(upstream)
@@ -129,6 +143,7 @@
             upstream = msgspec.structs.replace(upstream, is_leaving=True)
         elif started_at_ms is not None:
             del self._leaving_starts_by_id[upstream.upstream_id]
+        self._doubted_by_id.pop(upstream.upstream_id, None)
         self._missing_ids.discard(upstream.upstream_id)
         if self.upstreams_by_id.get(upstream.upstream_id) != upstream:
             self.upstreams_by_id[upstream.upstream_id] = upstream
@@ -154,6 +169,7 @@
 
     def remove(self, upstream_id: str, now: float) -> None:
         """Remove one entry; after an outage, only mark it as missing."""
+        self._doubted_by_id.pop(upstream_id, None)
         if upstream_id not in self.upstreams_by_id:
             return
         if self.is_recovering(now):
@@ -164,11 +180,16 @@
     def expire(self, now: float) -> list[str]:
         """Remove the upstreams that did not register again after an outage.
 
+        Those that a restored store still lists, although they would have lapsed, live.
+
         Returns
         -------
         list of str
             Ids of the removed upstreams.
         """
+        if self._doubted_by_id and now >= self._doubted_until:
+            for upstream in list(self._doubted_by_id.values()):
+                self.put(upstream)
         if not self._missing_ids or self.is_recovering(now):
             return []
         gone = sorted(self._missing_ids)
--- a/wigeondrift/systems/unconfirmed.py
+++ b/wigeondrift/systems/unconfirmed.py
@@ -77,15 +77,11 @@
         if not self._deaths:
             return []
         ids_by_address = {one.address: name for name, one in upstreams_by_id.items()}
-        confirmed = [
-            death
-            for death in self._deaths
-            if _is_replaced(death.upstream, upstreams_by_id, ids_by_address)
-        ]
-        self._deaths = deque(
-            (death for death in self._deaths if death not in confirmed),
-            maxlen=MAX_UNCONFIRMED,
-        )
+        confirmed, others = [], []
+        for death in self._deaths:
+            is_replaced = _is_replaced(death.upstream, upstreams_by_id, ids_by_address)
+            (confirmed if is_replaced else others).append(death)
+        self._deaths = deque(others, maxlen=MAX_UNCONFIRMED)
         return confirmed
 
 
