--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -158,7 +158,10 @@
         nursery.start_soon(self._run)
 
     async def expire(self, now: float) -> None:
-        """Drop upstreams that stayed unlisted after an outage; called by the timer."""
+        """Drop upstreams that stayed unlisted after an outage; called by the timer.
+
+        Those that a restored store still lists are used again.
+        """
         for upstream_id in self._directory.expire(self.get_time()):
             log_event(
                 self._logger, logging.INFO, Event.UPSTREAM_GONE, upstream=upstream_id
@@ -195,7 +198,7 @@
         page = await self._store.list_items("")
         self._record_answer(self.get_time(), 0.0)
         is_first = not self.change_log.revision
-        is_restored = not is_first and self._is_restored(page.position)
+        is_restored = not is_first and self._detect_restoration(page.position)
         upstream_items = [item for item in page.items if item.key.startswith(prefix)]
         router_items = [
             item for item in page.items if item.key.startswith(ROUTER_KEYS_PREFIX)
@@ -336,8 +339,8 @@
             self.unavailable_since = None
             log_event(self._logger, logging.INFO, Event.PLATFORM_BACK, age=self.age)
 
-    def _is_restored(self, position: Position) -> bool:
-        """Return whether a list of all items is of another history than is known."""
+    def _detect_restoration(self, position: Position) -> bool:
+        """Return and log whether a list of all items is of another history."""
         known = self.change_log.position
         if position.era == known.era and position.revision >= known.revision:
             return False
--- a/wigeondrift/wire/http_client.py
+++ b/wigeondrift/wire/http_client.py
@@ -164,7 +164,15 @@
 
 
 class ClientChannel:
-    """HTTP/1.1 client connection that carries one request at a time."""
+    """HTTP/1.1 client connection that carries one request at a time.
+
+    Attributes
+    ----------
+    is_reused : bool
+        Whether it has carried another request before the present one.
+    usable_until : float
+        Time until which it may be reused while it is idle, in seconds.
+    """
 
     __slots__ = ("_body_memory", "_connection", "_stream", "is_reused", "usable_until")
 
