--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -112,15 +112,21 @@
         Duration of the fault phase, in seconds.
     routers : int
         Number of routers.
+    has_restorations : bool
+        Whether the store is also restored from copies of before.
     """
 
-    def __init__(self, seed: int, seconds: float, routers: int) -> None:
+    def __init__(
+        self, seed: int, seconds: float, routers: int, has_restorations: bool = False
+    ) -> None:
         self._rng = random.Random(seed)
         self._seconds = seconds
         self._is_planned_only = seed % PLANNED_SEED_INTERVAL == 0
         self._deployment = Deployment(routers)
         self.callers = Callers(self._deployment, self._rng, seed)
-        self.faults = Faults(self._deployment, self._rng, self._is_planned_only)
+        self.faults = Faults(
+            self._deployment, self._rng, self._is_planned_only, has_restorations
+        )
         self.violations: list[str] = []
 
     async def run(self) -> None:
@@ -190,9 +196,9 @@
         return f"{len(calls)} requests, {served} served, {len(self.faults.log)} faults"
 
 
-def run_seed(seed: int, seconds: float, routers: int) -> bool:
+def run_seed(seed: int, seconds: float, routers: int, has_restorations: bool) -> bool:
     """Run one seed; print its result and return whether all invariants held."""
-    soak = Soak(seed, seconds, routers)
+    soak = Soak(seed, seconds, routers, has_restorations)
     try:
         trio.run(soak.run)
     except* (WigeondriftError, trio.TooSlowError, OSError) as errors:
@@ -211,7 +217,11 @@
 
 @app.default
 def main(
-    seed: int = 1, count: int = 1, seconds: float = 10.0, routers: int = 3
+    seed: int = 1,
+    count: int = 1,
+    seconds: float = 10.0,
+    routers: int = 3,
+    restorations: bool = False,
 ) -> None:
     """Run seeds one after another.
 
@@ -225,8 +235,13 @@
         Duration of the fault phase of each seed, in seconds.
     routers
         Number of routers.
+    restorations
+        Whether the store is also restored from copies of before.
     """
-    kept = sum(run_seed(seed + number, seconds, routers) for number in range(count))
+    kept = sum(
+        run_seed(seed + number, seconds, routers, restorations)
+        for number in range(count)
+    )
     print(f"{kept} kept, {count - kept} broken")
     sys.exit(0 if kept == count else 1)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,6 +25,8 @@
     rng : random.Random
     is_planned_only : bool
         Whether to inject only planned stops, reloads and configuration changes.
+    has_restorations : bool
+        Whether the store is also restored from copies of before.
 
     Attributes
     ----------
@@ -36,11 +38,16 @@
     """
 
     def __init__(
-        self, deployment: Deployment, rng: random.Random, is_planned_only: bool
+        self,
+        deployment: Deployment,
+        rng: random.Random,
+        is_planned_only: bool,
+        has_restorations: bool = False,
     ) -> None:
         self._deployment = deployment
         self._rng = rng
         self._is_planned_only = is_planned_only
+        self._has_restorations = has_restorations
         self._unavailable: set[str] = set()
         self.revoked_at_by_key: dict[str, float] = {}
         self.log: list[str] = []
@@ -57,6 +64,9 @@
             self._disturb_store,
             self._revoke,
         ]
+        if self._has_restorations:
+            # Without them, the faults of a seed stay those of before.
+            unplanned.append(self._restore_store)
         actions = planned if self._is_planned_only else [*planned, *unplanned]
         ends_at = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
@@ -151,6 +161,11 @@
         await self._hold_fault()
         program.resume()
 
+    async def _restore_store(self) -> None:
+        self._log("store: restored")
+        with trio.move_on_after(REVOCATION_TIMEOUT_SECONDS):
+            await self._deployment.set_store_mode("restored")
+
     async def _disturb_store(self) -> None:
         mode = self._rng.choice(("down", "lossy", "forget"))
         self._log(f"store: {mode}")
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -25,5 +25,8 @@
       | 4    | 4       |
       | 7    | 4       |
 
+  Scenario: A short soak test with restorations of the store violates no invariant
+    Then a soak test with restorations and seed 5003 violates no invariant
+
   Scenario: A signal to reload the settings during the start does not end a router
     Then a router that gets SIGHUP while it imports its modules goes on to start
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -95,9 +95,14 @@
     assert violated == {invariant}, list_violations(context)
 
 
+@then("a soak test with restorations and seed {seed:d} violates no invariant")
+def check_soak_with_restorations(context, seed):
+    check_soak(context, 4, seed, "--restorations")
+
+
 @then("a soak test of {seconds:d} seconds with seed {seed:d} violates no invariant")
-def check_soak(context, seconds, seed):
-    command = [sys.executable, "-m", "soak", "--seed", str(seed)]
+def check_soak(context, seconds, seed, *options):
+    command = [sys.executable, "-m", "soak", "--seed", str(seed), *options]
     done = subprocess.run(
         [*command, "--seconds", str(seconds)],
         cwd=ROOT,
--- a/wigeondrift/systems/directory.py
+++ b/wigeondrift/systems/directory.py
@@ -53,7 +53,7 @@
         self._missing_ids: set[str] = set()
         # Start of the incarnation that has left, in milliseconds since the epoch.
         self._departed_starts_by_id: dict[str, int] = {}
-        # Entries of incarnations that have left, from the first list of a restored store.
+        # Entries of such incarnations in the first list of a restored store.
         self._doubted_by_id: dict[str, Upstream] = {}
         self._doubted_until = 0.0
         # Start of the incarnation that has said itself that it is leaving.
