One copy of the version of a list of items; names that say what they cover

Membership and suspects each built era, count and newest revision and compared the first field by its index. Both use get_items_version now. The selector's get_limit_wait also counts back-offs and is called get_wait; the check of a lease's era is a function, as it uses no state. No change of behaviour.

--- a/wigeondrift/platform/store.py
+++ b/wigeondrift/platform/store.py
@@ -141,7 +141,7 @@
             "value": base64.b64encode(value).decode(),
         }
         if lease is not None:
-            self._check_era(lease, self._era)
+            _check_era(lease, self._era)
             item["lease"] = lease.number
         call = {
             "expect": [{"key": key, "revision": expected}],
@@ -150,7 +150,7 @@
         }
         body, era = await self._call("POST", "/wigeondrift/kv-txn", call, key, expected)
         if lease is not None:
-            self._check_era(lease, era)
+            _check_era(lease, era)
         return _decode(body, _TxnAnswer).revision
 
     async def delete(self, keys: Sequence[str]) -> None:
@@ -166,19 +166,15 @@
 
     async def renew_lease(self, lease: Lease) -> None:
         """Extend a lease by its full time."""
-        self._check_era(lease, self._era)
+        _check_era(lease, self._era)
         _, era = await self._call("POST", f"/wigeondrift/kv-keep/{lease.number}")
-        self._check_era(lease, era)
+        _check_era(lease, era)
 
     async def end_lease(self, lease: Lease) -> None:
         """End a lease; its keys are removed."""
         if lease.era == self._era:
             await self._call("DELETE", f"/wigeondrift/kv-lease-end/{lease.number}")
 
-    def _check_era(self, lease: Lease, era: int) -> None:
-        if lease.era != era:
-            raise LeaseEnded(f"lease {lease.number} is of era {lease.era}, not {era}")
-
     async def _call(
         self,
         method: str,
@@ -218,6 +214,12 @@
         return era
 
 
+def _check_era(lease: Lease, era: int) -> None:
+    """Raise ``LeaseEnded`` if a lease is of another era of the store."""
+    if lease.era != era:
+        raise LeaseEnded(f"lease {lease.number} is of era {lease.era}, not {era}")
+
+
 def _decode(body: bytes, kind: type[AnswerType]) -> AnswerType:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -272,7 +272,7 @@
             else:
                 seconds = max(RETRY_AFTER_SECONDS, self._wait_queue.estimate_wait())
                 if context is not None:
-                    wait = self._selector.get_limit_wait(context.service, ())
+                    wait = self._selector.get_wait(context.service, ())
                     seconds = max(seconds, wait)
             seconds += RETRY_AFTER_JITTER * self._rng.random()
             headers.append(("Retry-After", f"{seconds:.2f}"))
@@ -363,7 +363,7 @@
     async def _wait_for_limit(self, context: RequestContext, wait_until: float) -> None:
         """Wait until an upstream is below its limit; refuse at once if none will be."""
         while True:
-            wait = self._selector.get_limit_wait(context.service, context.excluded)
+            wait = self._selector.get_wait(context.service, context.excluded)
             if not wait:
                 return
             now = trio.current_time()
--- a/wigeondrift/router/membership.py
+++ b/wigeondrift/router/membership.py
@@ -8,7 +8,12 @@
 
 from wigeondrift.application import Component
 from wigeondrift.errors import LeaseEnded, PlatformError, RevisionConflict
-from wigeondrift.router.replica import ROUTER_KEYS_PREFIX, Replica
+from wigeondrift.router.replica import (
+    ROUTER_KEYS_PREFIX,
+    ItemsVersion,
+    Replica,
+    get_items_version,
+)
 from wigeondrift.store.revisions import Lease, RevisionStore
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.address import parse_address
@@ -79,8 +84,8 @@
         self._entry = entry
         self._lease: Lease | None = None
         self._peers_by_id: dict[str, RouterEntry] = {}
-        # Era, number of entries and newest revision of the list that was read last.
-        self._version: tuple[int, int, int] | None = None
+        # Version of the list that was read last.
+        self._version: ItemsVersion | None = None
         # Until when routers are kept that a restored store has lost.
         self._kept_until: float | None = None
         self._restored = trio.Event()
@@ -111,13 +116,11 @@
         return links
 
     def _read_peers(self) -> None:
-        items_by_key = self._replica.router_items_by_key
-        era = self._replica.change_log.era
-        revisions = [item.revision for item in items_by_key.values()]
-        version = (era, len(revisions), max(revisions, default=0))
+        items = self._replica.router_items_by_key.values()
+        version = get_items_version(self._replica.change_log.era, items)
         if version == self._version:
             return
-        if self._version is not None and era != self._version[0]:
+        if self._version is not None and version.era != self._version.era:
             self._kept_until = self._replica.get_time() + REREGISTRATION_SECONDS
             self._restored.set()
         self._version = version
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -2,7 +2,8 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from typing import NamedTuple
 
 import trio
 
@@ -35,6 +36,28 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class ItemsVersion(NamedTuple):
+    """Version of some of the store's items; the same if nothing has changed.
+
+    Attributes
+    ----------
+    era : int
+        Another one means that the store was restored.
+    count, revision : int
+        Number of items and their newest revision.
+    """
+
+    era: int
+    count: int
+    revision: int
+
+
+def get_items_version(era: int, items: Collection[Item]) -> ItemsVersion:
+    """Return the version of items that were read in an era of the store."""
+    revision = max((item.revision for item in items), default=0)
+    return ItemsVersion(era, len(items), revision)
+
+
 class StoreLayout:
     """Keys and formats of the platform's store.
 
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -297,7 +297,7 @@
             return None
         return Reservation(offer, demand, self.ledger)
 
-    def get_limit_wait(self, service: ServiceSpec, excluded: Collection[str]) -> float:
+    def get_wait(self, service: ServiceSpec, excluded: Collection[str]) -> float:
         """Return the time until some upstream may take a request, in seconds.
 
         It is zero if an upstream that may be used is neither at its limit nor left out
--- a/wigeondrift/router/suspects.py
+++ b/wigeondrift/router/suspects.py
@@ -12,7 +12,12 @@
 from wigeondrift.application import Component
 from wigeondrift.errors import LeaseEnded, PlatformError, RevisionConflict
 from wigeondrift.router.entities import Upstream
-from wigeondrift.router.replica import ROUTER_KEYS_PREFIX, Replica
+from wigeondrift.router.replica import (
+    ROUTER_KEYS_PREFIX,
+    ItemsVersion,
+    Replica,
+    get_items_version,
+)
 from wigeondrift.router.request_context import MAX_LOGGED_PARTS, RequestContext
 from wigeondrift.store.revisions import Item, Lease, RevisionStore
 from wigeondrift.systems.directory import Directory
@@ -129,8 +134,8 @@
         self._table = SuspectTable(instance_id)
         self._lease: Lease | None = None
         self._lease_asked_at = 0.0
-        # Era of the store, number of reports and newest revision of the last list.
-        self._listed_version: tuple[int, int, int] | None = None
+        # Version of the reports that were read last.
+        self._listed_version: ItemsVersion | None = None
         # Deaths to write, with the request that saw each.
         self._pending_requests_by_death: dict[Death, str] = {}
         # Deaths that others are to write, and when this router does so.
@@ -332,14 +337,11 @@
             for key, item in self._replica.router_items_by_key.items()
             if key.startswith(SUSPECTS_PREFIX)
         ]
-        era = self._replica.change_log.era
-        version = (era, len(items), max((item.revision for item in items), default=0))
-        if version == self._listed_version:
+        version = get_items_version(self._replica.change_log.era, items)
+        known, self._listed_version = self._listed_version, version
+        if version == known:
             return
-        is_restored = self._listed_version is not None and (
-            era != self._listed_version[0]
-        )
-        self._listed_version = version
+        is_restored = known is not None and version.era != known.era
         reports = [self._decode_report(item) for item in items]
         now = trio.current_time()
         lost = self._table.set_listed(reports, now, is_restored)
