--- a/review/harness.py
+++ b/review/harness.py
@@ -116,10 +116,16 @@
         """Start an upstream; return its address."""
         self._upstreams += 1
         address = f"{self.prefix}.2.{self._upstreams}:7000"
+        self.start_upstream(name, service, address, *options)
+        return address
+
+    def start_upstream(
+        self, name: str, service: str, address: str, *options: str
+    ) -> None:
+        """Start an upstream at an address that was in use before."""
         command = ["python3", "review/upstream.py", "--id", name, "--service", service]
         command += ["--address", address, "--zone", "east", "--store", self.store]
         self.start(f"upstream-{name}", [*command, *options])
-        return address
 
     def add_router(self, store: str = "", **settings: object) -> str:
         """Start a router; return its name."""
@@ -218,6 +224,7 @@
         seconds: float,
         key: str = KEY,
         tokens: str = "",
+        body: bytes = b"body of the request",
     ) -> Answer:
         """Send one request of a caller to a router and record what came back."""
         request_id = f"{random.getrandbits(64):016x}"
@@ -230,9 +237,10 @@
         if tokens:
             headers.append(("Wigeondrift-Token-Counts", tokens))
             headers.append(("Wigeondrift-Model", "m"))
-        body = b"" if method == "GET" else b"body of the request"
         address = f"{self.routers[router]}:8227"
-        answer = await send(address, method, target, headers, body, seconds)
+        answer = await send(
+            address, method, target, headers, b"" if method == "GET" else body, seconds
+        )
         answer.request_id = request_id
         self.note(
             f"caller: {method} {target} {request_id} at {router}: {answer.status} "
@@ -316,7 +324,7 @@
         answer.body = await reader.readexactly(int(fields["content-length"]))
         answer.is_complete = True
     elif fields.get("transfer-encoding", "") == "chunked":
-        while size := int((await reader.readline()).strip() or b"x", 16):
+        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
             answer.body += await reader.readexactly(size)
             await reader.readexactly(2)
         await reader.readexactly(2)
--- a/review/upstream.py
+++ b/review/upstream.py
@@ -6,12 +6,14 @@
 
 ``--spoil-every N`` is the disruption ``garble``: in one of N streams a single byte is
 wrong, a digit of an event's id. ``--pair`` hands out the events of a stream two at a
-time, which is sound.
+time, which is sound. ``--deadly-target`` names the path of a request that crashes the
+runner that runs it, after ``--deadly-events`` events of its stream.
 """
 
 import argparse
 import asyncio
 import json
+import os
 import sys
 import time
 
@@ -19,6 +21,7 @@
 EVENTS = 20
 EVENT_SECONDS = 0.02
 SPOILED_EVENT = 11
+CRASH_STATUS = 70
 
 
 class Upstream:
@@ -132,14 +135,19 @@
         sys.stdout.flush()
         seal = "Wigeondrift-Response-Seal: stand-in"
         if self.options.kind:
-            await self._write_stream(writer, headers, seal)
+            is_deadly = target == self.options.deadly_target
+            await self._write_stream(writer, headers, seal, is_deadly)
         else:
             await asyncio.sleep(EVENT_SECONDS)
             body = f"{self.options.service} done {request_id}".encode()
             await self._respond(writer, headers, 200, body, [seal])
 
     async def _write_stream(
-        self, writer: asyncio.StreamWriter, headers: dict[str, str], seal: str
+        self,
+        writer: asyncio.StreamWriter,
+        headers: dict[str, str],
+        seal: str,
+        is_deadly: bool,
     ) -> None:
         request_id = headers["wigeondrift-request-id"]
         self.streams += 1
@@ -155,8 +163,14 @@
         writer.write("\r\n".join([*head, "", ""]).encode())
         after = headers.get("last-event-id")
         waiting = b""
-        for number in range(int(after) + 1 if after else 0, EVENTS):
+        first = int(after) + 1 if after else 0
+        for number in range(first, EVENTS):
             await asyncio.sleep(EVENT_SECONDS)
+            if is_deadly and number - first >= self.options.deadly_events:
+                line = {"crash": request_id, "upstream": self.options.id}
+                sys.stdout.write(json.dumps({**line, "at": time.monotonic()}) + "\n")
+                sys.stdout.flush()
+                os._exit(CRASH_STATUS)
             shown = str(number)
             if is_spoiled and number == SPOILED_EVENT:
                 shown = "0" + shown[1:]
@@ -215,6 +229,8 @@
     parser.add_argument("--kind", default="")
     parser.add_argument("--pair", action="store_true")
     parser.add_argument("--spoil-every", type=int, default=0)
+    parser.add_argument("--deadly-target", default="")
+    parser.add_argument("--deadly-events", type=int, default=0)
     options = parser.parse_args()
     upstream = Upstream(options)
     host, port = options.address.split(":")
