--- a/review/upstream.py
+++ b/review/upstream.py
@@ -7,13 +7,16 @@
 ``--spoil-every N`` is the disruption ``garble``: in one of N streams a single byte is
 wrong, a digit of an event's id. ``--pair`` hands out the events of a stream two at a
 time, which is sound. ``--deadly-target`` names the path of a request that crashes the
-runner that runs it, after ``--deadly-events`` events of its stream.
+runner that runs it, after ``--deadly-events`` events of its stream. After SIGUSR1 the
+upstream leaves as some do: it never reports that it is draining, its entry is removed,
+and it goes on serving.
 """
 
 import argparse
 import asyncio
 import json
 import os
+import signal
 import sys
 import time
 
@@ -33,6 +36,7 @@
         self.born = time.time_ns() // 1_000_000
         self.orders = 0
         self.streams = 0
+        self.is_leaving = False
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -189,8 +193,7 @@
     async def register(self) -> None:
         """Write the entry to the store, periodically."""
         options = self.options
-        host, port = options.store.split(":")
-        while True:
+        while not self.is_leaving:
             first, end = self.layers
             entry = {
                 "service": options.service,
@@ -207,18 +210,34 @@
                 entry["kind"] = options.kind
                 entry["layers"] = {"from": first, "to": end, "version": 1}
             call = {"key": f"servers/{options.id}", "value": json.dumps(entry)}
-            body = json.dumps(call).encode()
-            head = f"POST /soak/beat HTTP/1.1\r\nHost: {options.store}\r\n"
-            head += f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
             try:
-                reader, writer = await asyncio.open_connection(host, int(port))
-                writer.write(head.encode() + body)
-                await asyncio.wait_for(reader.read(), 1.0)
-                writer.close()
+                await self._call_store("/soak/beat", call)
             except (OSError, TimeoutError) as error:
                 sys.stderr.write(f"no heartbeat: {error!r}\n")
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def leave(self) -> None:
+        """Remove the entry and go on serving."""
+        self.is_leaving = True
+        key = f"servers/{self.options.id}"
+        call = {"expect": [], "puts": [], "deletes": [key]}
+        await self._call_store("/wigeondrift/kv-txn", call)
+        line = {"left": self.options.id, "at": time.monotonic()}
+        sys.stdout.write(json.dumps(line) + "\n")
+        sys.stdout.flush()
+
+    async def _call_store(self, path: str, call: dict) -> None:
+        host, port = self.options.store.split(":")
+        body = json.dumps(call).encode()
+        head = f"POST {path} HTTP/1.1\r\nHost: {self.options.store}\r\n"
+        head += f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head.encode() + body)
+        answer = await asyncio.wait_for(reader.read(), 1.0)
+        writer.close()
+        if not answer.startswith(b"HTTP/1.1 200"):
+            raise OSError(f"the store answered {answer[:40]!r}")
+
 
 async def main() -> None:
     """Serve until killed."""
@@ -233,10 +252,14 @@
     parser.add_argument("--deadly-events", type=int, default=0)
     options = parser.parse_args()
     upstream = Upstream(options)
+    tasks = set()
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGUSR1, lambda: tasks.add(asyncio.ensure_future(upstream.leave()))
+    )
     host, port = options.address.split(":")
     server = await asyncio.start_server(upstream.serve, host, int(port))
     async with server:
-        await asyncio.gather(server.serve_forever(), upstream.register())
+        await asyncio.gather(upstream.register(), server.serve_forever())
 
 
 if __name__ == "__main__":
