Ask peers for their configuration version at the start of a router

A router that starts while the store holds a copy of an earlier state read a configuration in which a revoked key was still valid, and took it for current until the operator had written again.

The first new scenario of restored.feature fails without the check (200 in place of 503).

--- a/tests/features/restored.feature
+++ b/tests/features/restored.feature
@@ -91,3 +91,11 @@
     And the store is restored from the copy, and not written again for 1 seconds
     Then 10 requests are served by "d3" alone
     And after 6 seconds all members that are still listed are used
+
+  Scenario: A router that starts on an earlier copy refuses a key that its peers know to be revoked
+    When a second router starts while the store holds a copy without the revocation
+    Then the second router refuses the key until the operator has written again
+
+  Scenario: A router that starts serves keys although its peer does not answer
+    When a second router starts whose peer does not answer
+    Then the second router serves the key within a second
--- a/tests/features/steps/restored_steps.py
+++ b/tests/features/steps/restored_steps.py
@@ -3,6 +3,7 @@
 import logging
 import random
 
+import msgspec
 import trio
 from behave import then, when
 
@@ -12,8 +13,9 @@
 from tests.relay_world import RelayWorld, inject_faults
 from tests.router_world import make_configuration, make_route
 from wigeondrift.errors import LeaseEnded
-from wigeondrift.router.membership import ROUTER_ENTRIES_PREFIX
+from wigeondrift.router.membership import ROUTER_ENTRIES_PREFIX, RouterEntry
 from wigeondrift.telemetry.events import LOGGER_NAME, Event
+from wigeondrift_emulator.memory_network import MemoryClient
 
 OUTAGE_SECONDS = 1.0
 LEASE_SECONDS = 60.0
@@ -400,3 +402,67 @@
         assert all(served[member] for member in MEMBERS), served
 
     queue_action(context, check)
+
+
+@when("a second router starts while the store holds a copy without the revocation")
+def start_on_copy(context):
+    async def start(world):
+        entry = RouterEntry("10.0.0.9:7340", "east")
+        key = f"{ROUTER_ENTRIES_PREFIX}router-1"
+        world.store.write(key, msgspec.json.encode(entry))
+        copy = world.store.copy()
+        world.put_configuration(version=2, keys=("another",))
+        await trio.sleep(2.0)
+        await restore(world, copy, is_rewritten=False)
+        context.second = await start_second(world, world.parts.version_check)
+
+    queue_action(context, start)
+
+
+@when("a second router starts whose peer does not answer")
+def start_beside_silent_peer(context):
+    async def start(world):
+        entry = RouterEntry("10.0.0.9:7340", "east")
+        key = f"{ROUTER_ENTRIES_PREFIX}router-1"
+        world.store.write(key, msgspec.json.encode(entry))
+        context.second = await start_second(world, None)
+
+    queue_action(context, start)
+
+
+async def start_second(world, peer_check):
+    """Start a router whose questions for versions reach ``peer_check``, if any."""
+    parts = world.make_parts(MemoryClient(world.network), "router-2")
+
+    async def ask(name, request):
+        assert name == "router-1", name
+        if peer_check is not None:
+            parts.version_check.apply_answer(peer_check.answer_request(request))
+
+    parts.version_check.connect(ask)
+    await parts.version_check.start(world.nursery)
+    await parts.replica.start(world.nursery)
+    await trio.sleep(0.1)
+    return parts
+
+
+@then("the second router refuses the key until the operator has written again")
+def check_refusal(context):
+    async def check(world):
+        for status in (503, 401):
+            answer = await world.call("/status/1", method="GET", router=context.second)
+            assert answer.status == status, vars(answer)
+            world.store.rewrite()
+            await trio.sleep(2.0)
+
+    queue_action(context, check)
+
+
+@then("the second router serves the key within a second")
+def check_service(context):
+    async def check(world):
+        await trio.sleep(1.0)
+        answer = await world.call("/status/1", method="GET", router=context.second)
+        assert answer.status == 200, vars(answer)
+
+    queue_action(context, check)
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+import secrets
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -43,6 +44,11 @@
 from wigeondrift.router.settings import RouterSettings
 from wigeondrift.router.sources import StoreSource
 from wigeondrift.router.suspects import SuspectRegistry
+from wigeondrift.router.version_check import (
+    VersionAnswer,
+    VersionCheck,
+    VersionRequest,
+)
 from wigeondrift.router.wait_queue import POLL_SECONDS, WaitQueue
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.exchange import UsageExchange
@@ -106,6 +112,7 @@
         "source",
         "store",
         "suspects",
+        "version_check",
         "wait_queue",
     )
 
@@ -201,6 +208,9 @@
             rng.getrandbits(PERMIT_NUMBER_BITS),
             get_time,
         )
+        self.version_check = VersionCheck(
+            self.replica, self.membership, secrets.randbits(PERMIT_NUMBER_BITS), rng
+        )
         header_codec = PlatformHeaderCodec()
         self.forwarder = Forwarder(
             replica=self.replica,
@@ -303,6 +313,10 @@
     peers.add_responder(PresenceRequest, parts.permits.answer_presence_request)
     peers.subscribe(PresenceAnswer, parts.permits.apply_presence_answer)
     parts.permits.connect(peers.send)
+    peers.add_responder(VersionRequest, parts.version_check.answer_request)
+    peers.subscribe(VersionAnswer, parts.version_check.apply_answer)
+    if settings.peer_port:
+        parts.version_check.connect(peers.send)
     components = [
         ReadyListener(settings.ready_address, READINESS_PATH, parts.readiness),
         MetricsListener(f"{settings.host}:{METRICS_PORT}", metrics),
@@ -312,6 +326,7 @@
         parts.suspects,
         peers,
         parts.permits,
+        parts.version_check,
         parts.planner,
         parts.prober,
         timer,
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -17,6 +17,7 @@
 from wigeondrift.application import Component
 from wigeondrift.router.membership import Membership
 from wigeondrift.router.selector import UpstreamSelector
+from wigeondrift.router.version_check import VersionAnswer, VersionRequest
 from wigeondrift.systems.cache_usage import PeerUsage
 from wigeondrift.systems.exchange import Member, Message, UsageExchange
 from wigeondrift.systems.limits import (
@@ -31,8 +32,8 @@
 from wigeondrift.wire.address import parse_address
 
 News = DeathNews | SoundNews | TrialNews | LimitNews
-PeerRequest = PermitRequest | PresenceRequest
-PeerAnswer = PermitAnswer | PresenceAnswer
+PeerRequest = PermitRequest | PresenceRequest | VersionRequest
+PeerAnswer = PermitAnswer | PresenceAnswer | VersionAnswer
 TaggedMessage = News | PeerRequest | PeerAnswer
 
 MAX_DATAGRAM_BYTES = 60000
--- a/wigeondrift/router/replica.py
+++ b/wigeondrift/router/replica.py
@@ -20,6 +20,7 @@
 from wigeondrift.systems.changes import ChangeLog
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.freshness import Freshness
+from wigeondrift.systems.version_floor import VersionFloor
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.timer import Activity
 
@@ -115,10 +116,15 @@
         store responds.
     expiry_activity : Activity
         Whether upstreams that are no longer listed are still kept.
+    version_floor : VersionFloor
+        Versions that peers knew when this router started.
+    holds_keys : bool
+        Whether keys are not trusted yet, as the peers still have to be asked.
     """
 
     __slots__ = (
         "_configuration_data",
+        "_configuration_read",
         "_directory",
         "_freshness",
         "_layout",
@@ -131,9 +137,11 @@
         "expiry_activity",
         "configuration",
         "get_time",
+        "holds_keys",
         "change_log",
         "unavailable_since",
         "router_items_by_key",
+        "version_floor",
     )
 
     def __init__(
@@ -157,6 +165,9 @@
         self._unreadable_by_id: dict[str, bytes] = {}
         self.configuration: Configuration | None = None
         self._configuration_data: bytes | None = None
+        self._configuration_read = trio.Event()
+        self.version_floor = VersionFloor()
+        self.holds_keys = False
         self.router_items_by_key: dict[str, Item] = {}
         self.change_log = ChangeLog()
         self.answered_at = get_time()
@@ -169,7 +180,18 @@
     @property
     def is_current(self) -> bool:
         """Whether the configuration was confirmed recently enough to trust keys."""
-        return self._freshness.is_current(self.get_time())
+        now = self.get_time()
+        configuration = self.configuration
+        if self.holds_keys or configuration is None:
+            return False
+        return self.version_floor.is_reached(
+            configuration.version, now
+        ) and self._freshness.is_current(now)
+
+    async def wait_for_configuration(self) -> Configuration:
+        """Return the configuration once a list of the store has been applied."""
+        await self._configuration_read.wait()
+        return self.configuration
 
     @property
     def age(self) -> float | None:
@@ -242,6 +264,8 @@
         if self.configuration is not None:
             self._freshness.confirm(asked_at)
         self._notify()
+        if self.configuration is not None:
+            self._configuration_read.set()
 
     def _append_difference(
         self, listed: tuple[Item, ...], known_keys: set[str], revision: int
@@ -271,6 +295,8 @@
             self._freshness.confirm(changes.confirmed_at)
         if changes.items:
             self._notify()
+        if self.configuration is not None:
+            self._configuration_read.set()
 
     def _apply(self, item: Item) -> None:
         layout = self._layout
--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -49,6 +49,7 @@
     INSTANCE_LEAVING = 3301, "An instance accepts no new work."
     CONFIGURATION_APPLIED = 3501, "A newer configuration is in force."
     CONFIGURATION_REFUSED = 3502, "A configuration is invalid; the old one stays."
+    CONFIGURATION_BEHIND = 3503, "Peers know a newer configuration than the store."
     UPSTREAM_CHANGED = 3511, "The entry of an upstream changed or was removed."
     UPSTREAM_GONE = 3512, "An upstream did not come back after an outage."
     UPSTREAM_UNREADABLE = 3513, "An entry names no usable upstream."
