Repair the routes of running streams at their first runner

A stream whose later stage died was sent again to another first runner, which used an attempt and a retry and read all tokens again at every stage. Now the router finds a route that keeps the first stage and as many others as possible, reserves its new parts and sends the order repath to the first runner.

--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -253,10 +253,36 @@
     """A runner rejected an order; nothing was started."""
 
 
+class OrderTargetMissing(OrderRejected):
+    """The runner has no request with the id that an order names."""
+
+
+class OrderConflict(OrderRejected):
+    """The runner's state differs from what an order expects."""
+
+
+class RoutePartUnavailable(OrderRejected):
+    """A part of an ordered route is not there or has no room.
+
+    Parameters
+    ----------
+    address : str
+        Address of the part.
+    """
+
+    def __init__(self, address: str) -> None:
+        super().__init__(f"{address} is not there or has no room")
+        self.address = address
+
+
 class TransportError(WigeondriftError):
     """Base of connection errors."""
 
 
+class OrderUnanswered(TransportError):
+    """An order had no answer; it may still be carried out, also seconds later."""
+
+
 class ConnectFailed(TransportError):
     """No connection was established, so no byte of the request was sent."""
 
--- a/wigeondrift/platform/upstreams.py
+++ b/wigeondrift/platform/upstreams.py
@@ -6,13 +6,19 @@
 import msgspec
 import trio
 
+from wigeondrift.entities import Route
 from wigeondrift.errors import (
+    ConnectFailed,
+    OrderConflict,
     OrderRejected,
+    OrderTargetMissing,
+    OrderUnanswered,
     ProtocolViolation,
+    RoutePartUnavailable,
     TransportError,
     UpstreamEntryError,
 )
-from wigeondrift.platform.requests import LEAVING, is_leaving
+from wigeondrift.platform.requests import LEAVING, format_route, is_leaving
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import RunnerReport, Upstream
 from wigeondrift.wire.address import parse_address
@@ -33,6 +39,10 @@
 # Far more than a report of a runner's slots takes.
 MAX_BODY_BYTES = 262144
 STATUSES_ACCEPTED = frozenset({200, 202})
+STATUS_UNKNOWN_REQUEST = 404
+STATUS_CONFLICT = 409
+# Statuses below 500, and these, guarantee that an order is not carried out.
+STATUSES_NOT_RUN = frozenset({503})
 
 
 _WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
@@ -65,6 +75,10 @@
     stalled: list[dict[str, str]] = []
 
 
+class _WireConflict(msgspec.Struct):
+    address: str = ""
+
+
 def decode_upstream(upstream_id: str, data: bytes) -> Upstream:
     """Decode the entry of an upstream.
 
@@ -178,6 +192,36 @@
             reason = body[:200].decode("latin-1")
             raise OrderRejected(f"status {response.status}: {reason}")
 
+    async def repath(self, upstream: Upstream, request_id: str, route: Route) -> None:
+        """Order the first runner of a request to continue it over another route."""
+        order = {
+            "operation": "repath",
+            "id": request_id,
+            "path": format_route(route),
+        }
+        try:
+            response, body = await self._call(
+                upstream, "POST", "/wigeondrift/order", msgspec.json.encode(order)
+            )
+        except ConnectFailed:
+            raise
+        except TransportError as error:
+            raise OrderUnanswered(str(error)) from error
+        status = response.status
+        if status in STATUSES_ACCEPTED:
+            return
+        reason = f"status {status}: {body[:200].decode('latin-1')}"
+        if status == STATUS_UNKNOWN_REQUEST:
+            raise OrderTargetMissing(reason)
+        if status == STATUS_CONFLICT:
+            address = _decode_address(body)
+            if address:
+                raise RoutePartUnavailable(address)
+            raise OrderConflict(reason)
+        if status < 500 or status in STATUSES_NOT_RUN:
+            raise OrderRejected(reason)
+        raise OrderUnanswered(reason)
+
     async def _call(
         self,
         upstream: Upstream,
@@ -198,3 +242,11 @@
                     return response, await response.read(MAX_BODY_BYTES)
         except trio.TooSlowError as error:
             raise TransportError(f"{upstream.address} did not respond") from error
+
+
+def _decode_address(body: bytes) -> str:
+    """Return the address that a refusal names, empty if it names none."""
+    try:
+        return msgspec.json.decode(body, type=_WireConflict).address
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return ""
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -1,5 +1,6 @@
 """One attempt at one upstream: sends the request and forwards the response."""
 
+import contextlib
 import logging
 from collections.abc import Awaitable
 
@@ -18,6 +19,11 @@
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import RequestKind, RunnerReport, Upstream
 from wigeondrift.router.header_codec import HeaderCodec
+from wigeondrift.router.repair import (
+    MAX_SILENCE_SHARE,
+    RepairableStream,
+    RouteRepair,
+)
 from wigeondrift.router.request_context import (
     MAX_LOGGED_PARTS,
     AttemptFailed,
@@ -32,9 +38,6 @@
 from wigeondrift.wire.http_client import ClientResponse, HttpClient
 from wigeondrift.wire.http_server import Exchange
 
-# Fraction of the callers' idle timeout without a new event after which a stream resumes
-# at another route even if no runner is known to be at fault.
-MAX_SILENCE_SHARE = 0.8
 # Interval at which the runners of a silent stream are queried.
 SILENCE_CHECK_SECONDS = 0.2
 # Fraction of the remaining time that a safe request waits for the response of one
@@ -60,9 +63,12 @@
     metrics : Metrics
     suspects : SuspectRegistry
         Receives deaths of upstreams, and which requests they survive.
+    repairs : RouteRepair
+        Changes the routes of stalled streams.
     """
 
     __slots__ = (
+        "_repairs",
         "_selector",
         "_client",
         "_control",
@@ -80,7 +86,9 @@
         header_codec: HeaderCodec,
         metrics: Metrics,
         suspects: SuspectRegistry,
+        repairs: RouteRepair,
     ) -> None:
+        self._repairs = repairs
         self._selector = selector
         self._client = client
         self._control = control
@@ -160,21 +168,28 @@
     ) -> None:
         """Send a request for a stream and cancel it if the stream stalls."""
         failure = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._watch_for_silence,
-                context,
-                upstream,
-                progress,
-                nursery.cancel_scope,
+        registration = contextlib.nullcontext()
+        if reservation is not None:
+            registration = self._repairs.register(
+                context, upstream, reservation, progress
             )
-            try:
-                await self._send(exchange, context, upstream, reservation, progress)
-                progress.ended = True
-            except WigeondriftError as error:
-                progress.ended = True
-                failure = error
-            nursery.cancel_scope.cancel()
+        with registration as stream:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    self._watch_for_silence,
+                    context,
+                    upstream,
+                    progress,
+                    stream,
+                    nursery.cancel_scope,
+                )
+                try:
+                    await self._send(exchange, context, upstream, reservation, progress)
+                    progress.ended = True
+                except WigeondriftError as error:
+                    progress.ended = True
+                    failure = error
+                nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
         if not progress.ended:
@@ -186,6 +201,7 @@
         context: RequestContext,
         upstream: Upstream,
         progress: Progress,
+        stream: RepairableStream | None,
         scope: trio.CancelScope,
     ) -> None:
         can_resume = (
@@ -198,16 +214,27 @@
                 continue
             last_event_at = progress.last_event_at
             silent_at = last_event_at + progress.silence_limit
+            if stream is not None:
+                silent_at = max(silent_at, stream.quiet_until)
             if trio.current_time() < silent_at:
-                await trio.sleep_until(silent_at)
+                if stream is None:
+                    await trio.sleep_until(silent_at)
+                else:
+                    await self._repairs.sleep_until(stream, silent_at)
                 continue
             suspects = await self._find_suspects(upstream, context.call.request_id)
             if progress.is_writing or progress.last_event_at != last_event_at:
                 continue
+            if stream is not None and await self._repairs.repair(stream, suspects):
+                continue
             silence = trio.current_time() - last_event_at
             is_lost = progress.has_events and silence >= max_silence
+            is_lost = is_lost or (stream is not None and stream.is_overdue)
             if can_resume and (suspects or is_lost):
                 progress.suspects = suspects or (upstream.upstream_id,)
+                if stream is not None and stream.has_unknown_order:
+                    # A late order would move the resumed stream at the same runner.
+                    progress.suspects = (*suspects, upstream.upstream_id)
                 scope.cancel()
                 return
             await trio.sleep(SILENCE_CHECK_SECONDS)
@@ -436,7 +463,7 @@
                 raise failure
         if events.has_pending:
             raise ConnectionLost("the stream ended within an event")
-        if is_from_start:
+        if is_from_start and not progress.is_repaired:
             self._suspects.record_completion(context)
         else:
             self._record_survival(context, progress)
@@ -460,6 +487,9 @@
             progress.first_event_at = now
             if reservation is not None:
                 reservation.record_prompt_read()
+        if progress.reads_again and reservation is not None:
+            progress.reads_again = False
+            reservation.record_prompt_read()
         progress.last_event_at = now
         if progress.events >= progress.next_survival_events:
             progress.next_survival_events = 2 * progress.events
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -33,6 +33,7 @@
 from wigeondrift.router.relay import Relay, RelayedSource
 from wigeondrift.router.reload import POLL_SECONDS as RELOAD_SECONDS
 from wigeondrift.router.reload import Reloader
+from wigeondrift.router.repair import RouteRepair
 from wigeondrift.router.replica import (
     EXPIRE_SECONDS,
     Replica,
@@ -102,6 +103,7 @@
         "readiness",
         "relay",
         "relays",
+        "repairs",
         "replica",
         "source",
         "store",
@@ -201,6 +203,9 @@
             rng.getrandbits(PERMIT_NUMBER_BITS),
             get_time,
         )
+        self.repairs = RouteRepair(
+            self.selector, control, self.wait_queue, self.suspects, metrics
+        )
         header_codec = PlatformHeaderCodec()
         self.forwarder = Forwarder(
             replica=self.replica,
@@ -210,7 +215,13 @@
             suspects=self.suspects,
             permits=self.permits,
             sender=Sender(
-                self.selector, client, control, header_codec, metrics, self.suspects
+                self.selector,
+                client,
+                control,
+                header_codec,
+                metrics,
+                self.suspects,
+                self.repairs,
             ),
             header_codec=header_codec,
             bounds=bounds,
--- a/wigeondrift/router/control.py
+++ b/wigeondrift/router/control.py
@@ -2,6 +2,7 @@
 
 import abc
 
+from wigeondrift.entities import Route
 from wigeondrift.router.entities import RunnerReport, Upstream
 
 
@@ -34,3 +35,33 @@
         OrderRejected
             If the runner rejects the order.
         """
+
+    @abc.abstractmethod
+    async def repath(self, upstream: Upstream, request_id: str, route: Route) -> None:
+        """Order the first runner of a request to continue it over another route.
+
+        Parts that the request did not use before read all its tokens so far; the other
+        parts keep their memory.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            First runner of the request, and of ``route``.
+        request_id : str
+        route : Route
+
+        Raises
+        ------
+        OrderTargetMissing
+            If the runner does not run the request.
+        RoutePartUnavailable
+            If a part of the route is not there or has no room.
+        OrderConflict
+            If the runner's state differs from what the order expects.
+        OrderRejected
+            If the runner rejects the order for another reason.
+        OrderUnanswered
+            If there was no answer; the order may be carried out later.
+        ConnectFailed
+            If the order was not sent.
+        """
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -177,15 +177,21 @@
         the caller would get a part of them.
     suspects : tuple of str
         Runners for whose silence the attempt was cancelled.
+    is_repaired : bool
+        Whether the route was changed while the stream ran.
+    reads_again : bool
+        Whether new stages of the route still read the tokens so far.
     """
 
     __slots__ = (
         "ended",
         "events",
         "first_event_at",
+        "is_repaired",
         "is_writing",
         "last_event_at",
         "next_survival_events",
+        "reads_again",
         "suspects",
     )
 
@@ -197,6 +203,8 @@
         self.ended = False
         self.is_writing = False
         self.suspects: tuple[str, ...] = ()
+        self.is_repaired = False
+        self.reads_again = False
 
     @property
     def has_events(self) -> bool:
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -6,15 +6,17 @@
 
 import trio
 
+from wigeondrift.entities import Route, Stage
 from wigeondrift.router.entities import EngineSpec, ServiceSpec, Upstream
 from wigeondrift.systems.back_offs import BackOffs
 from wigeondrift.systems.cache_usage import CacheLedger
-from wigeondrift.systems.chains import ChainSet, RouteDemand, RouteOffer
+from wigeondrift.systems.chains import Chain, ChainSet, RouteDemand, RouteOffer
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.health import Health
 from wigeondrift.systems.limits import LimitNews, RequestLimits
 from wigeondrift.systems.placement import BYTES_PER_MB
 from wigeondrift.systems.reach import Reachability
+from wigeondrift.systems.route_repair import RepairPlan, find_repair
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 
 # Added to the load of a member in another failure domain, as a fraction of its slots.
@@ -27,6 +29,68 @@
 REPORTED_LOAD_TTL_SECONDS = 1.0
 
 
+class PartsHold:
+    """Capacity reserved for one request on some stages of its route.
+
+    Attributes
+    ----------
+    stages : tuple of Stage
+    """
+
+    __slots__ = (
+        "_has_first_stage",
+        "_ledger",
+        "_pending_prefill_tokens",
+        "_tokens",
+        "stages",
+    )
+
+    def __init__(
+        self,
+        stages: tuple[Stage, ...],
+        tokens: float,
+        pending_prefill_tokens: float,
+        ledger: CacheLedger,
+        has_first_stage: bool,
+    ) -> None:
+        self.stages = stages
+        self._tokens = tokens
+        self._pending_prefill_tokens = pending_prefill_tokens
+        self._ledger = ledger
+        self._has_first_stage = has_first_stage
+        ledger.reserve(
+            Route("", stages), tokens, pending_prefill_tokens, has_first_stage
+        )
+
+    def record_prompt_read(self) -> None:
+        """Remove the tokens that were to be read from the prefill load."""
+        if self._pending_prefill_tokens:
+            self._ledger.record_prompt_read(
+                Route("", self.stages), self._pending_prefill_tokens
+            )
+            self._pending_prefill_tokens = 0.0
+
+    def retain(self, stages: Collection[Stage]) -> None:
+        """Release the stages that are not among ``stages``."""
+        kept = tuple(stage for stage in self.stages if stage in stages)
+        dropped = tuple(stage for stage in self.stages if stage not in stages)
+        if not dropped:
+            return
+        has_first_stage = self._has_first_stage and dropped[0] == self.stages[0]
+        self._ledger.release(
+            Route("", dropped),
+            self._tokens,
+            self._pending_prefill_tokens,
+            has_first_stage,
+        )
+        self._has_first_stage = self._has_first_stage and not has_first_stage
+        self.stages = kept
+
+    def release(self) -> None:
+        """Release the capacity; a second call does nothing."""
+        self.retain(())
+
+
 class Reservation:
     """Capacity reserved for one request on a route.
 
@@ -37,13 +101,7 @@
         Expected time to the first event, in seconds.
     """
 
-    __slots__ = (
-        "_demand",
-        "_ledger",
-        "_pending_prefill_tokens",
-        "chain",
-        "first_seconds",
-    )
+    __slots__ = ("_demand", "_holds", "_ledger", "chain", "first_seconds")
 
     def __init__(
         self, offer: RouteOffer, demand: RouteDemand, ledger: CacheLedger
@@ -52,22 +110,41 @@
         self.first_seconds = offer.first_seconds
         self._demand = demand
         self._ledger = ledger
-        self._pending_prefill_tokens = demand.prompt
-        ledger.reserve(self.chain.route, demand.tokens, demand.prompt)
+        stages = self.chain.route.stages
+        self._holds = [PartsHold(stages, demand.tokens, demand.prompt, ledger, True)]
 
     def record_prompt_read(self) -> None:
         """Remove the prompt from the prefill load; called at the first event."""
-        if self._pending_prefill_tokens:
-            self._ledger.record_prompt_read(
-                self.chain.route, self._pending_prefill_tokens
-            )
-            self._pending_prefill_tokens = 0.0
+        for hold in self._holds:
+            hold.record_prompt_read()
+
+    def reserve_parts(self, stages: tuple[Stage, ...], read_tokens: float) -> PartsHold:
+        """Reserve further stages for the request, which the caller must release.
+
+        Parameters
+        ----------
+        stages : tuple of Stage
+        read_tokens : float
+            Tokens that the stages read before the next event.
+        """
+        return PartsHold(stages, self._demand.tokens, read_tokens, self._ledger, False)
+
+    def add(self, hold: PartsHold) -> None:
+        """Take over capacity that is released with the reservation."""
+        self._holds.append(hold)
+
+    def move(self, chain: Chain, hold: PartsHold) -> None:
+        """Move the reservation to another route whose new stages are reserved."""
+        for earlier in self._holds:
+            earlier.retain(chain.route.stages)
+        self._holds = [kept for kept in self._holds if kept.stages]
+        self.add(hold)
+        self.chain = chain
 
     def release(self) -> None:
         """Release the reserved capacity."""
-        self._ledger.release(
-            self.chain.route, self._demand.tokens, self._pending_prefill_tokens
-        )
+        for hold in self._holds:
+            hold.release()
 
 
 class UpstreamSelector:
@@ -282,9 +359,23 @@
         self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
     ) -> Reservation | None:
         """Reserve a route for a request; return None if none has capacity."""
+        offer = self._find_offer(service, demand, excluded)
+        if offer is None:
+            return None
+        return Reservation(offer, demand, self.ledger)
+
+    def has_room(
+        self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
+    ) -> bool:
+        """Whether a route has capacity for a request now."""
+        return self._find_offer(service, demand, excluded) is not None
+
+    def _find_offer(
+        self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
+    ) -> RouteOffer | None:
         rng = self._rng if self.peer_count >= RANDOMIZED_ROUTES_MIN_PEERS else None
         now = trio.current_time()
-        offer = self.get_chains(service).choose(
+        return self.get_chains(service).choose(
             demand,
             self.ledger,
             {*excluded, *self.back_offs.list_closed(now)},
@@ -293,9 +384,48 @@
             self._instance_id,
             self.limits.list_closed(now),
         )
-        if offer is None:
-            return None
-        return Reservation(offer, demand, self.ledger)
+
+    def find_repair(
+        self,
+        service: ServiceSpec,
+        chain: Chain,
+        demand: RouteDemand,
+        lost: Collection[str],
+    ) -> RepairPlan | None:
+        """Find a route that replaces the lost runners of another one.
+
+        Parameters
+        ----------
+        service : ServiceSpec
+        chain : Chain
+        demand : RouteDemand
+            Its prompt is all that new parts have to read.
+        lost : collection of str
+            Ids of runners that must not be used.
+        """
+        now = trio.current_time()
+        closed = self.back_offs.list_closed(now)
+        runners = [
+            runner
+            for runner in self._directory.list_service(service.name)
+            if runner.upstream_id not in closed and not self.is_avoided(runner, now)
+        ]
+        return find_repair(
+            self.get_chains(service), chain, lost, runners, demand, self.ledger
+        )
+
+    def list_lost(self, chain: Chain) -> list[str]:
+        """Return the runners of a route that are avoided or no longer run as then."""
+        now = trio.current_time()
+        return [
+            runner.upstream_id
+            for runner in chain.runners
+            if self.is_avoided(runner, now) or self._is_gone(runner)
+        ]
+
+    def _is_gone(self, runner: Upstream) -> bool:
+        known = self._directory.upstreams_by_id.get(runner.upstream_id)
+        return known is None or known.started_at_ms != runner.started_at_ms
 
     def get_wait(self, service: ServiceSpec, excluded: Collection[str]) -> float:
         """Return the time until some upstream may take a request, in seconds.
--- a/wigeondrift/systems/cache_usage.py
+++ b/wigeondrift/systems/cache_usage.py
@@ -159,7 +159,13 @@
         peers = self._get_peer_sums().get(upstream_id)
         return own if peers is None else own.add(peers)
 
-    def reserve(self, route: Route, tokens: float, prompt: float = 0.0) -> None:
+    def reserve(
+        self,
+        route: Route,
+        tokens: float,
+        prompt: float = 0.0,
+        has_first_stage: bool = True,
+    ) -> None:
         """Reserve the resources of a request on a route.
 
         Parameters
@@ -169,10 +175,13 @@
             Tokens of the prompt and the expected answer.
         prompt : float
             Prompt tokens to prefill before the first output token.
+        has_first_stage : bool
+            Whether the first of the stages is the first one of the request.
         """
         for index, stage in enumerate(route.stages):
             layers = stage.end_layer - stage.first_layer
-            added = Usage(tokens * layers, 1, int(index == 0), prompt)
+            is_first = int(has_first_stage and index == 0)
+            added = Usage(tokens * layers, 1, is_first, prompt)
             self._change(stage.instance_id, added, 1)
         self._notify()
 
@@ -182,14 +191,21 @@
             self._change(stage.instance_id, Usage(pending_prefill_tokens=prompt), -1)
         self._notify()
 
-    def release(self, route: Route, tokens: float, prompt: float = 0.0) -> None:
+    def release(
+        self,
+        route: Route,
+        tokens: float,
+        prompt: float = 0.0,
+        has_first_stage: bool = True,
+    ) -> None:
         """Release the resources of a request on a route.
 
         ``prompt`` is the number of prompt tokens not recorded as prefilled.
         """
         for index, stage in enumerate(route.stages):
             layers = stage.end_layer - stage.first_layer
-            added = Usage(tokens * layers, 1, int(index == 0), prompt)
+            is_first = int(has_first_stage and index == 0)
+            added = Usage(tokens * layers, 1, is_first, prompt)
             self._change(stage.instance_id, added, -1)
         self._notify()
 
--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -130,6 +130,24 @@
         self.first_seconds = first_seconds
 
 
+class PartEstimate:
+    """Cost of running some layers of a request on one runner.
+
+    Attributes
+    ----------
+    cost : float
+        Cost by which runners are compared, in seconds.
+    read_seconds : float
+        Expected time until the request's tokens have been read through the layers.
+    """
+
+    __slots__ = ("cost", "read_seconds")
+
+    def __init__(self, cost: float, read_seconds: float) -> None:
+        self.cost = cost
+        self.read_seconds = read_seconds
+
+
 class _Path:
     __slots__ = ("cost", "first_layer", "previous", "runner")
 
@@ -405,6 +423,31 @@
             self.chains, demand, ledger, excluded_ids, failure_domain, closed
         )
 
+    def estimate_part(
+        self, runner: Upstream, layers: int, demand: RouteDemand, ledger: CacheLedger
+    ) -> PartEstimate | None:
+        """Return the cost of a part of a route, None without KV cache for it."""
+        engine = self._engine
+        total = ledger.get_capacity(runner)
+        used = ledger.get_usage(runner.upstream_id)
+        if used.cells + demand.tokens * layers > total * CACHE_FRACTION or not total:
+            return None
+        chunks = max(1.0, demand.prompt / engine.chunk_tokens)
+        chunks += used.pending_prefill_tokens / engine.chunk_tokens
+        read_seconds = HOP_SECONDS + chunks * self._get_prefill_step_seconds(
+            runner, layers, used
+        )
+        tokens = used.cells / max(1, layers)
+        step_seconds = HOP_SECONDS + self._get_step_seconds(
+            runner, layers, used.requests + 1, tokens
+        )
+        cost = (
+            read_seconds
+            + STREAM_DURATION_WEIGHT * step_seconds * engine.mean_answer_tokens
+        )
+        cost /= 1.0 - min(SATURATION_LOAD, used.cells / total)
+        return PartEstimate(cost, read_seconds)
+
     def _list_preferred(self, ledger: CacheLedger, router: str) -> list[Chain]:
         """Return the routes that a router prefers.
 
--- a/wigeondrift/telemetry/metrics.py
+++ b/wigeondrift/telemetry/metrics.py
@@ -51,6 +51,18 @@
     )
     TOKENS = "tokens", "counter", "tokens", "Tokens handed to callers."
     RESUMES = "streams.resumed", "counter", "streams", "Streams resumed elsewhere."
+    REPAIRS = (
+        "streams.repaired",
+        "counter",
+        "streams",
+        "Streams whose route was changed at their first runner.",
+    )
+    REPAIR_FAILURES = (
+        "streams.repair_failed",
+        "counter",
+        "streams",
+        "Changes of a stream's route that failed.",
+    )
     FIRST_TOKEN = "first_token", "timing", "ms", "Time to the first token."
     REQUEST_TIME = "request_time", "timing", "ms", "Time to the end of the answer."
     RUNNING = "running", "gauge", "requests", "Requests in progress."
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -8,11 +8,43 @@
 from wigeondrift.wire.http_server import Exchange, Request
 
 EVENT_SECONDS = 0.02
+# Time after which a request that depends on a dead runner is cut off.
+STALL_SECONDS = 2.5
 SEAL_HEADER = ("Wigeondrift-Response-Seal", "stand-in")
 LEAVING_HEADER = "Server-Leaving"
+ROUTE_HEADER = "wigeondrift-hop-count"
+FAULTY_HEADER = "At-Server"
 NOT_EXECUTED_HEADER = ("Wigeondrift-Not-Executed", "1")
 
 
+class RunningRequest:
+    """A request in progress at its first runner.
+
+    Attributes
+    ----------
+    path : list of str
+        Addresses of the parts of its route.
+    is_moved : bool
+        Whether an order has changed the path.
+    was_moved : trio.Event
+        Set at the next change.
+    is_stalled : bool
+    """
+
+    def __init__(self, path: list[str]) -> None:
+        self.path = path
+        self.is_moved = False
+        self.was_moved = trio.Event()
+        self.is_stalled = False
+
+    def move(self, path: list[str]) -> None:
+        """Continue over another path."""
+        self.path = path
+        self.is_moved = True
+        self.was_moved.set()
+        self.was_moved = trio.Event()
+
+
 class ModelServer:
     """One model runner or one instance of a plain service.
 
@@ -46,6 +78,19 @@
         Number of orders accepted.
     orders : list of dict
         Orders accepted.
+    dead_addresses : set of str
+        Addresses of dead runners, shared by the servers of one world. A request whose
+        path has one stalls until an order moves it, and is cut off after some seconds.
+        One that arrives is answered 503 (not executed).
+    read_seconds : float
+        Time that new parts of a path take to read the tokens so far.
+    order_fault : str
+        Fault of orders to change a path, none if empty: ``full`` (409 that names
+        ``refused_address``, if the path has it), ``late`` (carried out after
+        ``late_seconds``, never answered), ``conflict`` (409 without an address).
+    refused_address : str
+    late_seconds : float
+    running_by_id : dict of str to RunningRequest
     aborted_calls : int
         Number of calls that their caller closed before the answer was complete.
     reports : int
@@ -79,6 +124,12 @@
         self.layers = (0, 0)
         self.order_count = 0
         self.orders: list[dict] = []
+        self.dead_addresses: set[str] = set()
+        self.read_seconds = 0.05
+        self.order_fault = ""
+        self.refused_address = ""
+        self.late_seconds = 1.5
+        self.running_by_id: dict[str, RunningRequest] = {}
         self.aborted_calls = 0
         self.reports = 0
         self.born = 1
@@ -107,12 +158,11 @@
     async def _respond_report(self, exchange: Exchange) -> None:
         self.reports += 1
         stalled = []
-        if self.reported_stall_address:
-            for request in self.served:
-                request_id = request.headers_by_name["wigeondrift-request-id"]
-                stalled.append(
-                    {"id": request_id, "address": self.reported_stall_address}
-                )
+        for request in self.served:
+            request_id = request.headers_by_name["wigeondrift-request-id"]
+            address = self._find_stalling(request_id)
+            if address:
+                stalled.append({"id": request_id, "address": address})
         report = {
             "stage": "both",
             "busy": False,
@@ -129,11 +179,30 @@
         headers = self._make_leaving_headers()
         await exchange.respond(200, headers, msgspec.json.encode(report))
 
+    def _find_stalling(self, request_id: str) -> str:
+        """Return the address that stalls a request, empty if none does."""
+        running = self.running_by_id.get(request_id)
+        is_moved = running is not None and running.is_moved
+        if self.reported_stall_address and not is_moved:
+            return self.reported_stall_address
+        if running is None or not running.is_stalled:
+            return ""
+        return self._find_dead(running.path)
+
+    def _find_dead(self, path: list[str]) -> str:
+        for address in path:
+            if address in self.dead_addresses or address == self.reported_stall_address:
+                return address
+        return ""
+
     def _make_leaving_headers(self) -> list[tuple[str, str]]:
         return [(LEAVING_HEADER, self.leaving_mark)] if self.leaving_mark else []
 
     async def _handle_order(self, exchange: Exchange) -> None:
         order = msgspec.json.decode(exchange.request.body)
+        if order["operation"] == "repath":
+            await self._handle_repath(exchange, order)
+            return
         if order.get("expect") != self.order_count:
             await exchange.respond(409, [])
             return
@@ -143,7 +212,53 @@
             self.layers = (order["from"], order["to"])
         await exchange.respond(202, [])
 
+    async def _handle_repath(self, exchange: Exchange, order: dict) -> None:
+        if self.order_fault == "late":
+            await trio.sleep(self.late_seconds)
+        running = self.running_by_id.get(order["id"])
+        if running is None:
+            await self._answer_order(exchange, 404)
+            return
+        path = _parse_path(order["path"])
+        refused = self._find_dead(path)
+        if self.order_fault == "full" and self.refused_address in path:
+            refused = self.refused_address
+        if refused:
+            body = msgspec.json.encode({"address": refused})
+            await self._answer_order(exchange, 409, body)
+            return
+        expected = order.get("expect", self.order_count)
+        if expected != self.order_count or self.order_fault == "conflict":
+            await self._answer_order(exchange, 409)
+            return
+        self.order_count += 1
+        self.orders.append(order)
+        running.move(path)
+        await self._answer_order(exchange, 202)
+
+    async def _answer_order(
+        self, exchange: Exchange, status: int, body: bytes = b""
+    ) -> None:
+        if self.order_fault == "late":
+            raise trio.BrokenResourceError
+        await exchange.respond(status, [], body)
+
     async def _run(self, exchange: Exchange) -> None:
+        path = _parse_path(exchange.request.headers_by_name.get(ROUTE_HEADER, ""))
+        dead = next((part for part in path if part in self.dead_addresses), "")
+        if dead:
+            self.refusals += 1
+            headers = [NOT_EXECUTED_HEADER, (FAULTY_HEADER, dead)]
+            await exchange.respond(503, headers)
+            return
+        request_id = exchange.request.headers_by_name.get("wigeondrift-request-id", "")
+        self.running_by_id[request_id] = RunningRequest(path)
+        try:
+            await self._run_request(exchange)
+        finally:
+            self.running_by_id.pop(request_id, None)
+
+    async def _run_request(self, exchange: Exchange) -> None:
         request = exchange.request
         request_id = request.headers_by_name.get("wigeondrift-request-id", "")
         headers = [("Wigeondrift-Request-Id", request_id), SEAL_HEADER]
@@ -188,6 +303,8 @@
         raise trio.BrokenResourceError
 
     async def _stream(self, exchange: Exchange, headers: list, is_deadly: bool) -> None:
+        request_id = exchange.request.headers_by_name.get("wigeondrift-request-id", "")
+        running = self.running_by_id[request_id]
         after = exchange.request.headers_by_name.get("last-event-id")
         first = int(after) + 1 if after else 0
         await exchange.start(200, headers)
@@ -201,14 +318,34 @@
             if sent == self.events_before_fault and self.fault == "reset":
                 raise trio.BrokenResourceError
             if sent == self.events_before_fault and self.fault == "stall":
-                await trio.sleep_forever()
+                if not self.reported_stall_address:
+                    await trio.sleep_forever()
+                await self._wait_for_path(running)
             if sent == self.events_before_fault and self.fault == "dribble":
                 await self._send_comments(exchange)
+            if not self.dead_addresses.isdisjoint(running.path):
+                await self._wait_for_path(running)
             await exchange.send(b"id: %d\ndata: token %d\n\n" % (number, number))
         await exchange.finish()
 
+    async def _wait_for_path(self, running: RunningRequest) -> None:
+        """Wait until an order moves a request away from dead runners."""
+        running.is_stalled = True
+        with trio.move_on_after(STALL_SECONDS) as scope:
+            while self._find_dead(running.path):
+                await running.was_moved.wait()
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError
+        running.is_stalled = False
+        await trio.sleep(self.read_seconds)
+
     async def _send_comments(self, exchange: Exchange) -> None:
         """Send comments, which are no events, until the caller closes."""
         while True:
             await exchange.send(b": still here\n\n")
             await trio.sleep(EVENT_SECONDS)
+
+
+def _parse_path(text: str) -> list[str]:
+    """Return the addresses of the parts of a route."""
+    return [part.partition("=")[0] for part in text.split(",") if part]
