Send a request again to the runner that turned it away for a later stage

A first runner that answers 503 for a dead later stage lives and has not run the request. It is sent to it again over a route without that stage if no attempt is left or no other route has room. That is an arrival in the retry budget but no further runner.

--- a/tests/features/route_repair.feature
+++ b/tests/features/route_repair.feature
@@ -82,6 +82,31 @@
     And the stream was resumed at the first stage of the other replica
     And no capacity is reserved
 
+  # Guards against requests refused after one attempt while their first runner lives.
+  Scenario Outline: A request turned away for a dead later stage is sent again there
+    Given two replicas, a spare for the second stage, and streams of 20 events
+    And the route allows <attempts> attempts
+    And <other>
+    When a stream is requested after the second stage has died
+    Then the stream is complete with events 0 to 19
+    And the request reached <runners> first runners in <arrivals> arrivals
+    And no capacity is reserved
+
+    Examples:
+      | attempts | other                        | runners | arrivals |
+      | 1        | the other replica is there   | 1       | 2        |
+      | 2        | the other replica is there   | 1       | 2        |
+      | 2        | the other replica has no room | 1      | 2        |
+      | 2        | the spare has no room        | 2       | 2        |
+
+  # Guards against repeats beyond the retry budget.
+  Scenario: A request turned away is not sent again without retry budget
+    Given two replicas, a spare for the second stage, and streams of 20 events
+    And the route allows 1 attempts
+    And there is no retry budget
+    When a stream is requested after the second stage has died
+    Then the status is 503 after 1 arrival
+
   Scenario: A fault reported by others starts the repair without waiting for silence
     Given two replicas, a spare for the second stage, and streams of 20 events
     When the second stage dies after 0.1 seconds of a stream, which is reported at once
--- a/tests/features/steps/route_repair_steps.py
+++ b/tests/features/steps/route_repair_steps.py
@@ -1,14 +1,15 @@
 import msgspec
 import trio
 from behave import given, then, when
-from hypothesis import settings
 from hypothesis import given as given_values
+from hypothesis import settings
 from hypothesis import strategies as st
 
 from tests.router_world import ENGINE, RouterWorld, make_configuration, make_engine
 from wigeondrift.entities import Route, Stage
 from wigeondrift.router.entities import Upstream
 from wigeondrift.router.selector import Reservation
+from wigeondrift.router.settings import Bounds
 from wigeondrift.systems.cache_usage import CacheLedger
 from wigeondrift.systems.chains import (
     CACHE_FRACTION,
@@ -262,6 +263,70 @@
     play_stream(context, act)
 
 
+@given("the other replica is there")
+def keep_other(context):
+    pass
+
+
+@given("the other replica has no room")
+def fill_other(context):
+    fill_runner(context, "b1")
+
+
+@given("the spare has no room")
+def fill_spare(context):
+    fill_runner(context, "c2")
+
+
+def fill_runner(context, name):
+    async def fill(world):
+        stage = Stage(name, world.address_of(name), 0, 40)
+        world.parts.selector.ledger.reserve(Route("", (stage,)), 1e6)
+        context.filled = name
+
+    context.before.append(fill)
+
+
+@given("there is no retry budget")
+def empty_budget(context):
+    context.world.settings = msgspec.structs.replace(
+        context.world.settings, bounds=Bounds(retry_ratio=0.0, retry_slack=0.0)
+    )
+
+
+@when("a stream is requested after the second stage has died")
+def request_after_death(context):
+    async def play(world):
+        await kill(context, "a2")
+        for task in context.before:
+            await task(world)
+        context.answers.append(await world.call("/draft/1", caller_timeout=4.0))
+        await trio.sleep(0.1)
+        context.used = dict(world.parts.selector.ledger._own_by_id)
+        context.used.pop(getattr(context, "filled", ""), None)
+
+    context.world.run(play)
+
+
+def count_arrivals(context):
+    """Count arrivals by first runner, with those that it turned away."""
+    servers = context.world.servers_by_id
+    counts = {name: len(s.served) + s.refusals for name, s in servers.items()}
+    return {name: count for name, count in counts.items() if count}
+
+
+@then("the request reached {runners:d} first runners in {arrivals:d} arrivals")
+def check_reached(context, runners, arrivals):
+    counts = count_arrivals(context)
+    assert (len(counts), sum(counts.values())) == (runners, arrivals), counts
+
+
+@then("the status is {status:d} after 1 arrival")
+def check_refused(context, status):
+    assert context.answers[-1].status == status
+    assert sum(count_arrivals(context).values()) == 1
+
+
 @then("the stream is complete with events {first:d} to {last:d}")
 def check_stream(context, first, last):
     answer = context.answers[-1]
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -122,7 +122,8 @@
             If the caller closed its connection.
         """
         context.upstreams.append(upstream.upstream_id)
-        context.attempts += 1
+        counted = int(not context.is_sent_again)
+        context.attempts += counted
         # Set before sending, because the deadline may cancel the attempt at any point.
         may_have_run_before = context.may_have_run
         context.may_have_run = True
@@ -135,7 +136,7 @@
             else:
                 await self._send(exchange, context, upstream, reservation, progress)
         except ConnectFailed as error:
-            context.attempts -= 1
+            context.attempts -= counted
             context.may_have_run = may_have_run_before
             self._selector.record_unreachable(upstream, str(error))
             raise AttemptFailed(
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -223,6 +223,7 @@
                 self.suspects,
                 self.repairs,
             ),
+            repairs=self.repairs,
             header_codec=header_codec,
             bounds=bounds,
             metrics=metrics,
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -19,6 +19,7 @@
 from wigeondrift.router.header_codec import HeaderCodec
 from wigeondrift.router.membership import Membership
 from wigeondrift.router.permits import Permits
+from wigeondrift.router.repair import RouteRepair
 from wigeondrift.router.replica import Replica
 from wigeondrift.router.request_context import (
     MAX_LOGGED_PARTS,
@@ -66,6 +67,8 @@
     suspects : SuspectRegistry
     permits : Permits
     sender : Sender
+    repairs : RouteRepair
+        Finds routes for requests that are sent to a runner again.
     header_codec : HeaderCodec
     bounds : Bounds
     metrics : Metrics
@@ -90,6 +93,7 @@
         "_membership",
         "_metrics",
         "_permits",
+        "_repairs",
         "_replica",
         "_rng",
         "_sender",
@@ -109,6 +113,7 @@
         suspects: SuspectRegistry,
         permits: Permits,
         sender: Sender,
+        repairs: RouteRepair,
         header_codec: HeaderCodec,
         bounds: Bounds,
         metrics: Metrics,
@@ -121,6 +126,7 @@
         self._suspects = suspects
         self._permits = permits
         self._sender = sender
+        self._repairs = repairs
         self._header_codec = header_codec
         self._bounds = bounds
         self._metrics = metrics
@@ -357,11 +363,12 @@
     def _may_retry(self, context: RequestContext, failure: AttemptFailed) -> bool:
         if failure.may_have_run and not context.rule.is_idempotent:
             return False
+        has_attempts = context.attempts < context.rule.attempts
         if not failure.was_sent:
-            return True
+            return has_attempts or not context.is_sent_again
         if not context.events.can_resume:
             return False
-        if context.attempts >= context.rule.attempts:
+        if not has_attempts and not self._repairs.may_send_again(context):
             return False
         budget = self._get_budget(context.service.name)
         peers = len(self._membership.list_peers())
@@ -444,6 +451,13 @@
 
     async def _try_chain(self, exchange: Exchange, context: RequestContext) -> None:
         rule, call = context.rule, context.call
+        context.is_sent_again = False
+        again = await self._reserve_again(context)
+        turned_away, context.turned_away = context.turned_away, None
+        if again is not None:
+            self._repairs.record_sent_again(context, again)
+            await self._send_over(exchange, context, again)
+            return
         if not context.may_have_run and not self._selector.has_route(context.service):
             # Layers that are missing take seconds to load, longer than callers wait.
             raise RequestError(ErrorKind.NO_ROUTE, "no route holds all layers")
@@ -453,15 +467,51 @@
             # A broken stream must resume before the caller abandons it.
             wait_until = trio.current_time() + STREAM_SILENCE_SECONDS
         reservation = await self._reserve_chain(context, on_time_until, wait_until)
+        if self._repairs.is_same_runner(context, turned_away, reservation):
+            self._repairs.record_sent_again(context, reservation)
+        await self._send_over(exchange, context, reservation)
+
+    async def _send_over(
+        self, exchange: Exchange, context: RequestContext, reservation: Reservation
+    ) -> None:
         try:
             # Other requests may have killed upstreams while this one waited.
             self._require_unsuspected(context)
             head = reservation.chain.runners[0]
             context.expected_first = reservation.first_seconds
             await self._sender.call(exchange, context, head, reservation)
+        except AttemptFailed as failure:
+            self._repairs.record_refusal(context, reservation.chain, failure)
+            raise
         finally:
             self._wait_queue.release(reservation)
 
+    async def _reserve_again(self, context: RequestContext) -> Reservation | None:
+        """Reserve a route at the runner that turned a request away.
+
+        It is used only if no attempt is left or no other route has room.
+        """
+        if context.turned_away is None:
+            return None
+        has_attempts = context.attempts < context.rule.attempts
+        if has_attempts and not len(self._wait_queue):
+            demand, excluded = context.demand, context.excluded
+            if self._selector.has_room(context.service, demand, excluded):
+                return None
+        reservation = self._repairs.reserve_again(context)
+        is_permitted = False
+        if reservation is not None:
+            try:
+                head = reservation.chain.runners[0]
+                is_permitted = await self._acquire_permit(context, head)
+            finally:
+                if not is_permitted:
+                    self._wait_queue.release(reservation)
+        if not is_permitted and not has_attempts:
+            reason = "the runner that refused the request takes it over no other route"
+            raise _make_error(context, ErrorKind.UPSTREAM_REFUSED, reason)
+        return reservation if is_permitted else None
+
     async def _reserve_chain(
         self, context: RequestContext, on_time_until: float, wait_until: float
     ) -> Reservation:
--- a/wigeondrift/router/repair.py
+++ b/wigeondrift/router/repair.py
@@ -19,6 +19,7 @@
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import RunnerReport, Upstream
 from wigeondrift.router.request_context import (
+    AttemptFailed,
     Progress,
     RequestContext,
     get_caller_idle_timeout,
@@ -26,7 +27,7 @@
 from wigeondrift.router.selector import Reservation, UpstreamSelector
 from wigeondrift.router.suspects import SuspectRegistry
 from wigeondrift.router.wait_queue import WaitQueue
-from wigeondrift.systems.chains import RouteDemand
+from wigeondrift.systems.chains import Chain, RouteDemand
 from wigeondrift.systems.route_repair import (
     RepairPlan,
     RepairQueue,
@@ -51,6 +52,7 @@
 FAULT_CHECK_SECONDS = 0.1
 # Age up to which streams of one first runner share a report.
 SHARED_REPORT_SECONDS = 0.05
+STATUS_UNAVAILABLE = 503
 
 
 class RepairableStream:
@@ -375,6 +377,78 @@
                 break
         return self._fail(stream, unusable, reason)
 
+    def record_refusal(
+        self, context: RequestContext, chain: Chain, failure: AttemptFailed
+    ) -> None:
+        """Record the route of a request turned away for the fault of a later stage."""
+        if failure.answer is None:
+            return
+        head = failure.answer[0]
+        if (
+            head.status == STATUS_UNAVAILABLE
+            and head.is_not_run
+            and head.faulty_address
+            and not set(failure.suspects).isdisjoint(chain.route.instance_ids[1:])
+        ):
+            context.turned_away = chain
+
+    def reserve_again(self, context: RequestContext) -> Reservation | None:
+        """Reserve a route at the runner that turned a request away.
+
+        Returns
+        -------
+        Reservation or None
+            None if no runner turned it away for a later stage, if the request was sent
+            to this runner again before, or if no such route has capacity.
+        """
+        chain = context.turned_away
+        if chain is None or context.is_risky:
+            return None
+        first = chain.runners[0].upstream_id
+        if first in context.sent_again_ids or first in context.excluded:
+            return None
+        lost = {*context.excluded, *self._selector.list_lost(chain)}
+        return self._selector.reserve_repaired(
+            context.service, chain, context.demand, lost
+        )
+
+    def is_same_runner(
+        self,
+        context: RequestContext,
+        turned_away: Chain | None,
+        reservation: Reservation,
+    ) -> bool:
+        """Whether a route begins at the runner that turned a request away once."""
+        if turned_away is None:
+            return False
+        first = reservation.chain.runners[0].upstream_id
+        is_same = first == turned_away.runners[0].upstream_id
+        return is_same and first not in context.sent_again_ids
+
+    def may_send_again(self, context: RequestContext) -> bool:
+        """Whether ``reserve_again`` finds a route now."""
+        reservation = self.reserve_again(context)
+        if reservation is None:
+            return False
+        reservation.release()
+        return True
+
+    def record_sent_again(
+        self, context: RequestContext, reservation: Reservation
+    ) -> None:
+        """Record that a request is sent again over a reserved route."""
+        first = reservation.chain.runners[0].upstream_id
+        context.is_sent_again = True
+        context.sent_again_ids.add(first)
+        log_event(
+            self._logger,
+            logging.INFO,
+            Event.SENT_AGAIN,
+            request_id=context.call.request_id,
+            upstream=first,
+            parts=list(reservation.chain.route.instance_ids[1:]),
+        )
+
     def _find_plan(
         self, stream: RepairableStream, unusable: Collection[str]
     ) -> RepairPlan | None:
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -9,7 +9,7 @@
 from wigeondrift.router.calls import CallerRequest, UpstreamHead
 from wigeondrift.router.entities import RouteRule, ServiceSpec
 from wigeondrift.router.event_stream import EventBuffer
-from wigeondrift.systems.chains import RouteDemand
+from wigeondrift.systems.chains import Chain, RouteDemand
 from wigeondrift.systems.refusals import EARLY_EVENTS
 from wigeondrift.systems.suspects import MAX_TRAITS_PER_REQUEST, make_digest
 
@@ -74,7 +74,8 @@
     events : EventBuffer
         Position in the stream of events forwarded to the caller.
     attempts : int
-        Number of attempts, without failed connections.
+        Number of attempts, without failed connections and without those at a runner
+        that had turned the request away.
     excluded : set of str
         Upstreams that failed an attempt.
     may_have_run : bool
@@ -93,6 +94,13 @@
         Whether an upstream died under a request with one of its traits.
     is_trial : bool
         Whether it is tried although it has a refused trait.
+    turned_away : Chain or None
+        Route of the last attempt if its first runner turned the request away for the
+        fault of a later stage.
+    is_sent_again : bool
+        Whether the present attempt is at a runner that had turned the request away.
+    sent_again_ids : set of str
+        Runners to which the request was sent again.
     traits : tuple of str
         Digests of what the request has in common with others of its service.
     """
@@ -105,15 +113,18 @@
         "excluded",
         "expected_first",
         "is_risky",
+        "is_sent_again",
         "is_trial",
         "longest_gap",
         "may_have_run",
         "wait_seconds",
         "rule",
+        "sent_again_ids",
         "service",
         "first_event_at",
         "team",
         "traits",
+        "turned_away",
         "upstreams",
     )
 
@@ -139,6 +150,9 @@
         self.longest_gap: float | None = None
         self.is_risky = False
         self.is_trial = False
+        self.turned_away: Chain | None = None
+        self.is_sent_again = False
+        self.sent_again_ids: set[str] = set()
         whole = make_digest(service.name, "request", call.target, call.key, call.body)
         parts = call.prompt_parts[: MAX_TRAITS_PER_REQUEST - 1]
         self.traits = (whole, *(make_digest(service.name, part) for part in parts))
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -414,6 +414,38 @@
             self.get_chains(service), chain, lost, runners, demand, self.ledger
         )
 
+    def reserve_repaired(
+        self,
+        service: ServiceSpec,
+        chain: Chain,
+        demand: RouteDemand,
+        lost: Collection[str],
+    ) -> Reservation | None:
+        """Reserve a route that replaces lost runners for a request that has not run.
+
+        Returns
+        -------
+        Reservation or None
+            None if the first runner takes no requests now or there is no capacity.
+        """
+        now = trio.current_time()
+        first = chain.runners[0]
+        closed = {*self.limits.list_closed(now), *self.back_offs.list_closed(now)}
+        listed = self._directory.upstreams_by_id.get(first.upstream_id)
+        if (
+            listed is None
+            or listed.is_leaving
+            or listed.started_at_ms != first.started_at_ms
+            or first.upstream_id in closed
+            or self.is_avoided(first, now)
+        ):
+            return None
+        plan = self.find_repair(service, chain, demand, lost)
+        if plan is None:
+            return None
+        offer = self.get_chains(service).make_offer(plan.chain, demand, self.ledger)
+        return None if offer is None else Reservation(offer, demand, self.ledger)
+
     def list_lost(self, chain: Chain) -> list[str]:
         """Return the runners of a route that are avoided or no longer run as then."""
         now = trio.current_time()
--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -423,6 +423,12 @@
             self.chains, demand, ledger, excluded_ids, failure_domain, closed
         )
 
+    def make_offer(
+        self, chain: Chain, demand: RouteDemand, ledger: CacheLedger
+    ) -> RouteOffer | None:
+        """Return the offer of a given route, None if it has no capacity."""
+        return self._evaluate(chain, demand, ledger)
+
     def estimate_part(
         self, runner: Upstream, layers: int, demand: RouteDemand, ledger: CacheLedger
     ) -> PartEstimate | None:
