--- a/tests/features/route_repair.feature
+++ b/tests/features/route_repair.feature
@@ -121,6 +121,23 @@
     Then the stream is complete with events 0 to 19
     And the first runner got no order
 
+  # Guards against an order that may be carried out being taken for a refused one.
+  Scenario Outline: The answer to an order tells whether it may be carried out
+    When a runner answers an order to change a route with <status> and "<body>"
+    Then the outcome is <outcome>
+
+    Examples:
+      | status | body                       | outcome              |
+      | 202    |                            | none                 |
+      | 404    |                            | OrderTargetMissing   |
+      | 409    | {"address": "10.1.0.5:80"} | RoutePartUnavailable |
+      | 409    | {"address": 5}             | OrderConflict        |
+      | 409    |                            | OrderConflict        |
+      | 421    |                            | OrderRejected        |
+      | 503    |                            | OrderRejected        |
+      | 500    |                            | OrderUnanswered      |
+      | 0      |                            | OrderUnanswered      |
+
   Scenario: A repaired route is an exact cover with room for each new part
     Then any route found for lost stages covers each layer once and keeps the first stage
     And any lost stage is replaced if one spare runner with room holds its layers
--- a/wigeondrift/router/repair.py
+++ b/wigeondrift/router/repair.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import logging
+import math
 from collections.abc import AsyncIterator, Collection, Iterator
 
 import trio
@@ -52,6 +53,11 @@
 FAULT_CHECK_SECONDS = 0.1
 # Age up to which streams of one first runner share a report.
 SHARED_REPORT_SECONDS = 0.05
+# Time for which a search that found no route is not repeated. A failed search over a
+# hundred runners takes 5 ms, and all streams of a route lose it at once.
+FAILED_SEARCH_SECONDS = 0.1
+# Failed searches that are remembered.
+MAX_FAILED_SEARCHES = 64
 STATUS_UNAVAILABLE = 503
 
 
@@ -155,6 +161,7 @@
 
     __slots__ = (
         "_control",
+        "_failed_searches",
         "_locks_by_id",
         "_logger",
         "_metrics",
@@ -182,6 +189,8 @@
         self._logger = logging.getLogger(LOGGER_NAME)
         self._queue = RepairQueue()
         self._streams: set[RepairableStream] = set()
+        # Time and tokens of failed searches by route and runners that it must avoid.
+        self._failed_searches: dict[object, tuple[float, float]] = {}
         # Only for first runners whose streams look for a fault.
         self._locks_by_id: dict[str, trio.Lock] = {}
         self._reports_by_id: dict[str, tuple[float, RunnerReport | None]] = {}
@@ -452,15 +461,24 @@
     def _find_plan(
         self, stream: RepairableStream, unusable: Collection[str]
     ) -> RepairPlan | None:
-        context = stream.context
-        demand = context.demand
-        read_tokens = demand.prompt + stream.progress.events
-        return self._selector.find_repair(
+        context, chain = stream.context, stream.reservation.chain
+        now = trio.current_time()
+        tokens = context.demand.tokens
+        key = (chain.route.instance_ids, frozenset(unusable))
+        failed_at, failed_tokens = self._failed_searches.get(key, (-math.inf, 0.0))
+        if now - failed_at < FAILED_SEARCH_SECONDS and tokens >= failed_tokens:
+            return None
+        plan = self._selector.find_repair(
             context.service,
-            stream.reservation.chain,
-            RouteDemand(demand.tokens, read_tokens),
+            chain,
+            RouteDemand(tokens, _count_read_tokens(context)),
             unusable,
         )
+        if plan is None:
+            if len(self._failed_searches) >= MAX_FAILED_SEARCHES:
+                self._failed_searches.clear()
+            self._failed_searches[key] = (now, tokens)
+        return plan
 
     async def _execute(self, stream: RepairableStream, plan: RepairPlan) -> None:
         """Reserve the new stages, send the order and move the reservation."""
@@ -470,8 +488,7 @@
             for runner in reservation.chain.runners
             if runner not in plan.chain.runners
         )
-        read_tokens = context.demand.prompt + stream.progress.events
-        hold = reservation.reserve_parts(plan.new_stages, read_tokens)
+        hold = reservation.reserve_parts(plan.new_stages, _count_read_tokens(context))
         is_taken_over = False
         try:
             await self._control.repath(
@@ -536,3 +553,10 @@
             reason=reason,
         )
         return False
+
+
+def _count_read_tokens(context: RequestContext) -> float:
+    """Return the tokens that a new part of a stream's route has to read."""
+    last_id = context.events.last_id
+    events = 0 if last_id is None else last_id + 1
+    return context.demand.prompt + context.service.engine.steps_per_event * events
--- a/wigeondrift/systems/route_repair.py
+++ b/wigeondrift/systems/route_repair.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+import operator
 from collections.abc import Callable, Collection, Iterable
 
 from wigeondrift.entities import Route, Stage
@@ -19,8 +20,8 @@
 # Time by which a new part in the failure domain of the first stage may be slower and is
 # still preferred. Two more crossings of 2 ms for each token cost as much in 25 tokens.
 REMOTE_PART_SECONDS = 0.1
-# Partial routes kept for each layer boundary and failure domain. The cheapest one alone
-# may already contain the only runner that can continue it.
+# Partial routes kept for each layer boundary. The best one alone may already contain
+# the only runner that can continue it.
 MAX_PARTIAL_ROUTES = 4
 # Concurrent repairs of streams that lost the same runner. An order takes a few
 # milliseconds, and its new parts are busy reading for longer; the bound keeps room in
@@ -205,7 +206,9 @@
         start = _Partial(first, self._chain.runners[0], (-1, 0, 0.0), None)
         partials_by_layer = {first.end_layer: [start]}
         for layer in ordered:
-            partials = _prune(partials_by_layer.get(layer, []))
+            partials = partials_by_layer.get(layer, [])
+            partials.sort(key=operator.attrgetter("rank"))
+            del partials[MAX_PARTIAL_ROUTES:]
             if layer == end:
                 return partials[0] if partials else None
             if not partials:
@@ -268,20 +271,6 @@
         partials_by_layer.setdefault(partial.stage.end_layer, []).append(partial)
 
 
-def _prune(partials: list[_Partial]) -> list[_Partial]:
-    """Return the best covers of each failure domain of their last runner."""
-    partials.sort(key=lambda partial: partial.rank)
-    counts_by_domain: dict[str, int] = {}
-    pruned = []
-    for partial in partials:
-        domain = partial.runner.failure_domain
-        count = counts_by_domain.get(domain, 0)
-        if count < MAX_PARTIAL_ROUTES:
-            counts_by_domain[domain] = count + 1
-            pruned.append(partial)
-    return pruned
-
-
 def get_repair_rank(
     on_time_until: float, has_events: bool, silent_since: float, now: float
 ) -> tuple[int, float]:
