End the search for a reported fault at the silence limit

The wait for a fault returned at once after the limit as long as the fault was recent, so the watchdog did not go on. A report that is cancelled at the limit no longer counts as a failure of the first runner.

--- a/tests/features/route_repair.feature
+++ b/tests/features/route_repair.feature
@@ -121,6 +121,14 @@
     Then the stream is complete with events 0 to 19
     And the first runner got no order
 
+  # Guards against a watchdog that looks for a reported fault without end.
+  Scenario: A stream that stalls for another reason than the reported fault is resumed
+    Given two replicas, a spare for the second stage, and streams of 20 events
+    And the first runner stalls after 3 events for a reason that it does not report
+    When a fault of the second stage is reported during a stream that is not stalled
+    Then the stream is complete with events 0 to 19
+    And 2 requests arrived at first runners, and no order was carried out
+
   # Guards against an order that may be carried out being taken for a refused one.
   Scenario Outline: The answer to an order tells whether it may be carried out
     When a runner answers an order to change a route with <status> and "<body>"
--- a/tests/features/steps/route_repair_steps.py
+++ b/tests/features/steps/route_repair_steps.py
@@ -216,6 +216,11 @@
     context.before.append(run)
 
 
+@given("the first runner stalls after 3 events for a reason that it does not report")
+def stall_first(context):
+    context.world.servers_by_id["a1"].fault = "stall"
+
+
 @given("new parts of a route read for {seconds:d} seconds")
 def slow_reading(context, seconds):
     context.world.servers_by_id["a1"].read_seconds = seconds
--- a/wigeondrift/router/repair.py
+++ b/wigeondrift/router/repair.py
@@ -233,7 +233,7 @@
 
     async def sleep_until(self, stream: RepairableStream, until: float) -> None:
         """Sleep; meanwhile repair the stream if it is stalled by a reported fault."""
-        while await stream.wait_for_fault(until):
+        while trio.current_time() < until and await stream.wait_for_fault(until):
             suspect = None
             with trio.move_on_at(until):
                 suspect = await self._find_stalling(stream)
@@ -275,11 +275,12 @@
                     if known[1] is None:
                         raise TransportError(f"no report from {upstream.address}")
                     return known[1]
-                report = None
                 try:
                     report = await self._control.get_report(upstream)
-                finally:
-                    self._reports_by_id[upstream_id] = (trio.current_time(), report)
+                except TransportError:
+                    self._reports_by_id[upstream_id] = (trio.current_time(), None)
+                    raise
+                self._reports_by_id[upstream_id] = (trio.current_time(), report)
                 return report
         finally:
             if not lock.locked():
