--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -34,6 +34,7 @@
 from wigeondrift.router.relay import Relay, RelayedSource
 from wigeondrift.router.reload import POLL_SECONDS as RELOAD_SECONDS
 from wigeondrift.router.reload import Reloader
+from wigeondrift.router.repair import RouteRepair
 from wigeondrift.router.replica import (
     EXPIRE_SECONDS,
     Replica,
@@ -108,6 +109,7 @@
         "readiness",
         "relay",
         "relays",
+        "repairs",
         "replica",
         "source",
         "store",
@@ -211,6 +213,9 @@
         self.version_check = VersionCheck(
             self.replica, self.membership, secrets.randbits(PERMIT_NUMBER_BITS), rng
         )
+        self.repairs = RouteRepair(
+            self.selector, control, self.wait_queue, self.suspects, metrics
+        )
         header_codec = PlatformHeaderCodec()
         self.forwarder = Forwarder(
             replica=self.replica,
@@ -220,8 +225,15 @@
             suspects=self.suspects,
             permits=self.permits,
             sender=Sender(
-                self.selector, client, control, header_codec, metrics, self.suspects
+                self.selector,
+                client,
+                control,
+                header_codec,
+                metrics,
+                self.suspects,
+                self.repairs,
             ),
+            repairs=self.repairs,
             header_codec=header_codec,
             bounds=bounds,
             metrics=metrics,
