Share the faults of upstreams between routers

After a joint failure each router met each dead stage by itself and spent attempts and retries on it. A router that finds an upstream at fault now tells the others, which avoid it until it answers again or for 1.5 s. A 503 that names a stage leads to one check of its report, because the stage may only be short of memory; a runner that answers as listed is not told of. One peer's news covers at most a third of a service and never its last route.

--- a/tests/features/peers.feature
+++ b/tests/features/peers.feature
@@ -44,6 +44,8 @@
       | a stranger | news of two deaths            |
       | "east-2"   | a negative limit              |
       | "east-2"   | an endless wait               |
+      | "east-2"   | news of a fault of no known kind |
+      | "east-2"   | news of a fault before all time |
 
   Scenario: News of deaths reach a peer at once
     Given a router that listens for the usage of "east-2"
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -19,6 +19,7 @@
 from wigeondrift.systems.changes import ChangeLog
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.exchange import UsageExchange
+from wigeondrift.systems.faults import FaultNews
 from wigeondrift.systems.limits import LimitNews, PermitAnswer, PermitRequest
 from wigeondrift.systems.suspects import DeathNews, ReportedDeath, make_digest
 
@@ -130,6 +131,13 @@
         },
         "a negative limit": lambda: LimitNews("u1", -1.0),
         "an endless wait": lambda: PermitAnswer(1, float("inf"), is_issuer=True),
+        "news of a fault of no known kind": lambda: {
+            "type": "FaultNews",
+            "upstream_id": "u1",
+            "started_at_ms": 1,
+            "evidence": "rumour",
+        },
+        "news of a fault before all time": lambda: FaultNews("u1", -1, "silent"),
         "a request for a permit": lambda: PermitRequest(9, "u1", 1.0),
     }
     data = makers[datagram]()
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -258,7 +258,19 @@
 
 
 class ConnectFailed(TransportError):
-    """No connection was established, so no byte of the request was sent."""
+    """No connection was established, so no byte of the request was sent.
+
+    Parameters
+    ----------
+    reason : str
+    is_refused : bool
+        Whether the peer's machine refused the connection, as it does if no process
+        listens there. Otherwise it may be a link that is cut.
+    """
+
+    def __init__(self, reason: str, is_refused: bool = False) -> None:
+        super().__init__(reason)
+        self.is_refused = is_refused
 
 
 class ConnectionLost(TransportError):
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -17,6 +17,7 @@
 from wigeondrift.router.calls import CallerRequest, UpstreamHead
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import RequestKind, RunnerReport, Upstream
+from wigeondrift.router.faults import SharedFaults
 from wigeondrift.router.header_codec import HeaderCodec
 from wigeondrift.router.request_context import (
     MAX_LOGGED_PARTS,
@@ -27,6 +28,7 @@
 )
 from wigeondrift.router.selector import Reservation, UpstreamSelector
 from wigeondrift.router.suspects import SuspectRegistry
+from wigeondrift.systems.faults import Evidence
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.telemetry.metrics import Metric, Metrics
 from wigeondrift.wire.http_client import ClientResponse, HttpClient
@@ -60,12 +62,15 @@
     metrics : Metrics
     suspects : SuspectRegistry
         Receives deaths of upstreams, and which requests they survive.
+    faults : SharedFaults
+        Receives what shows that an upstream is at fault.
     """
 
     __slots__ = (
         "_selector",
         "_client",
         "_control",
+        "_faults",
         "_header_codec",
         "_logger",
         "_metrics",
@@ -80,6 +85,7 @@
         header_codec: HeaderCodec,
         metrics: Metrics,
         suspects: SuspectRegistry,
+        faults: SharedFaults,
     ) -> None:
         self._selector = selector
         self._client = client
@@ -88,6 +94,7 @@
         self._metrics = metrics
         self._logger = logging.getLogger(LOGGER_NAME)
         self._suspects = suspects
+        self._faults = faults
 
     async def call(
         self,
@@ -130,6 +137,7 @@
             context.attempts -= 1
             context.may_have_run = may_have_run_before
             self._selector.record_unreachable(upstream, str(error))
+            self._faults.record_unconnected(upstream, error)
             raise AttemptFailed(
                 str(error), False, (upstream.upstream_id,), was_sent=False
             ) from error
@@ -227,6 +235,8 @@
             has_died = not isinstance(
                 error, ConnectionSilent
             ) and await self._client.is_refusing(upstream.address)
+            if has_died:
+                self._faults.record_fault(upstream, Evidence.REFUSED)
         else:
             report = await self._query_report(upstream)
             has_died = report is None or upstream.is_restarted_in(report)
@@ -278,8 +288,10 @@
             report = await self._control.get_report(upstream)
         except TransportError as error:
             self._selector.record_unreachable(upstream, str(error))
+            self._faults.record_no_report(upstream, error)
             return None
         self._selector.record_answer(upstream)
+        self._faults.record_report(upstream, report)
         if report.is_leaving:
             self._selector.record_leaving(upstream)
         return report
@@ -293,6 +305,7 @@
         if suspect is None:
             return ()
         self._selector.record_failure((suspect,), "reported as stalled by a runner")
+        self._faults.check(suspect)
         return (suspect,)
 
     async def _send(
@@ -332,6 +345,8 @@
             _check_request_id(head, call, response)
             if head.retry_after is not None or head.unreadable:
                 self._record_back_off(upstream, head, call)
+            if head.is_signed and head.status < 500 and not head.is_not_run:
+                self._faults.record_answer(upstream)
             if head.is_leaving:
                 self._selector.record_leaving(upstream, call.request_id)
             self._selector.record_limit(upstream, head.limit, now, call.request_id)
@@ -378,6 +393,7 @@
                 found = self._selector.find_upstream_at(head.faulty_address)
                 suspects = (found,) if found else suspects
                 self._selector.record_failure(suspects, f"status {head.status}")
+                self._faults.check(suspects[0])
             raise AttemptFailed(
                 f"refused with status {head.status}", False, suspects, (head, body)
             )
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -18,6 +18,7 @@
     decode_upstream,
 )
 from wigeondrift.router.attempt import Sender
+from wigeondrift.router.faults import SharedFaults
 from wigeondrift.router.forwarding import Forwarder
 from wigeondrift.router.listeners import (
     CallerListener,
@@ -46,6 +47,7 @@
 from wigeondrift.router.wait_queue import POLL_SECONDS, WaitQueue
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.exchange import UsageExchange
+from wigeondrift.systems.faults import FaultNews
 from wigeondrift.systems.freshness import Freshness
 from wigeondrift.systems.limits import (
     LimitNews,
@@ -93,6 +95,7 @@
         "selector",
         "client",
         "directory",
+        "faults",
         "forwarder",
         "freshness",
         "membership",
@@ -182,6 +185,10 @@
             self.store, self.replica, self.directory, settings.instance_id, rng
         )
         control = HttpRunnerControl(client)
+        self.faults = SharedFaults(
+            self.directory, self.selector, self.membership, control, metrics
+        )
+        self.replica.subscribe(self.faults.forget_absent_upstreams)
         reach = self.selector.reach
         self.planner = Planner(
             self.store,
@@ -194,7 +201,9 @@
                 runner.failure_domain, runner.upstream_id, now
             ),
         )
-        self.prober = Prober(self.replica, self.directory, self.selector, control)
+        self.prober = Prober(
+            self.replica, self.directory, self.selector, control, self.faults
+        )
         self.permits = Permits(
             self.selector.limits,
             settings.instance_id,
@@ -210,7 +219,13 @@
             suspects=self.suspects,
             permits=self.permits,
             sender=Sender(
-                self.selector, client, control, header_codec, metrics, self.suspects
+                self.selector,
+                client,
+                control,
+                header_codec,
+                metrics,
+                self.suspects,
+                self.faults,
             ),
             header_codec=header_codec,
             bounds=bounds,
@@ -298,6 +313,8 @@
     peers.subscribe(TrialNews, parts.suspects.apply_trial_news)
     parts.selector.subscribe_to_limits(peers.announce)
     peers.subscribe(LimitNews, parts.selector.apply_limit_news)
+    parts.faults.connect(peers.announce)
+    peers.subscribe_with_source(FaultNews, parts.faults.apply_news)
     peers.add_responder(PermitRequest, parts.permits.answer_permit_request)
     peers.subscribe(PermitAnswer, parts.permits.apply_permit_answer)
     peers.add_responder(PresenceRequest, parts.permits.answer_presence_request)
@@ -311,6 +328,7 @@
         parts.membership,
         parts.suspects,
         peers,
+        parts.faults,
         parts.permits,
         parts.planner,
         parts.prober,
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -19,6 +19,7 @@
 from wigeondrift.router.selector import UpstreamSelector
 from wigeondrift.systems.cache_usage import PeerUsage
 from wigeondrift.systems.exchange import Member, Message, UsageExchange
+from wigeondrift.systems.faults import FaultNews
 from wigeondrift.systems.limits import (
     LimitNews,
     PermitAnswer,
@@ -30,7 +31,7 @@
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.address import parse_address
 
-News = DeathNews | SoundNews | TrialNews | LimitNews
+News = DeathNews | SoundNews | TrialNews | LimitNews | FaultNews
 PeerRequest = PermitRequest | PresenceRequest
 PeerAnswer = PermitAnswer | PresenceAnswer
 TaggedMessage = News | PeerRequest | PeerAnswer
@@ -80,6 +81,7 @@
         "_sequence",
         "_responders_by_kind",
         "_socket",
+        "_source_subscribers_by_kind",
         "_subscribers_by_kind",
     )
 
@@ -102,6 +104,9 @@
         self._subscribers_by_kind: dict[
             type, list[Callable[[News | PeerAnswer], None]]
         ] = {}
+        self._source_subscribers_by_kind: dict[
+            type, list[Callable[[News, str], None]]
+        ] = {}
         self._responders_by_kind: dict[type, Callable[[PeerRequest], PeerAnswer]] = {}
         self._pending_news: deque[News] = deque(maxlen=MAX_PENDING_NEWS)
         self._news_added = trio.Event()
@@ -120,6 +125,12 @@
         """Call ``callback`` with the news or answers of one type that peers send."""
         self._subscribers_by_kind.setdefault(kind, []).append(callback)
 
+    def subscribe_with_source(
+        self, kind: type, callback: Callable[[News, str], None]
+    ) -> None:
+        """Call ``callback`` with news of one type and the name of the peer."""
+        self._source_subscribers_by_kind.setdefault(kind, []).append(callback)
+
     def add_responder(
         self, kind: type, respond: Callable[[PeerRequest], PeerAnswer]
     ) -> None:
@@ -185,6 +196,9 @@
             elif isinstance(message, TaggedMessage):
                 for callback in self._subscribers_by_kind.get(type(message), ()):
                     callback(message)
+                name = self._names_by_address.get(sender[:2], "")
+                for callback in self._source_subscribers_by_kind.get(type(message), ()):
+                    callback(message, name)
             elif message is not None:
                 if self._exchange.is_collector:
                     self._changed.set()
--- a/wigeondrift/router/probing.py
+++ b/wigeondrift/router/probing.py
@@ -6,6 +6,7 @@
 from wigeondrift.errors import TransportError
 from wigeondrift.router.control import RunnerControl
 from wigeondrift.router.entities import RunnerReport, Upstream
+from wigeondrift.router.faults import SharedFaults
 from wigeondrift.router.replica import Replica
 from wigeondrift.router.selector import UpstreamSelector
 from wigeondrift.systems.directory import Directory
@@ -26,9 +27,11 @@
     directory : Directory
     selector : UpstreamSelector
     control : RunnerControl
+    faults : SharedFaults
+        Learns whether the upstreams that it told of answer again.
     """
 
-    __slots__ = ("_selector", "_control", "_directory", "_replica")
+    __slots__ = ("_selector", "_control", "_directory", "_faults", "_replica")
 
     def __init__(
         self,
@@ -36,11 +39,13 @@
         directory: Directory,
         selector: UpstreamSelector,
         control: RunnerControl,
+        faults: SharedFaults,
     ) -> None:
         self._replica = replica
         self._directory = directory
         self._selector = selector
         self._control = control
+        self._faults = faults
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the probes in ``nursery``."""
@@ -83,6 +88,7 @@
             report = await self._control.get_report(runner)
         except TransportError as error:
             self._selector.record_unreachable(runner, str(error))
+            self._faults.record_no_report(runner, error)
             health.extend_penalty(
                 runner.upstream_id, trio.current_time(), UNREACHABLE_PENALTY_SECONDS
             )
@@ -92,7 +98,10 @@
             self._selector.record_leaving(runner)
         is_fit = _is_as_listed(runner, report)
         self._selector.record_fitness(runner, is_fit)
-        if not is_fit:
+        if is_fit:
+            self._faults.record_answer(runner)
+        else:
+            self._faults.record_report(runner, report)
             health.extend_penalty(
                 runner.upstream_id, trio.current_time(), 2 * PROBE_SECONDS
             )
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -11,6 +11,7 @@
 from wigeondrift.systems.cache_usage import CacheLedger
 from wigeondrift.systems.chains import ChainSet, RouteDemand, RouteOffer
 from wigeondrift.systems.directory import Directory
+from wigeondrift.systems.faults import FaultTable
 from wigeondrift.systems.health import Health
 from wigeondrift.systems.limits import LimitNews, RequestLimits
 from wigeondrift.systems.placement import BYTES_PER_MB
@@ -86,6 +87,8 @@
     ----------
     peer_count : int
         Number of other known routers.
+    faults : FaultTable
+        Upstreams at fault according to this and other routers.
     health : Health
     reach : Reachability
     ledger : CacheLedger
@@ -106,6 +109,7 @@
         "_cache_capacity_by_key",
         "_unfit_entry_by_id",
         "back_offs",
+        "faults",
         "health",
         "ledger",
         "limits",
@@ -134,6 +138,7 @@
         self._unfit_entry_by_id: dict[str, Upstream] = {}
         self._logger = logging.getLogger(LOGGER_NAME)
         self.peer_count = 0
+        self.faults = FaultTable(failure_domain)
         self.health = Health()
         self.reach = Reachability(failure_domain)
         self.back_offs = BackOffs()
@@ -161,17 +166,20 @@
         """
         now = trio.current_time()
         runners = self._directory.list_service(service.name)
-        avoided_runners = [r for r in runners if self.is_avoided(r, now)]
+        avoided_runners = [r for r in runners if self._is_avoided_here(r, now)]
         avoided = frozenset(r.upstream_id for r in avoided_runners)
+        told = frozenset(
+            r.upstream_id for r in runners if self.faults.is_avoided(r, now)
+        )
         failed = frozenset(
             r.upstream_id for r in avoided_runners if self._is_failed(r, now)
         )
         # Engines are compared by value: each configuration has new objects, and waiting
         # requests may hold those of an older one.
-        key = (self._directory.change_count, avoided, failed, service.engine)
+        key = (self._directory.change_count, avoided, told, failed, service.engine)
         if key != self._chains_key_by_service.get(service.name):
             self._chains_key_by_service[service.name] = key
-            self._rebuild(service, runners, avoided, failed)
+            self._rebuild(service, runners, avoided, told, failed)
         return self._chains_by_service[service.name]
 
     def has_route(self, service: ServiceSpec) -> bool:
@@ -196,6 +204,7 @@
         service: ServiceSpec,
         runners: list[Upstream],
         avoided: frozenset[str],
+        told: frozenset[str],
         failed: frozenset[str],
     ) -> None:
         self._update_cache_capacities(service.engine, runners)
@@ -205,8 +214,12 @@
             for upstream_id, entry in self._unfit_entry_by_id.items()
             if upstream_id in known_ids
         }
-        usable = [r for r in runners if r.upstream_id not in avoided]
+        usable = [r for r in runners if r.upstream_id not in avoided | told]
         chain_set = ChainSet(service.engine, usable)
+        if not chain_set.chains and told - avoided:
+            # News of other routers alone leave no service without a route.
+            usable = [r for r in runners if r.upstream_id not in avoided]
+            chain_set = ChainSet(service.engine, usable)
         if not chain_set.chains and avoided:
             usable = [r for r in runners if r.upstream_id not in failed]
             chain_set = ChainSet(service.engine, usable)
@@ -218,12 +231,19 @@
             service=service.name,
             runners=len(runners),
             avoided=sorted(avoided),
+            told=sorted(told),
             failed=sorted(failed),
             routes=[" ".join(chain.route.instance_ids) for chain in chain_set.chains],
         )
 
     def is_avoided(self, upstream: Upstream, now: float) -> bool:
         """Whether requests use other upstreams if there are any."""
+        return self._is_avoided_here(upstream, now) or self.faults.is_avoided(
+            upstream, now
+        )
+
+    def _is_avoided_here(self, upstream: Upstream, now: float) -> bool:
+        """Whether an upstream is avoided for what this router found itself."""
         if self.health.is_avoided(upstream.upstream_id, now):
             return True
         return self.reach.is_cut_off(upstream.failure_domain, now)
@@ -345,8 +365,9 @@
             for member in self._list_members(service, excluded)
             if member.upstream_id not in closed
         ]
-        healthy = [m for m in members if not self.is_avoided(m, now)]
-        candidates = healthy or members
+        healthy = [m for m in members if not self._is_avoided_here(m, now)]
+        untold = [m for m in healthy if not self.faults.is_avoided(m, now)]
+        candidates = untold or healthy or members
         if not candidates:
             return None
         return min(candidates, key=lambda m: self._estimate_member_load(m, now))
--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -72,6 +72,8 @@
     ROUTES_CHANGED = 3541, "The routes over a model's runners were recomputed."
     ATTEMPT_FAILED = 3551, "A request failed at an upstream."
     RELOADED = 3561, "The settings file was reloaded."
+    FAULT_SENT = 3591, "This router told the others of a fault, or that it is over."
+    FAULT_APPLIED = 3592, "An upstream is avoided because another router told of it."
     REQUEST_QUARANTINED = 3401, "A fingerprint is refused: upstreams died running it."
     SUSPECT_TRIED = 3402, "A request runs although it has a refused trait, as a trial."
     SUSPECTS_VOUCHED = 3403, "Upstreams here survived traits with deaths on record."
--- a/wigeondrift/telemetry/metrics.py
+++ b/wigeondrift/telemetry/metrics.py
@@ -49,6 +49,18 @@
         "requests",
         "Requests on upstreams that died.",
     )
+    FAULTS_SENT = (
+        "faults.sent",
+        "counter",
+        "messages",
+        "Messages sent to the other routers about upstreams at fault.",
+    )
+    FAULTS_APPLIED = (
+        "faults.applied",
+        "counter",
+        "messages",
+        "Messages of other routers for which an upstream was avoided.",
+    )
     TOKENS = "tokens", "counter", "tokens", "Tokens handed to callers."
     RESUMES = "streams.resumed", "counter", "streams", "Streams resumed elsewhere."
     FIRST_TOKEN = "first_token", "timing", "ms", "Time to the first token."
--- a/wigeondrift/wire/http_client.py
+++ b/wigeondrift/wire/http_client.py
@@ -396,7 +396,9 @@
             with trio.fail_after(self._connect_timeout):
                 stream = await trio.open_tcp_stream(host, port)
         except (OSError, trio.TooSlowError) as error:
-            raise ConnectFailed(f"no connection to {address}") from error
+            raise ConnectFailed(
+                f"no connection to {address}", _is_refusal(error)
+            ) from error
         _enable_dead_peer_detection(stream)
         return ClientChannel(stream, self._body_memory)
 
@@ -533,3 +535,11 @@
     )
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def _is_refusal(error: Exception) -> bool:
+    """Whether each address of a peer refused the connection."""
+    cause = error.__cause__
+    return isinstance(cause, ExceptionGroup) and all(
+        isinstance(one, ConnectionRefusedError) for one in cause.exceptions
+    )
--- a/wigeondrift_emulator/memory_network.py
+++ b/wigeondrift_emulator/memory_network.py
@@ -82,7 +82,8 @@
             return self._makers_by_address[address]()
         server = self._servers_by_address.get(address)
         if server is None or address in self.unreachable_addresses:
-            raise ConnectFailed(f"could not connect to {address}")
+            is_refused = address not in self.unreachable_addresses
+            raise ConnectFailed(f"could not connect to {address}", is_refused)
         client_stream, server_stream = memory_stream_pair()
         if address not in self.silent_addresses:
             self._streams_by_address.setdefault(address, []).append(server_stream)
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -10,6 +10,7 @@
 EVENT_SECONDS = 0.02
 SEAL_HEADER = ("Wigeondrift-Response-Seal", "stand-in")
 LEAVING_HEADER = "Server-Leaving"
+STAGE_AT_FAULT_HEADER = "At-Server"
 NOT_EXECUTED_HEADER = ("Wigeondrift-Not-Executed", "1")
 
 
@@ -40,6 +41,9 @@
     reported_stall_address : str
         Address that the report names as the stalling peer of every request; if
         empty, the report lists no stalled requests.
+    dead_peers : set of str
+        Addresses of dead stages: a request whose route has one of them is refused
+        without being run, and the answer names it.
     layers : tuple of (int, int)
         First layer and end of the layers held, the end excluded.
     order_count : int
@@ -76,6 +80,7 @@
         self.fault = ""
         self.events_before_fault = 3
         self.reported_stall_address = ""
+        self.dead_peers: set[str] = set()
         self.layers = (0, 0)
         self.order_count = 0
         self.orders: list[dict] = []
@@ -157,6 +162,12 @@
             self.refusals += 1
             await exchange.respond(503, headers)
             return
+        dead_peer = self._find_dead_peer(request)
+        if dead_peer is not None:
+            self.refusals += 1
+            names = [NOT_EXECUTED_HEADER, (STAGE_AT_FAULT_HEADER, dead_peer)]
+            await exchange.respond(503, [*headers[2:], *names])
+            return
         self.served.append(request)
         is_deadly = bool(self.deadly) and self._is_deadly(request)
         if is_deadly and not self.deadly_events:
@@ -179,6 +190,12 @@
         else:
             await exchange.respond(200, headers, b"done by a member")
 
+    def _find_dead_peer(self, request: Request) -> str | None:
+        """Return the address of a dead stage of a request's route, or None."""
+        route = request.headers_by_name.get("wigeondrift-hop-count", "")
+        addresses = [part.partition("=")[0] for part in route.split(",")]
+        return next((a for a in addresses if a in self.dead_peers), None)
+
     def _is_deadly(self, request: Request) -> bool:
         parts = request.headers_by_name.get("wigeondrift-prompt-prefix", "")
         return self.deadly in parts or self.deadly.encode() in request.body
