Lend unused retries to a pool for all routers

The slack of the retry budget was split evenly, so a router with all failures of a runner had 3 retries in 10 s of 320 at 72 routers while the others used none. Routers whose part is used up now ask the service's issuer, which borrows what the others do not use. Each share is used by its router or by one issuer in any window, so the bound holds without an agreement on the issuer.

--- a/tests/features/peers.feature
+++ b/tests/features/peers.feature
@@ -44,6 +44,7 @@
       | a stranger | news of two deaths            |
       | "east-2"   | a negative limit              |
       | "east-2"   | an endless wait               |
+      | "east-2"   | an endless share of retries   |
       | "east-2"   | news of a fault of no known kind |
       | "east-2"   | news of a fault before all time |
 
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -21,6 +21,7 @@
 from wigeondrift.systems.exchange import UsageExchange
 from wigeondrift.systems.faults import FaultNews
 from wigeondrift.systems.limits import LimitNews, PermitAnswer, PermitRequest
+from wigeondrift.systems.repeat_pool import ShareAnswer
 from wigeondrift.systems.suspects import DeathNews, ReportedDeath, make_digest
 
 PACKAGE = Path(__file__).parent.parent.parent.parent / "wigeondrift"
@@ -131,6 +132,7 @@
         },
         "a negative limit": lambda: LimitNews("u1", -1.0),
         "an endless wait": lambda: PermitAnswer(1, float("inf"), is_issuer=True),
+        "an endless share of retries": lambda: ShareAnswer(1, float("inf")),
         "news of a fault of no known kind": lambda: {
             "type": "FaultNews",
             "upstream_id": "u1",
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -34,6 +34,7 @@
 from wigeondrift.router.relay import Relay, RelayedSource
 from wigeondrift.router.reload import POLL_SECONDS as RELOAD_SECONDS
 from wigeondrift.router.reload import Reloader
+from wigeondrift.router.repeat_pool import SharedRepeats
 from wigeondrift.router.replica import (
     EXPIRE_SECONDS,
     Replica,
@@ -57,6 +58,13 @@
     PresenceRequest,
 )
 from wigeondrift.systems.relays import RelayTable
+from wigeondrift.systems.repeat_pool import (
+    RepeatAnswer,
+    RepeatPool,
+    RepeatRequest,
+    ShareAnswer,
+    ShareRequest,
+)
 from wigeondrift.systems.suspects import DeathNews, SoundNews, TrialNews
 from wigeondrift.telemetry.events import configure_rate_limited_logging
 from wigeondrift.telemetry.metrics import Metrics, PrometheusMetrics
@@ -105,6 +113,7 @@
         "readiness",
         "relay",
         "relays",
+        "repeats",
         "replica",
         "source",
         "store",
@@ -210,14 +219,28 @@
             rng.getrandbits(PERMIT_NUMBER_BITS),
             get_time,
         )
+        self.repeats = SharedRepeats(
+            RepeatPool(
+                settings.instance_id,
+                random.getrandbits(INCARNATION_BITS),
+                random.getrandbits(PERMIT_NUMBER_BITS),
+            ),
+            settings.instance_id,
+            self.replica,
+            self.membership,
+            bounds,
+            metrics,
+            get_time,
+        )
+        self.membership.subscribe(self.repeats.update_peers)
         header_codec = PlatformHeaderCodec()
         self.forwarder = Forwarder(
             replica=self.replica,
             selector=self.selector,
             wait_queue=self.wait_queue,
-            membership=self.membership,
             suspects=self.suspects,
             permits=self.permits,
+            repeats=self.repeats,
             sender=Sender(
                 self.selector,
                 client,
@@ -320,6 +343,11 @@
     peers.add_responder(PresenceRequest, parts.permits.answer_presence_request)
     peers.subscribe(PresenceAnswer, parts.permits.apply_presence_answer)
     parts.permits.connect(peers.send)
+    peers.add_responder(RepeatRequest, parts.repeats.answer_repeat_request)
+    peers.subscribe(RepeatAnswer, parts.repeats.apply_repeat_answer)
+    peers.add_responder(ShareRequest, parts.repeats.answer_share_request)
+    peers.subscribe(ShareAnswer, parts.repeats.apply_share_answer)
+    parts.repeats.connect(peers.send)
     components = [
         ReadyListener(settings.ready_address, READINESS_PATH, parts.readiness),
         MetricsListener(f"{settings.host}:{METRICS_PORT}", metrics),
@@ -330,6 +358,7 @@
         peers,
         parts.faults,
         parts.permits,
+        parts.repeats,
         parts.planner,
         parts.prober,
         timer,
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -17,8 +17,8 @@
 from wigeondrift.router.calls import CallerRequest
 from wigeondrift.router.entities import RouteRule, Upstream
 from wigeondrift.router.header_codec import HeaderCodec
-from wigeondrift.router.membership import Membership
 from wigeondrift.router.permits import Permits
+from wigeondrift.router.repeat_pool import SharedRepeats
 from wigeondrift.router.replica import Replica
 from wigeondrift.router.request_context import (
     MAX_LOGGED_PARTS,
@@ -31,7 +31,6 @@
 from wigeondrift.router.settings import Bounds
 from wigeondrift.router.suspects import SuspectRegistry
 from wigeondrift.router.wait_queue import WaitQueue
-from wigeondrift.systems.repeats import RepeatBudget
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.telemetry.metrics import Metric, Metrics
 from wigeondrift.wire.http_server import Exchange, respond_with_text
@@ -62,9 +61,9 @@
     replica : Replica
     selector : UpstreamSelector
     wait_queue : WaitQueue
-    membership : Membership
     suspects : SuspectRegistry
     permits : Permits
+    repeats : SharedRepeats
     sender : Sender
     header_codec : HeaderCodec
     bounds : Bounds
@@ -81,15 +80,14 @@
 
     __slots__ = (
         "_bounds",
-        "_budgets_by_service",
         "_contexts_by_scope",
         "_ends_at",
         "_selector",
         "_header_codec",
         "_logger",
-        "_membership",
         "_metrics",
         "_permits",
+        "_repeats",
         "_replica",
         "_rng",
         "_sender",
@@ -105,9 +103,9 @@
         replica: Replica,
         selector: UpstreamSelector,
         wait_queue: WaitQueue,
-        membership: Membership,
         suspects: SuspectRegistry,
         permits: Permits,
+        repeats: SharedRepeats,
         sender: Sender,
         header_codec: HeaderCodec,
         bounds: Bounds,
@@ -117,15 +115,14 @@
         self._replica = replica
         self._selector = selector
         self._wait_queue = wait_queue
-        self._membership = membership
         self._suspects = suspects
         self._permits = permits
+        self._repeats = repeats
         self._sender = sender
         self._header_codec = header_codec
         self._bounds = bounds
         self._metrics = metrics
         self._rng = rng
-        self._budgets_by_service: dict[str, RepeatBudget] = {}
         self._logger = logging.getLogger(LOGGER_NAME)
         self._contexts_by_scope: dict[trio.CancelScope, RequestContext] = {}
         self._ends_at = math.inf
@@ -154,10 +151,7 @@
         """Set other bounds, also for the retry budgets in use."""
         if bounds != self._bounds:
             self._bounds = bounds
-            for budget in self._budgets_by_service.values():
-                budget.update_bounds(
-                    bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
-                )
+            self._repeats.update_bounds(bounds)
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request.
@@ -258,7 +252,7 @@
         service = configuration.services_by_name.get(name)
         if service is None:
             raise RequestError(ErrorKind.NO_UPSTREAM, "the service is not configured")
-        self._get_budget(name).record_request(call.arrived_at)
+        self._repeats.get_budget(name).record_request(call.arrived_at)
         return RequestContext(call, rule, service, team)
 
     def _require_current(self) -> None:
@@ -273,16 +267,6 @@
         weights = [share.weight for share in rule.shares]
         return self._rng.choices(rule.shares, weights)[0].service
 
-    def _get_budget(self, service: str) -> RepeatBudget:
-        budget = self._budgets_by_service.get(service)
-        if budget is None:
-            bounds = self._bounds
-            budget = RepeatBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
-            )
-            self._budgets_by_service[service] = budget
-        return budget
-
     async def _refuse(
         self, exchange: Exchange, error: RequestError, context: RequestContext | None
     ) -> None:
@@ -329,8 +313,8 @@
                 self._record_failed_attempt(context, failure)
                 if not failure.was_sent:
                     connect_failures += 1
-                if connect_failures >= MAX_CONNECT_FAILURES or not self._may_retry(
-                    context, failure
+                if connect_failures >= MAX_CONNECT_FAILURES or not (
+                    await self._may_retry(context, failure)
                 ):
                     await self._fail_request(exchange, context, failure)
                     return
@@ -354,7 +338,7 @@
             prompt_parts=context.call.prompt_parts[:MAX_LOGGED_PARTS],
         )
 
-    def _may_retry(self, context: RequestContext, failure: AttemptFailed) -> bool:
+    async def _may_retry(self, context: RequestContext, failure: AttemptFailed) -> bool:
         if failure.may_have_run and not context.rule.is_idempotent:
             return False
         if not failure.was_sent:
@@ -363,9 +347,10 @@
             return False
         if context.attempts >= context.rule.attempts:
             return False
-        budget = self._get_budget(context.service.name)
-        peers = len(self._membership.list_peers())
-        return budget.try_acquire(peers, trio.current_time())
+        is_under_way = context.first_event_at is not None
+        return await self._repeats.acquire(
+            context.service.name, is_under_way, context.call.request_id
+        )
 
     async def _fail_request(
         self, exchange: Exchange, context: RequestContext, failure: AttemptFailed
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -27,13 +27,19 @@
     PresenceAnswer,
     PresenceRequest,
 )
+from wigeondrift.systems.repeat_pool import (
+    RepeatAnswer,
+    RepeatRequest,
+    ShareAnswer,
+    ShareRequest,
+)
 from wigeondrift.systems.suspects import DeathNews, SoundNews, TrialNews
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.address import parse_address
 
 News = DeathNews | SoundNews | TrialNews | LimitNews | FaultNews
-PeerRequest = PermitRequest | PresenceRequest
-PeerAnswer = PermitAnswer | PresenceAnswer
+PeerRequest = PermitRequest | PresenceRequest | RepeatRequest | ShareRequest
+PeerAnswer = PermitAnswer | PresenceAnswer | RepeatAnswer | ShareAnswer
 TaggedMessage = News | PeerRequest | PeerAnswer
 
 MAX_DATAGRAM_BYTES = 60000
--- a/wigeondrift/telemetry/metrics.py
+++ b/wigeondrift/telemetry/metrics.py
@@ -61,6 +61,18 @@
         "messages",
         "Messages of other routers for which an upstream was avoided.",
     )
+    REPEATS_GRANTED = (
+        "retries.granted",
+        "counter",
+        "retries",
+        "Retries granted by the pool of all routers.",
+    )
+    REPEATS_DENIED = (
+        "retries.denied",
+        "counter",
+        "retries",
+        "Retries denied because neither the router nor the pool had one left.",
+    )
     TOKENS = "tokens", "counter", "tokens", "Tokens handed to callers."
     RESUMES = "streams.resumed", "counter", "streams", "Streams resumed elsewhere."
     FIRST_TOKEN = "first_token", "timing", "ms", "Time to the first token."
