--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -19,6 +19,7 @@
     decode_upstream,
 )
 from wigeondrift.router.attempt import Sender
+from wigeondrift.router.faults import SharedFaults
 from wigeondrift.router.forwarding import Forwarder
 from wigeondrift.router.listeners import (
     CallerListener,
@@ -35,6 +36,7 @@
 from wigeondrift.router.reload import POLL_SECONDS as RELOAD_SECONDS
 from wigeondrift.router.reload import Reloader
 from wigeondrift.router.repair import RouteRepair
+from wigeondrift.router.repeat_pool import SharedRepeats
 from wigeondrift.router.replica import (
     EXPIRE_SECONDS,
     Replica,
@@ -53,6 +55,7 @@
 from wigeondrift.router.wait_queue import POLL_SECONDS, WaitQueue
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.exchange import UsageExchange
+from wigeondrift.systems.faults import FaultNews
 from wigeondrift.systems.freshness import Freshness
 from wigeondrift.systems.limits import (
     LimitNews,
@@ -62,6 +65,13 @@
     PresenceRequest,
 )
 from wigeondrift.systems.relays import RelayTable
+from wigeondrift.systems.repeat_pool import (
+    RepeatAnswer,
+    RepeatPool,
+    RepeatRequest,
+    ShareAnswer,
+    ShareRequest,
+)
 from wigeondrift.systems.suspects import DeathNews, SoundNews, TrialNews
 from wigeondrift.telemetry.events import configure_rate_limited_logging
 from wigeondrift.telemetry.metrics import Metrics, PrometheusMetrics
@@ -100,6 +110,7 @@
         "selector",
         "client",
         "directory",
+        "faults",
         "forwarder",
         "freshness",
         "membership",
@@ -110,6 +121,7 @@
         "relay",
         "relays",
         "repairs",
+        "repeats",
         "replica",
         "source",
         "store",
@@ -191,6 +203,10 @@
             self.store, self.replica, self.directory, settings.instance_id, rng
         )
         control = HttpRunnerControl(client)
+        self.faults = SharedFaults(
+            self.directory, self.selector, self.membership, control, metrics
+        )
+        self.replica.subscribe(self.faults.forget_absent_upstreams)
         reach = self.selector.reach
         self.planner = Planner(
             self.store,
@@ -203,7 +219,9 @@
                 runner.failure_domain, runner.upstream_id, now
             ),
         )
-        self.prober = Prober(self.replica, self.directory, self.selector, control)
+        self.prober = Prober(
+            self.replica, self.directory, self.selector, control, self.faults
+        )
         self.permits = Permits(
             self.selector.limits,
             settings.instance_id,
@@ -216,14 +234,29 @@
         self.repairs = RouteRepair(
             self.selector, control, self.wait_queue, self.suspects, metrics
         )
+        self.faults.subscribe(self.repairs.handle_fault)
+        self.repeats = SharedRepeats(
+            RepeatPool(
+                settings.instance_id,
+                random.getrandbits(INCARNATION_BITS),
+                random.getrandbits(PERMIT_NUMBER_BITS),
+            ),
+            settings.instance_id,
+            self.replica,
+            self.membership,
+            bounds,
+            metrics,
+            get_time,
+        )
+        self.membership.subscribe(self.repeats.update_peers)
         header_codec = PlatformHeaderCodec()
         self.forwarder = Forwarder(
             replica=self.replica,
             selector=self.selector,
             wait_queue=self.wait_queue,
-            membership=self.membership,
             suspects=self.suspects,
             permits=self.permits,
+            repeats=self.repeats,
             sender=Sender(
                 self.selector,
                 client,
@@ -232,6 +265,7 @@
                 metrics,
                 self.suspects,
                 self.repairs,
+                self.faults,
             ),
             repairs=self.repairs,
             header_codec=header_codec,
@@ -320,6 +354,8 @@
     peers.subscribe(TrialNews, parts.suspects.apply_trial_news)
     parts.selector.subscribe_to_limits(peers.announce)
     peers.subscribe(LimitNews, parts.selector.apply_limit_news)
+    parts.faults.connect(peers.announce)
+    peers.subscribe_with_source(FaultNews, parts.faults.apply_news)
     peers.add_responder(PermitRequest, parts.permits.answer_permit_request)
     peers.subscribe(PermitAnswer, parts.permits.apply_permit_answer)
     peers.add_responder(PresenceRequest, parts.permits.answer_presence_request)
@@ -329,6 +365,11 @@
     peers.subscribe(VersionAnswer, parts.version_check.apply_answer)
     if settings.peer_port:
         parts.version_check.connect(peers.send)
+    peers.add_responder(RepeatRequest, parts.repeats.answer_repeat_request)
+    peers.subscribe(RepeatAnswer, parts.repeats.apply_repeat_answer)
+    peers.add_responder(ShareRequest, parts.repeats.answer_share_request)
+    peers.subscribe(ShareAnswer, parts.repeats.apply_share_answer)
+    parts.repeats.connect(peers.send)
     components = [
         ReadyListener(settings.ready_address, READINESS_PATH, parts.readiness),
         MetricsListener(f"{settings.host}:{METRICS_PORT}", metrics),
@@ -337,8 +378,10 @@
         parts.membership,
         parts.suspects,
         peers,
+        parts.faults,
         parts.permits,
         parts.version_check,
+        parts.repeats,
         parts.planner,
         parts.prober,
         timer,
--- a/wigeondrift/telemetry/metrics.py
+++ b/wigeondrift/telemetry/metrics.py
@@ -49,6 +49,30 @@
         "requests",
         "Requests on upstreams that died.",
     )
+    FAULTS_SENT = (
+        "faults.sent",
+        "counter",
+        "messages",
+        "Messages sent to the other routers about upstreams at fault.",
+    )
+    FAULTS_APPLIED = (
+        "faults.applied",
+        "counter",
+        "messages",
+        "Messages of other routers for which an upstream was avoided.",
+    )
+    REPEATS_GRANTED = (
+        "retries.granted",
+        "counter",
+        "retries",
+        "Retries granted by the pool of all routers.",
+    )
+    REPEATS_DENIED = (
+        "retries.denied",
+        "counter",
+        "retries",
+        "Retries denied because neither the router nor the pool had one left.",
+    )
     TOKENS = "tokens", "counter", "tokens", "Tokens handed to callers."
     RESUMES = "streams.resumed", "counter", "streams", "Streams resumed elsewhere."
     REPAIRS = (
