Tell runners the urgency of requests from their priority

The priority of a route was read but not used. The different priorities of a service's routes and teams now map to Wigeondrift-Request-Urgency, symmetrically around the default 5; a team's priority replaces the route's. A stream that resumes is one step more urgent. Services with one priority send no header otherwise.

--- a/wigeondrift/platform/configuration.py
+++ b/wigeondrift/platform/configuration.py
@@ -22,6 +22,9 @@
 DEFAULT_HEADER_BYTES = 16384
 DEFAULT_BODY_BYTES = 4194304
 DEFAULT_TIMEOUT_MS = 15000.0
+# Priorities outside of this range are taken for its nearest end, so that an unusual
+# value does not make the whole configuration unusable.
+MAX_PRIORITY = 1_000_000
 
 KINDS_BY_NAME = {
     "safe": RequestKind.SAFE,
@@ -97,6 +100,8 @@
 class _WireTenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
+    # Replaces the priority of the routes for the requests of this team.
+    priority: int | None = None
 
 
 class _WireLimits(msgspec.Struct):
@@ -134,9 +139,18 @@
         {key: team.name for team in wire.tenants or () for key in team.api_keys},
         wire.tenants is not None,
         _make_limits(wire.limits),
+        {
+            team.name: _clamp_priority(team.priority)
+            for team in wire.tenants or ()
+            if team.priority is not None
+        },
     )
 
 
+def _clamp_priority(priority: int) -> int:
+    return min(MAX_PRIORITY, max(0, priority))
+
+
 def _make_route(wire: _WireRoute) -> RouteRule:
     shares = tuple(Share(share.service, share.weight) for share in wire.split)
     return RouteRule(
@@ -148,7 +162,7 @@
         objective=wire.slo_ms / MS_PER_SECOND,
         event_gap=wire.gap_aim_ms / MS_PER_SECOND,
         attempts=max(1, wire.attempts),
-        priority=wire.priority,
+        priority=_clamp_priority(wire.priority),
         is_public=wire.auth_exempt,
         is_resumable=wire.resumable,
         shares=shares or (Share(wire.service, 1.0),),
--- a/wigeondrift/platform/requests.py
+++ b/wigeondrift/platform/requests.py
@@ -112,6 +112,7 @@
         remaining: float,
         route: Route | None,
         last_event_id: int | None,
+        urgency: int | None = None,
     ) -> Headers:
         """Return the headers of a request to an upstream."""
         headers = [pair for pair in call.headers if pair[0] not in REPLACED_HEADERS]
@@ -124,6 +125,8 @@
             headers.append((STAGES, format_route(route)))
         if last_event_id is not None:
             headers.append((LAST_EVENT_ID, str(last_event_id)))
+        if urgency is not None:
+            headers.append((URGENCY, str(urgency)))
         return headers
 
     def decode_head(self, status: int, headers: Headers) -> UpstreamHead:
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -312,6 +312,7 @@
             context.deadline - now,
             None if reservation is None else reservation.chain.route,
             context.events.last_id,
+            context.urgency,
         )
         response_timeout = context.deadline - now
         if rule.kind is RequestKind.SAFE and context.attempts < rule.attempts:
--- a/wigeondrift/router/entities.py
+++ b/wigeondrift/router/entities.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from wigeondrift.systems.urgency import NO_SCALE, UrgencyScale
+
 
 class RequestKind(enum.Enum):
     """Whether the requests of a route may be sent again.
@@ -161,11 +163,15 @@
     needs_keys : bool
         Whether requests need a key.
     limits : CallerLimits
+    priorities_by_team : dict of str to int
+        Priorities of teams that replace those of routes.
     """
 
     __slots__ = (
+        "_scales_by_service",
         "limits",
         "needs_keys",
+        "priorities_by_team",
         "routes_by_host",
         "services_by_name",
         "teams_by_key",
@@ -180,6 +186,7 @@
         teams_by_key: dict[str, str],
         needs_keys: bool,
         limits: CallerLimits,
+        priorities_by_team: dict[str, int] | None = None,
     ) -> None:
         self.version = version
         self.routes_by_host: dict[str, list[RouteRule]] = {}
@@ -189,6 +196,38 @@
         self.teams_by_key = teams_by_key
         self.needs_keys = needs_keys
         self.limits = limits
+        self.priorities_by_team = priorities_by_team or {}
+        self._scales_by_service = self._make_scales(routes)
+
+    def _make_scales(self, routes: list[RouteRule]) -> dict[str, UrgencyScale]:
+        teams = set(self.teams_by_key.values())
+        team_priorities = {
+            self.priorities_by_team[team]
+            for team in teams
+            if team in self.priorities_by_team
+        }
+        all_replaced = self.needs_keys and teams <= self.priorities_by_team.keys()
+        priorities_by_service: dict[str, set[int]] = {}
+        for rule in routes:
+            priorities = set(team_priorities)
+            if rule.is_public or not all_replaced:
+                priorities.add(rule.priority)
+            for share in rule.shares:
+                priorities_by_service.setdefault(share.service, set()).update(
+                    priorities
+                )
+        return {
+            service: UrgencyScale(priorities)
+            for service, priorities in priorities_by_service.items()
+        }
+
+    def get_scale(self, service: str) -> UrgencyScale:
+        """Return the priorities that requests of a service may have."""
+        return self._scales_by_service.get(service, NO_SCALE)
+
+    def get_priority(self, rule: RouteRule, team: str) -> int:
+        """Return the priority of a team's requests on a route."""
+        return self.priorities_by_team.get(team, rule.priority)
 
     def find_route(self, host: str, path: str) -> RouteRule | None:
         """Return the route with the longest prefix of ``path``, or None."""
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -259,7 +259,10 @@
         if service is None:
             raise RequestError(ErrorKind.NO_UPSTREAM, "the service is not configured")
         self._get_budget(name).record_request(call.arrived_at)
-        return RequestContext(call, rule, service, team)
+        context = RequestContext(call, rule, service, team)
+        context.priority = configuration.get_priority(rule, team)
+        context.scale = configuration.get_scale(name)
+        return context
 
     def _require_current(self) -> None:
         if not self._replica.is_current:
--- a/wigeondrift/router/header_codec.py
+++ b/wigeondrift/router/header_codec.py
@@ -24,6 +24,7 @@
         remaining: float,
         route: Route | None,
         last_event_id: int | None,
+        urgency: int | None = None,
     ) -> Headers:
         """Return the headers of a request to an upstream.
 
@@ -40,6 +41,8 @@
             Stages of a model request.
         last_event_id : int or None
             Event after which a resumed stream continues.
+        urgency : int or None
+            Urgency of a request to a runner, 0 to 9; the lowest is admitted first.
         """
 
     @abc.abstractmethod
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -12,6 +12,7 @@
 from wigeondrift.systems.chains import RouteDemand
 from wigeondrift.systems.refusals import EARLY_EVENTS
 from wigeondrift.systems.suspects import MAX_TRAITS_PER_REQUEST, make_digest
+from wigeondrift.systems.urgency import NO_SCALE, UrgencyScale
 
 # Callers abandon a stream without data after this time, or after these multiples of
 # the route's objective or event gap if those are longer (the platform documents this).
@@ -95,6 +96,10 @@
         Whether it is tried although it has a refused trait.
     traits : tuple of str
         Digests of what the request has in common with others of its service.
+    priority : int
+        Priority of the team, or else of the route; 0 is the highest.
+    scale : UrgencyScale
+        Priorities of the service's requests.
     """
 
     __slots__ = (
@@ -108,6 +113,8 @@
         "is_trial",
         "longest_gap",
         "may_have_run",
+        "priority",
+        "scale",
         "wait_seconds",
         "rule",
         "service",
@@ -139,10 +146,24 @@
         self.longest_gap: float | None = None
         self.is_risky = False
         self.is_trial = False
+        self.priority = rule.priority
+        self.scale: UrgencyScale = NO_SCALE
         whole = make_digest(service.name, "request", call.target, call.key, call.body)
         parts = call.prompt_parts[: MAX_TRAITS_PER_REQUEST - 1]
         self.traits = (whole, *(make_digest(service.name, part) for part in parts))
 
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the request continues a stream of which the caller has events."""
+        return self.first_event_at is not None
+
+    @property
+    def urgency(self) -> int | None:
+        """Urgency that a runner is told, or None."""
+        if self.service.engine is None:
+            return None
+        return self.scale.get_urgency(self.priority, self.is_resumed)
+
     @property
     def demand(self) -> RouteDemand:
         """Expected mean demand of the request on a route."""
