--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -151,7 +151,7 @@
         self.selector = UpstreamSelector(
             self.directory, settings.failure_domain, rng, settings.instance_id
         )
-        self.wait_queue = WaitQueue(self.selector)
+        self.wait_queue = WaitQueue(self.selector, metrics)
         entry = RouterEntry(
             f"{settings.host}:{settings.peer_port}",
             settings.failure_domain,
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -297,7 +297,7 @@
             if error.kind is ErrorKind.SUSPENDED:
                 seconds = float(error.retry_after)
             else:
-                seconds = max(RETRY_AFTER_SECONDS, self._wait_queue.estimate_wait())
+                seconds = max(RETRY_AFTER_SECONDS, self._estimate_wait(context))
                 if context is not None:
                     wait = self._selector.get_wait(context.service, ())
                     seconds = max(seconds, wait)
@@ -305,6 +305,11 @@
             headers.append(("Retry-After", f"{seconds:.2f}"))
         await exchange.respond(error.status, headers, error.reason.encode())
 
+    def _estimate_wait(self, context: RequestContext | None) -> float:
+        if context is None:
+            return self._wait_queue.estimate_wait()
+        return self._wait_queue.estimate_wait(context.service.name, context.precedence)
+
     async def _serve(self, exchange: Exchange, context: RequestContext) -> None:
         with trio.move_on_at(min(context.deadline, self._ends_at)) as scope:
             self._contexts_by_scope[scope] = context
@@ -478,6 +483,7 @@
                 context.excluded,
                 on_time_until,
                 wait_until,
+                context.precedence,
             )
             context.wait_seconds += trio.current_time() - asked_at
             if reservation is None:
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -10,6 +10,7 @@
 from wigeondrift.router.entities import RouteRule, ServiceSpec
 from wigeondrift.router.event_stream import EventBuffer
 from wigeondrift.systems.chains import RouteDemand
+from wigeondrift.systems.grant_order import Precedence
 from wigeondrift.systems.refusals import EARLY_EVENTS
 from wigeondrift.systems.suspects import MAX_TRAITS_PER_REQUEST, make_digest
 from wigeondrift.systems.urgency import NO_SCALE, UrgencyScale
@@ -157,6 +158,17 @@
         """Whether the request continues a stream of which the caller has events."""
         return self.first_event_at is not None
 
+    @property
+    def precedence(self) -> Precedence:
+        """What decides when the request gets capacity, beside its objective."""
+        return Precedence(
+            self.priority,
+            self.team,
+            self.is_resumed,
+            self.scale.get_rank(self.priority),
+            self.scale.is_least_urgent(self.priority),
+        )
+
     @property
     def urgency(self) -> int | None:
         """Urgency that a runner is told, or None."""
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -297,6 +297,14 @@
             return None
         return Reservation(offer, demand, self.ledger)
 
+    def fits_idle(
+        self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
+    ) -> bool:
+        """Whether a request would have a route if no other were running."""
+        idle = CacheLedger(self._get_cache_capacity)
+        chains = self.get_chains(service)
+        return chains.choose(demand, idle, excluded, self._failure_domain) is not None
+
     def get_wait(self, service: ServiceSpec, excluded: Collection[str]) -> float:
         """Return the time until some upstream may take a request, in seconds.
 
--- a/wigeondrift/router/wait_queue.py
+++ b/wigeondrift/router/wait_queue.py
@@ -8,6 +8,13 @@
 from wigeondrift.router.entities import ServiceSpec
 from wigeondrift.router.selector import Reservation, UpstreamSelector
 from wigeondrift.systems.chains import RouteDemand
+from wigeondrift.systems.grant_order import (
+    Claim,
+    GrantOrder,
+    Precedence,
+    count_ahead,
+)
+from wigeondrift.telemetry.metrics import Metric, Metrics, NullMetrics
 from wigeondrift.timer import Activity
 
 # Interval at which the queue is served, since capacity that peers release becomes known
@@ -18,11 +25,17 @@
 # Number of grants assumed if there were fewer in the window, so that a few requests may
 # queue before the first grant.
 MIN_GRANTS = 4
-# Number of waiting requests that may find no route before a pass over the queue ends.
-MAX_FAILED_GRANTS = 8
+# Metrics of the most urgent priority of a service, the next one, and all others.
+WAITING_METRICS = (
+    Metric.WAITING_FIRST,
+    Metric.WAITING_SECOND,
+    Metric.WAITING_OTHERS,
+)
+NO_PRECEDENCE = Precedence()
+GRANT_METRICS = (Metric.GRANTS_FIRST, Metric.GRANTS_SECOND, Metric.GRANTS_OTHERS)
 
 
-class Waiter:
+class Waiter(Claim):
     """One waiting request.
 
     Attributes
@@ -30,8 +43,6 @@
     service : ServiceSpec
     demand : RouteDemand
     excluded : collection of str
-    on_time_until : float
-        Time until which a response meets its latency objective, in seconds.
     event : trio.Event
         Set when a route has been reserved.
     reservation : Reservation or None
@@ -42,7 +53,6 @@
         "demand",
         "event",
         "excluded",
-        "on_time_until",
         "reservation",
         "service",
     )
@@ -53,21 +63,23 @@
         demand: RouteDemand,
         excluded: Collection[str],
         on_time_until: float,
+        precedence: Precedence,
     ) -> None:
+        super().__init__(precedence, on_time_until, demand.tokens, bool(excluded))
         self.service = service
         self.demand = demand
         self.excluded = excluded
-        self.on_time_until = on_time_until
         self.reservation: Reservation | None = None
         self.event = trio.Event()
 
 
 class WaitQueue:
-    """Grants free capacity to waiting requests, those that are still on time first.
+    """Grants free capacity to waiting requests in the order of ``GrantOrder``.
 
     Parameters
     ----------
     selector : UpstreamSelector
+    metrics : Metrics, optional
 
     Attributes
     ----------
@@ -75,21 +87,41 @@
         Whether requests wait.
     """
 
-    __slots__ = ("_granted_at", "_selector", "_waiters", "activity")
+    __slots__ = (
+        "_granted_at",
+        "_metrics",
+        "_orders_by_service",
+        "_selector",
+        "_waiters",
+        "activity",
+    )
 
-    def __init__(self, selector: UpstreamSelector) -> None:
+    def __init__(
+        self, selector: UpstreamSelector, metrics: Metrics | None = None
+    ) -> None:
         self.activity = Activity()
         self._selector = selector
         self._granted_at: deque[float] = deque()
         self._waiters: list[Waiter] = []
+        self._metrics = metrics or NullMetrics()
+        self._orders_by_service: dict[str, GrantOrder] = {}
+
+    def estimate_wait(
+        self, service: str = "", precedence: Precedence | None = None
+    ) -> float:
+        """Return the expected time until a new request gets capacity, in seconds.
 
-    def estimate_wait(self) -> float:
-        """Return the expected time until the current queue is empty, in seconds."""
+        Without ``precedence``, it is the time until the current queue is empty.
+        """
         now = trio.current_time()
         while self._granted_at and now - self._granted_at[0] > GRANT_RATE_SECONDS:
             self._granted_at.popleft()
         rate = max(MIN_GRANTS, len(self._granted_at)) / GRANT_RATE_SECONDS
-        return len(self._waiters) / rate
+        if precedence is None:
+            return len(self._waiters) / rate
+        same = [waiter.precedence for waiter in self._list_waiting(service)]
+        others = len(self._waiters) - len(same)
+        return (others + count_ahead(precedence, same)) / rate
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -101,6 +133,7 @@
         excluded: Collection[str],
         on_time_until: float,
         wait_until: float,
+        precedence: Precedence = NO_PRECEDENCE,
     ) -> Reservation | None:
         """Reserve a route, waiting for capacity if there is none.
 
@@ -114,6 +147,7 @@
             Time until which a response meets its latency objective, in seconds.
         wait_until : float
             Time until which the request may wait, in seconds.
+        precedence : Precedence, optional
 
         Returns
         -------
@@ -121,15 +155,21 @@
             None if no route had capacity in time, or at once if the queue is too long.
         """
         now = trio.current_time()
-        if not self._waiters:
+        waiter = Waiter(service, demand, excluded, on_time_until, precedence)
+        if not self._list_waiting(service.name):
             reservation = self._selector.choose_chain(service, demand, excluded)
             if reservation is not None:
-                self._granted_at.append(now)
+                self._get_order(service.name).record_grant(waiter, now)
+                self._count_grant(waiter, now)
                 return reservation
-        if now + self.estimate_wait() >= wait_until:
+        if now + self.estimate_wait(service.name, precedence) >= wait_until:
             return None
-        waiter = Waiter(service, demand, excluded, on_time_until)
+        may_go_first = self._may_go_first(waiter)
         self._waiters.append(waiter)
+        if may_go_first:
+            self._grant_service(service.name, now, waiter)
+            if waiter.reservation is not None:
+                return waiter.reservation
         self.activity.begin()
         try:
             with trio.move_on_at(wait_until):
@@ -143,6 +183,26 @@
                 self._waiters.remove(waiter)
         return waiter.reservation
 
+    def _list_waiting(self, service: str) -> list[Waiter]:
+        return [w for w in self._waiters if w.service.name == service]
+
+    def _may_go_first(self, new: Waiter) -> bool:
+        """Whether a new request goes before all that wait for its service."""
+        waiting = self._list_waiting(new.service.name)
+        return bool(waiting) and all(
+            (new.precedence.priority, not new.precedence.is_resumed)
+            < (w.precedence.priority, not w.precedence.is_resumed)
+            for w in waiting
+        )
+
+    def _get_order(self, service: str) -> GrantOrder:
+        return self._orders_by_service.setdefault(service, GrantOrder())
+
+    def _count_grant(self, waiter: Waiter, now: float) -> None:
+        self._granted_at.append(now)
+        rank = min(waiter.precedence.rank, len(GRANT_METRICS) - 1)
+        self._metrics.count(GRANT_METRICS[rank])
+
     def release(self, reservation: Reservation) -> None:
         """Release the capacity of a route and grant it to waiting requests."""
         reservation.release()
@@ -150,28 +210,43 @@
 
     def grant_capacity(self) -> None:
         """Grant free capacity to waiting requests."""
-        if not self._waiters:
-            return
         now = trio.current_time()
-        order = sorted(
-            self._waiters, key=lambda w: (w.on_time_until < now, w.on_time_until)
-        )
-        failures = 0
-        for waiter in order:
+        for service in {waiter.service.name: None for waiter in self._waiters}:
+            self._grant_service(service, now)
+
+    def _grant_service(
+        self, service: str, now: float, last: Waiter | None = None
+    ) -> None:
+        """Grant free capacity of one service; stop after ``last`` has been tried."""
+        waiters = self._list_waiting(service)
+        grant_pass = self._get_order(service).start_pass(waiters, now, self._fits_idle)
+        while (waiter := grant_pass.next()) is not None:
             waiter.reservation = self._selector.choose_chain(
                 waiter.service, waiter.demand, waiter.excluded
             )
-            if waiter.reservation is not None:
+            if waiter.reservation is None:
+                grant_pass.record_failure(waiter)
+            else:
+                grant_pass.record_grant(waiter)
                 self._waiters.remove(waiter)
-                self._granted_at.append(now)
+                self._count_grant(waiter, now)
                 waiter.event.set()
-                continue
-            failures += 1
-            if failures >= MAX_FAILED_GRANTS:
+            if waiter is last:
                 return
 
+    def _fits_idle(self, waiter: Waiter) -> bool:
+        return self._selector.fits_idle(waiter.service, waiter.demand, waiter.excluded)
+
     async def poll(self, now: float) -> None:
         """Grant capacity that peers released; called by the timer."""
         self.grant_capacity()
+        self._report_waiting()
         if not self._waiters:
             self.activity.end()
+
+    def _report_waiting(self) -> None:
+        counts = [0] * len(WAITING_METRICS)
+        for waiter in self._waiters:
+            counts[min(waiter.precedence.rank, len(counts) - 1)] += 1
+        for metric, count in zip(WAITING_METRICS, counts, strict=True):
+            self._metrics.gauge(metric, count)
--- a/wigeondrift/telemetry/metrics.py
+++ b/wigeondrift/telemetry/metrics.py
@@ -43,6 +43,48 @@
         "requests",
         "Requests refused for the limits of all upstreams.",
     )
+    WAITING_FIRST = (
+        "waiting.first",
+        "gauge",
+        "requests",
+        "Requests of their service's most urgent priority that wait for capacity.",
+    )
+    WAITING_SECOND = (
+        "waiting.second",
+        "gauge",
+        "requests",
+        "Requests of the next priority that wait for capacity.",
+    )
+    WAITING_OTHERS = (
+        "waiting.others",
+        "gauge",
+        "requests",
+        "Requests of all other priorities that wait for capacity.",
+    )
+    GRANTS_FIRST = (
+        "grants.first",
+        "counter",
+        "requests",
+        "Requests of their service's most urgent priority that got capacity.",
+    )
+    GRANTS_SECOND = (
+        "grants.second",
+        "counter",
+        "requests",
+        "Requests of the next priority that got capacity.",
+    )
+    GRANTS_OTHERS = (
+        "grants.others",
+        "counter",
+        "requests",
+        "Requests of all other priorities that got capacity.",
+    )
+    REFUSED_UNDER_PRESSURE = (
+        "refused.pressure",
+        "counter",
+        "requests",
+        "Requests refused while more urgent ones waited.",
+    )
     UPSTREAM_DEATHS = (
         "upstreams.deaths",
         "counter",
