Hold less urgent requests back while urgent ones wait at other routers

Each router knew only its own queue, so a router with less urgent requests took all capacity that came free while urgent ones waited elsewhere. A router with waiting requests now tells the others (PressureNews), unless another one has just told the same. Nothing is sent for services with one priority.

--- a/tests/features/peers.feature
+++ b/tests/features/peers.feature
@@ -52,6 +52,17 @@
     Then the ledger counts 70 cells
     And the router has got news of 2 deaths
 
+  Scenario: News of waiting requests counts for the peer that sent it alone
+    Given a router that listens for the usage of "east-2"
+    When a datagram from "east-2" brings its pressure
+    And a datagram from "east-2" brings the pressure of "east-3"
+    And a datagram from "east-2" brings the pressure of "sum:east"
+    And a datagram from "east-2" brings pressure of no request
+    And a datagram from a stranger brings its pressure
+    And "east-2" sends its usage of 70 cells
+    Then the ledger counts 70 cells
+    And the router has only the pressure of "east-2"
+
   Scenario: A peer that asks for a permit gets an answer, a stranger none
     Given a router that listens for the usage of "east-2"
     When a datagram from "east-2" brings a request for a permit
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -20,6 +20,7 @@
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.exchange import UsageExchange
 from wigeondrift.systems.limits import LimitNews, PermitAnswer, PermitRequest
+from wigeondrift.systems.pressure import PressureNews
 from wigeondrift.systems.suspects import DeathNews, ReportedDeath, make_digest
 
 PACKAGE = Path(__file__).parent.parent.parent.parent / "wigeondrift"
@@ -77,6 +78,10 @@
     )
 
 
+def make_pressure(name, waiting=3):
+    return PressureNews(name, 1, 1, "model", 0, waiting, 0.2)
+
+
 class Peers:
     """Stand-in for the membership: the routers that this one knows."""
 
@@ -130,6 +135,10 @@
         },
         "a negative limit": lambda: LimitNews("u1", -1.0),
         "an endless wait": lambda: PermitAnswer(1, float("inf"), is_issuer=True),
+        "its pressure": lambda: make_pressure(name),
+        'the pressure of "east-3"': lambda: make_pressure("east-3"),
+        'the pressure of "sum:east"': lambda: make_pressure("sum:east"),
+        "pressure of no request": lambda: make_pressure(name, 0),
         "a request for a permit": lambda: PermitRequest(9, "u1", 1.0),
     }
     data = makers[datagram]()
@@ -156,6 +165,8 @@
     exchange.update_peers()
     context.news = []
     exchange.subscribe(DeathNews, context.news.append)
+    context.pressure_news = []
+    exchange.subscribe(PressureNews, context.pressure_news.append)
     permits = Permits(selector.limits, "east-1", 0, trio.current_time)
     exchange.add_responder(PermitRequest, permits.answer_permit_request)
     async with trio.open_nursery() as nursery:
@@ -204,6 +215,11 @@
     assert len(deaths) == count, deaths
 
 
+@then('the router has only the pressure of "{name}"')
+def check_pressure(context, name):
+    assert context.pressure_news == [make_pressure(name)], context.pressure_news
+
+
 @then("a router that sees a death sends news of it to its peer")
 def check_announced(context):
     async def announce():
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -29,6 +29,8 @@
 from wigeondrift.router.peers import PeerExchange
 from wigeondrift.router.permits import Permits
 from wigeondrift.router.planner import Planner
+from wigeondrift.router.pressure import POLL_SECONDS as PRESSURE_SECONDS
+from wigeondrift.router.pressure import Pressure
 from wigeondrift.router.probing import Prober
 from wigeondrift.router.relay import Relay, RelayedSource
 from wigeondrift.router.reload import POLL_SECONDS as RELOAD_SECONDS
@@ -54,6 +56,7 @@
     PresenceAnswer,
     PresenceRequest,
 )
+from wigeondrift.systems.pressure import PressureLevel, PressureNews
 from wigeondrift.systems.relays import RelayTable
 from wigeondrift.systems.suspects import DeathNews, SoundNews, TrialNews
 from wigeondrift.telemetry.events import configure_rate_limited_logging
@@ -98,6 +101,7 @@
         "membership",
         "permits",
         "planner",
+        "pressure",
         "prober",
         "readiness",
         "relay",
@@ -151,7 +155,11 @@
         self.selector = UpstreamSelector(
             self.directory, settings.failure_domain, rng, settings.instance_id
         )
-        self.wait_queue = WaitQueue(self.selector, metrics)
+        level = PressureLevel(
+            settings.instance_id, rng.getrandbits(INCARNATION_BITS), rng
+        )
+        self.pressure = Pressure(level, self.replica, self.selector)
+        self.wait_queue = WaitQueue(self.selector, metrics, self.pressure)
         entry = RouterEntry(
             f"{settings.host}:{settings.peer_port}",
             settings.failure_domain,
@@ -234,6 +242,9 @@
         timer.subscribe(
             "waiting", POLL_SECONDS, self.wait_queue.poll, self.wait_queue.activity
         )
+        timer.subscribe(
+            "pressure", PRESSURE_SECONDS, self.pressure.poll, self.pressure.activity
+        )
         reloader.subscribe(
             lambda settings: self.store.set_address(settings.store_address)
         )
@@ -298,6 +309,8 @@
     peers.subscribe(TrialNews, parts.suspects.apply_trial_news)
     parts.selector.subscribe_to_limits(peers.announce)
     peers.subscribe(LimitNews, parts.selector.apply_limit_news)
+    parts.pressure.subscribe(peers.announce)
+    peers.subscribe(PressureNews, parts.pressure.apply_news)
     peers.add_responder(PermitRequest, parts.permits.answer_permit_request)
     peers.subscribe(PermitAnswer, parts.permits.apply_permit_answer)
     peers.add_responder(PresenceRequest, parts.permits.answer_presence_request)
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -301,7 +301,11 @@
                 if context is not None:
                     wait = self._selector.get_wait(context.service, ())
                     seconds = max(seconds, wait)
-            seconds += RETRY_AFTER_JITTER * self._rng.random()
+            jitter = RETRY_AFTER_JITTER
+            if context is not None and context.scale.has_levels:
+                # Callers shed from a longer queue return over a longer time.
+                jitter = max(jitter, self._estimate_wait(context))
+            seconds += jitter * self._rng.random()
             headers.append(("Retry-After", f"{seconds:.2f}"))
         await exchange.respond(error.status, headers, error.reason.encode())
 
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -26,11 +26,12 @@
     PresenceAnswer,
     PresenceRequest,
 )
+from wigeondrift.systems.pressure import PressureNews
 from wigeondrift.systems.suspects import DeathNews, SoundNews, TrialNews
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.address import parse_address
 
-News = DeathNews | SoundNews | TrialNews | LimitNews
+News = DeathNews | SoundNews | TrialNews | LimitNews | PressureNews
 PeerRequest = PermitRequest | PresenceRequest
 PeerAnswer = PermitAnswer | PresenceAnswer
 TaggedMessage = News | PeerRequest | PeerAnswer
@@ -208,12 +209,15 @@
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             reason = str(error)
         else:
-            # Sums have names of their own.
-            is_own_name = (
-                isinstance(message, TaggedMessage)
-                or ":" in message.instance_id
-                or message.instance_id == name
-            )
+            if isinstance(message, PressureNews):
+                is_own_name = message.instance_id == name
+            else:
+                # Sums have names of their own.
+                is_own_name = (
+                    isinstance(message, TaggedMessage)
+                    or ":" in message.instance_id
+                    or message.instance_id == name
+                )
             if name is not None and is_own_name and message.is_plausible:
                 return message
             reason = "not sent by this peer, or out of bounds"
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -297,6 +297,11 @@
             return None
         return Reservation(offer, demand, self.ledger)
 
+    def get_service_rate(self, service: ServiceSpec) -> float:
+        """Return the requests per second that the routes of a service serve."""
+        chains = self.get_chains(service)
+        return sum(chains.get_rate(chain, self.ledger) for chain in chains.chains)
+
     def fits_idle(
         self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
     ) -> bool:
--- a/wigeondrift/router/wait_queue.py
+++ b/wigeondrift/router/wait_queue.py
@@ -6,6 +6,7 @@
 import trio
 
 from wigeondrift.router.entities import ServiceSpec
+from wigeondrift.router.pressure import Pressure
 from wigeondrift.router.selector import Reservation, UpstreamSelector
 from wigeondrift.systems.chains import RouteDemand
 from wigeondrift.systems.grant_order import (
@@ -43,6 +44,8 @@
     service : ServiceSpec
     demand : RouteDemand
     excluded : collection of str
+    arrived_at : float
+        Time at which the request began to wait, in seconds.
     event : trio.Event
         Set when a route has been reserved.
     reservation : Reservation or None
@@ -50,6 +53,7 @@
     """
 
     __slots__ = (
+        "arrived_at",
         "demand",
         "event",
         "excluded",
@@ -64,11 +68,13 @@
         excluded: Collection[str],
         on_time_until: float,
         precedence: Precedence,
+        arrived_at: float,
     ) -> None:
         super().__init__(precedence, on_time_until, demand.tokens, bool(excluded))
         self.service = service
         self.demand = demand
         self.excluded = excluded
+        self.arrived_at = arrived_at
         self.reservation: Reservation | None = None
         self.event = trio.Event()
 
@@ -80,6 +86,8 @@
     ----------
     selector : UpstreamSelector
     metrics : Metrics, optional
+    pressure : Pressure, optional
+        Requests that wait at other routers.
 
     Attributes
     ----------
@@ -91,19 +99,24 @@
         "_granted_at",
         "_metrics",
         "_orders_by_service",
+        "_pressure",
         "_selector",
         "_waiters",
         "activity",
     )
 
     def __init__(
-        self, selector: UpstreamSelector, metrics: Metrics | None = None
+        self,
+        selector: UpstreamSelector,
+        metrics: Metrics | None = None,
+        pressure: Pressure | None = None,
     ) -> None:
         self.activity = Activity()
         self._selector = selector
         self._granted_at: deque[float] = deque()
         self._waiters: list[Waiter] = []
         self._metrics = metrics or NullMetrics()
+        self._pressure = pressure
         self._orders_by_service: dict[str, GrantOrder] = {}
 
     def estimate_wait(
@@ -121,7 +134,15 @@
             return len(self._waiters) / rate
         same = [waiter.precedence for waiter in self._list_waiting(service)]
         others = len(self._waiters) - len(same)
-        return (others + count_ahead(precedence, same)) / rate
+        wait = (others + count_ahead(precedence, same)) / rate
+        if self._pressure is not None:
+            wait += self._pressure.get_wait(service, precedence, now)
+        return wait
+
+    def _is_held_back(self, waiter: Waiter) -> bool:
+        return self._pressure is not None and self._pressure.is_held_back(
+            waiter.service.name, waiter.precedence, trio.current_time()
+        )
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -155,14 +176,15 @@
             None if no route had capacity in time, or at once if the queue is too long.
         """
         now = trio.current_time()
-        waiter = Waiter(service, demand, excluded, on_time_until, precedence)
+        waiter = Waiter(service, demand, excluded, on_time_until, precedence, now)
         if not self._list_waiting(service.name):
-            reservation = self._selector.choose_chain(service, demand, excluded)
-            if reservation is not None:
+            self._set_margin(waiter, now)
+            if self._try_reserve(waiter):
                 self._get_order(service.name).record_grant(waiter, now)
-                self._count_grant(waiter, now)
-                return reservation
+                self._record_grant(waiter, now)
+                return waiter.reservation
         if now + self.estimate_wait(service.name, precedence) >= wait_until:
+            self._count_refusal(waiter)
             return None
         may_go_first = self._may_go_first(waiter)
         self._waiters.append(waiter)
@@ -181,8 +203,27 @@
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
+        if waiter.reservation is None:
+            self._count_refusal(waiter)
         return waiter.reservation
 
+    def _count_refusal(self, waiter: Waiter) -> None:
+        if self._is_held_back(waiter):
+            self._metrics.count(Metric.REFUSED_UNDER_PRESSURE)
+
+    def _set_margin(self, waiter: Waiter, now: float) -> None:
+        if self._pressure is not None:
+            waiter.margin = self._pressure.get_margin(
+                waiter.service, waiter.precedence, now
+            )
+
+    def _try_reserve(self, waiter: Waiter) -> bool:
+        waiter.demand.margin = waiter.margin
+        waiter.reservation = self._selector.choose_chain(
+            waiter.service, waiter.demand, waiter.excluded
+        )
+        return waiter.reservation is not None
+
     def _list_waiting(self, service: str) -> list[Waiter]:
         return [w for w in self._waiters if w.service.name == service]
 
@@ -198,10 +239,14 @@
     def _get_order(self, service: str) -> GrantOrder:
         return self._orders_by_service.setdefault(service, GrantOrder())
 
-    def _count_grant(self, waiter: Waiter, now: float) -> None:
+    def _record_grant(self, waiter: Waiter, now: float) -> bool:
+        """Record a grant; return whether margins of other requests changed."""
         self._granted_at.append(now)
         rank = min(waiter.precedence.rank, len(GRANT_METRICS) - 1)
         self._metrics.count(GRANT_METRICS[rank])
+        return self._pressure is not None and self._pressure.record_grant(
+            waiter.service, waiter.precedence, waiter.margin, now
+        )
 
     def release(self, reservation: Reservation) -> None:
         """Release the capacity of a route and grant it to waiting requests."""
@@ -219,18 +264,19 @@
     ) -> None:
         """Grant free capacity of one service; stop after ``last`` has been tried."""
         waiters = self._list_waiting(service)
+        for waiter in waiters:
+            self._set_margin(waiter, now)
         grant_pass = self._get_order(service).start_pass(waiters, now, self._fits_idle)
         while (waiter := grant_pass.next()) is not None:
-            waiter.reservation = self._selector.choose_chain(
-                waiter.service, waiter.demand, waiter.excluded
-            )
-            if waiter.reservation is None:
+            if not self._try_reserve(waiter):
                 grant_pass.record_failure(waiter)
             else:
                 grant_pass.record_grant(waiter)
                 self._waiters.remove(waiter)
-                self._count_grant(waiter, now)
                 waiter.event.set()
+                if self._record_grant(waiter, now):
+                    for other in waiters:
+                        self._set_margin(other, now)
             if waiter is last:
                 return
 
@@ -241,9 +287,20 @@
         """Grant capacity that peers released; called by the timer."""
         self.grant_capacity()
         self._report_waiting()
+        self._tell_others(now)
         if not self._waiters:
             self.activity.end()
 
+    def _tell_others(self, now: float) -> None:
+        if self._pressure is None:
+            return
+        for service in {waiter.service.name: None for waiter in self._waiters}:
+            waiting = [
+                (waiter.precedence, waiter.arrived_at)
+                for waiter in self._list_waiting(service)
+            ]
+            self._pressure.tell(service, waiting, now)
+
     def _report_waiting(self) -> None:
         counts = [0] * len(WAITING_METRICS)
         for waiter in self._waiters:
--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -75,9 +75,11 @@
         Maximum gap between events, in seconds; zero for no maximum.
     is_risky : bool
         Whether the request may crash the first runner of its route.
+    margin : float
+        Fraction of the KV cache and of the slots that the request must leave free.
     """
 
-    __slots__ = ("event_gap", "is_risky", "prompt", "tokens")
+    __slots__ = ("event_gap", "is_risky", "margin", "prompt", "tokens")
 
     def __init__(
         self,
@@ -90,6 +92,7 @@
         self.prompt = prompt
         self.event_gap = event_gap
         self.is_risky = is_risky
+        self.margin = 0.0
 
 
 class Chain:
@@ -493,7 +496,8 @@
             layers = stage.end_layer - stage.first_layer
             total = ledger.get_capacity(runner)
             used = ledger.get_usage(runner.upstream_id)
-            if used.cells + demand.tokens * layers > total * CACHE_FRACTION:
+            usable = total * (CACHE_FRACTION - demand.margin)
+            if used.cells + demand.tokens * layers > usable:
                 return None
             cache_load = max(cache_load, used.cells / total)
             tokens = used.cells / max(1, layers)
@@ -505,9 +509,12 @@
             queued_chunks = used.pending_prefill_tokens / engine.chunk_tokens
             queue_seconds = max(queue_seconds, queued_chunks * chunk_seconds)
         first_runner = chain.runners[0]
+        usable_slots = first_runner.slots - math.ceil(
+            first_runner.slots * demand.margin
+        )
         if (
             ledger.get_usage(first_runner.upstream_id).first_stage_requests
-            >= first_runner.slots
+            >= usable_slots
         ):
             return None
         step_seconds += chain.domain_crossings * DOMAIN_CROSSING_SECONDS
