--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -221,6 +221,7 @@
                 route=context.rule.name,
                 service=context.service.name,
                 team=context.team,
+                priority=context.priority,
                 attempts=context.attempts,
                 upstreams=context.upstreams,
                 last_event=context.events.last_id,
