--- /dev/null
+++ b/tests/features/steps/priorities_steps.py
@@ -0,0 +1,168 @@
+"""Steps on priorities, fairness between teams and the pressure level."""
+
+import trio
+from behave import given, then, when
+
+from tests.features.steps.router_steps import FIRST_STAGES, queue_action, queue_check
+from tests.machines.priorities import CHECKS
+from tests.router_world import KEY, TEAM, make_configuration, make_route
+from wigeondrift.router.wait_queue import POLL_SECONDS
+from wigeondrift.systems.grant_order import Precedence
+
+TICK_SECONDS, TICKS = 0.1, 40
+# The objective of 0.5 s, and the time of the other events of a stream.
+ON_TIME_SECONDS = 0.62
+FLOOD_KEY = "flood-key"
+CALLS_BY_NAME = {
+    "draft": ("/draft/1", KEY),
+    "batch": ("/draft/b/1", KEY),
+    "flood": ("/draft/2", FLOOD_KEY),
+}
+URGENCY = "wigeondrift-request-urgency"
+
+
+def add_check(name, check):
+    then(name)(lambda context: check())
+
+
+for check_name, check in CHECKS.items():
+    add_check(check_name, check)
+
+
+@given('the priorities "{draft:d}" and "{batch:d}" of two routes, and "" of the team')
+@given(
+    'the priorities "{draft:d}" and "{batch:d}" of two routes, and "{team:d}" of the'
+    " team"
+)
+def put_priorities(context, draft, batch, team=None):
+    routes = [
+        make_route("draft", "streaming", "model", priority=draft),
+        make_route("batch", "streaming", "model", priority=batch, prefix="/draft/b/"),
+    ]
+    tenant = {"name": TEAM, "api_keys": [KEY], "priority": team}
+    context.world.put_configuration(version=2, routes=routes, tenants=[tenant])
+
+
+@given("a second team")
+def add_team(context):
+    tenants = make_configuration()["tenants"]
+    tenants.append({"name": "flood", "api_keys": [FLOOD_KEY]})
+    context.world.put_configuration(version=2, tenants=tenants)
+
+
+@when('a caller requests a stream of "{name}"')
+def request_route(context, name):
+    async def act(world):
+        headers = [(URGENCY, "0")]
+        context.answers.append(
+            await world.call(CALLS_BY_NAME[name][0], headers=headers)
+        )
+
+    queue_action(context, act)
+
+
+@then('the first runners got the urgencies "{urgencies}"')
+def check_urgencies(context, urgencies):
+    def check(world):
+        servers = [world.servers_by_id[name] for name in FIRST_STAGES]
+        requests = [request for server in servers for request in server.served]
+        got = [request.headers_by_name.get(URGENCY, "none") for request in requests]
+        assert got == urgencies.split(", "), got
+
+    queue_check(context, check)
+
+
+@given("a router for each route, {link} news")
+def add_second_router(context, link):
+    async def act(world):
+        routers = [world.parts, await world.add_router("router-2")]
+        context.routers_by_name = dict(zip(("draft", "batch"), routers, strict=True))
+        context.news_by_router = {router: [] for router in routers}
+        for router in routers:
+            router.selector.peer_count = 1
+            if link == "with":
+                router.pressure.subscribe(context.news_by_router[router].append)
+        world.nursery.start_soon(link_routers, context, routers)
+
+    queue_action(context, act)
+
+
+async def link_routers(context, routers):
+    """Exchange usage and news, and serve the queue of the second router."""
+    sequence = 0
+    while True:
+        await trio.sleep(POLL_SECONDS)
+        sequence += 1
+        await routers[1].wait_queue.poll(trio.current_time())
+        for router, other in (routers, routers[::-1]):
+            name = f"r{routers.index(router)}"
+            usage = router.selector.ledger.make_own_message(name, sequence)
+            other.selector.ledger.apply_peer_usage(usage, trio.current_time())
+            for news in context.news_by_router[router]:
+                other.pressure.apply_news(news)
+            context.news_by_router[router].clear()
+
+
+def get_router(context, name):
+    return getattr(context, "routers_by_name", {}).get(name)
+
+
+@when("each 0.1 seconds bring {first:d} {name:w} and {second:d} {other:w} streams")
+def play_load(context, first, name, second, other):
+    async def one(world, name, pause):
+        await trio.sleep(pause)
+        path, key = CALLS_BY_NAME[name]
+        answer = await world.call(path, key=key, router=get_router(context, name))
+        context.answers_by_name[name].append(answer)
+
+    async def act(world):
+        context.answers_by_name = {name: [], other: []}
+        async with trio.open_nursery() as nursery:
+            for stream, count in ((name, first), (other, second)):
+                for n in range(count * TICKS):
+                    nursery.start_soon(one, world, stream, n / count * TICK_SECONDS)
+
+    queue_action(context, act)
+
+
+@then("{least:d} to {most:d} % of the {name:w} streams begin on time")
+def check_on_time(context, least, most, name):
+    def check(world):
+        answers = context.answers_by_name[name]
+        on_time = [a.status == 200 and a.seconds <= ON_TIME_SECONDS for a in answers]
+        percent = 100 * sum(on_time) / len(answers)
+        assert least <= percent <= most, percent
+
+    queue_check(context, check)
+
+
+@when("the router of draft streams dies while they wait")
+def die(context):
+    async def act(world):
+        router = get_router(context, "draft")
+        async with trio.open_nursery() as nursery:
+            for _ in range(40):
+                nursery.start_soon(lambda: world.call("/draft/1", router=router))
+            await trio.sleep(4 * POLL_SECONDS + 0.01)
+            assert is_batch_held_back(context)
+            router.pressure.subscribe(lambda news: None)
+            nursery.cancel_scope.cancel()
+
+    queue_action(context, act)
+
+
+def is_batch_held_back(context):
+    precedence = Precedence(3, TEAM, False, 1, True)
+    pressure = get_router(context, "batch").pressure
+    return pressure.is_held_back("model", precedence, trio.current_time())
+
+
+@then("batch streams are held back for {seconds:g} seconds or less")
+def check_lapse(context, seconds):
+    async def act(world):
+        await trio.sleep(POLL_SECONDS)
+        assert is_batch_held_back(context)
+        await trio.sleep(seconds - POLL_SECONDS)
+        assert not is_batch_held_back(context)
+
+    queue_action(context, act)
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -221,6 +221,7 @@
                 route=context.rule.name,
                 service=context.service.name,
                 team=context.team,
+                priority=context.priority,
                 attempts=context.attempts,
                 upstreams=context.upstreams,
                 last_event=context.events.last_id,
@@ -259,7 +260,10 @@
         if service is None:
             raise RequestError(ErrorKind.NO_UPSTREAM, "the service is not configured")
         self._repeats.get_budget(name).record_request(call.arrived_at)
-        return RequestContext(call, rule, service, team)
+        context = RequestContext(call, rule, service, team)
+        context.priority = configuration.get_priority(rule, team)
+        context.scale = configuration.get_scale(name)
+        return context
 
     def _require_current(self) -> None:
         if not self._replica.is_current:
@@ -284,14 +288,23 @@
             if error.kind is ErrorKind.SUSPENDED:
                 seconds = float(error.retry_after)
             else:
-                seconds = max(RETRY_AFTER_SECONDS, self._wait_queue.estimate_wait())
+                seconds = max(RETRY_AFTER_SECONDS, self._estimate_wait(context))
                 if context is not None:
                     wait = self._selector.get_wait(context.service, ())
                     seconds = max(seconds, wait)
-            seconds += RETRY_AFTER_JITTER * self._rng.random()
+            jitter = RETRY_AFTER_JITTER
+            if context is not None and context.scale.has_levels:
+                # Callers shed from a longer queue return over a longer time.
+                jitter = max(jitter, self._estimate_wait(context))
+            seconds += jitter * self._rng.random()
             headers.append(("Retry-After", f"{seconds:.2f}"))
         await exchange.respond(error.status, headers, error.reason.encode())
 
+    def _estimate_wait(self, context: RequestContext | None) -> float:
+        if context is None:
+            return self._wait_queue.estimate_wait()
+        return self._wait_queue.estimate_wait(context.service.name, context.precedence)
+
     async def _serve(self, exchange: Exchange, context: RequestContext) -> None:
         with trio.move_on_at(min(context.deadline, self._ends_at)) as scope:
             self._contexts_by_scope[scope] = context
@@ -510,6 +523,7 @@
                 context.excluded,
                 on_time_until,
                 wait_until,
+                context.precedence,
             )
             context.wait_seconds += trio.current_time() - asked_at
             if reservation is None:
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -479,6 +479,19 @@
         known = self._directory.upstreams_by_id.get(runner.upstream_id)
         return known is None or known.started_at_ms != runner.started_at_ms
 
+    def get_service_rate(self, service: ServiceSpec) -> float:
+        """Return the requests per second that the routes of a service serve."""
+        chains = self.get_chains(service)
+        return sum(chains.get_rate(chain, self.ledger) for chain in chains.chains)
+
+    def fits_idle(
+        self, service: ServiceSpec, demand: RouteDemand, excluded: Collection[str]
+    ) -> bool:
+        """Whether a request would have a route if no other were running."""
+        idle = CacheLedger(self._get_cache_capacity)
+        chains = self.get_chains(service)
+        return chains.choose(demand, idle, excluded, self._failure_domain) is not None
+
     def get_wait(self, service: ServiceSpec, excluded: Collection[str]) -> float:
         """Return the time until some upstream may take a request, in seconds.
 
