Probe a domain at once when it begins to count as cut off

Now another runner of the domain is probed at once, and its answer ends that. The new scenario of faults.feature fails without the probe.

--- a/tests/features/faults.feature
+++ b/tests/features/faults.feature
@@ -81,3 +81,9 @@
 
   Scenario: Whatever news arrive, one peer's word is bounded and all of it ends
     Then random news keep their bounds
+
+  Scenario: Runners that die together don't take the rest of their domain out of use
+    Given eight routers and two replicas of a model
+    And three runners in "west"
+    When two runners in "west" can't be reached by one router
+    Then that router counts "west" as cut off for less than 0.1 seconds
--- a/tests/features/steps/faults_steps.py
+++ b/tests/features/steps/faults_steps.py
@@ -351,3 +351,35 @@
 @then("random news keep their bounds")
 def check_random_news(context):
     play_news()
+
+
+@given('three runners in "{domain}"')
+def add_runners(context, domain):
+    for number in range(3):
+        context.world.add_upstream(
+            f"{domain}-{number}", "model", domain, "large", (0, 40)
+        )
+
+
+@when('two runners in "{domain}" can\'t be reached by one router')
+def lose_two(context, domain):
+    async def step(world):
+        selector = world.routers_by_name[FIRST].selector
+        for number in range(2):
+            name = f"{domain}-{number}"
+            await world.kill(name)
+            runner = world.parts.directory.upstreams_by_id[name]
+            selector.record_unreachable(runner, "no answer")
+        assert selector.reach.is_cut_off(domain, trio.current_time())
+
+    queue_action(context, step)
+
+
+@then('that router counts "{domain}" as cut off for less than {seconds:g} seconds')
+def check_cut_off(context, domain, seconds):
+    async def step(world):
+        await trio.sleep(seconds)
+        selector = world.routers_by_name[FIRST].selector
+        assert not selector.reach.is_cut_off(domain, trio.current_time())
+
+    queue_action(context, step)
--- a/wigeondrift/router/probing.py
+++ b/wigeondrift/router/probing.py
@@ -50,6 +50,38 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the probes in ``nursery``."""
         nursery.start_soon(self._run)
+        nursery.start_soon(self._check_cut_off_domains)
+
+    async def _check_cut_off_domains(self) -> None:
+        """Probe a runner of a domain as soon as it counts as cut off.
+
+        A router of a large deployment has few streams in a domain, so that runners
+        that died together look like the domain being cut off until another answers.
+        """
+        while True:
+            await self._selector.domain_cut_off.wait()
+            self._selector.domain_cut_off = trio.Event()
+            now = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for domain in self._selector.reach.list_cut_off(now):
+                    runner = self._choose_witness(domain, now)
+                    if runner is not None:
+                        nursery.start_soon(self._probe, runner)
+
+    def _choose_witness(self, domain: str, now: float) -> Upstream | None:
+        """Return a runner of a domain that is not itself known to be at fault."""
+        selector = self._selector
+        closed = selector.back_offs.list_closed(now)
+        runners = [
+            runner
+            for runner in self._directory.upstreams_by_id.values()
+            if runner.failure_domain == domain
+            and runner.held_layers
+            and runner.upstream_id not in closed
+            and not selector.health.is_avoided(runner.upstream_id, now)
+            and not selector.faults.is_avoided(runner, now)
+        ]
+        return selector.choose_any(runners) if runners else None
 
     async def _run(self) -> None:
         while True:
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -167,6 +167,8 @@
     faults : FaultTable
         Upstreams at fault according to this and other routers.
     health : Health
+    domain_cut_off : trio.Event
+        Set when a failure domain begins to count as cut off.
     reach : Reachability
     ledger : CacheLedger
     limits : RequestLimits
@@ -186,6 +188,7 @@
         "_cache_capacity_by_key",
         "_unfit_entry_by_id",
         "back_offs",
+        "domain_cut_off",
         "faults",
         "health",
         "ledger",
@@ -219,6 +222,7 @@
         self.health = Health()
         self.reach = Reachability(failure_domain)
         self.back_offs = BackOffs()
+        self.domain_cut_off = trio.Event()
         self.limits = RequestLimits(instance_id)
         self.ledger = CacheLedger(self._get_cache_capacity)
 
@@ -332,6 +336,7 @@
         was_cut_off = self.reach.is_cut_off(domain, now)
         self.reach.record_failure(domain, upstream.upstream_id, now)
         if not was_cut_off and self.reach.is_cut_off(domain, now):
+            self.domain_cut_off.set()
             log_event(
                 self._logger,
                 logging.WARNING,
@@ -341,6 +346,10 @@
             )
         self.record_failure((upstream.upstream_id,), reason)
 
+    def choose_any(self, upstreams: list[Upstream]) -> Upstream:
+        """Return a random upstream, so that routers don't all probe the same one."""
+        return self._rng.choice(upstreams)
+
     def record_answer(self, upstream: Upstream) -> None:
         """Record that an upstream responded, whatever the status."""
         self.reach.record_answer(
