Draw the numbers of a process apart from the seeded choices

A number drawn from the router's seeded source at construction moved all later choices of the scenarios, so that one of leaving.feature used up its retries.

--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -2,7 +2,6 @@
 
 import os
 import random
-import secrets
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -177,7 +176,7 @@
             self.directory, settings.failure_domain, rng, settings.instance_id
         )
         level = PressureLevel(
-            settings.instance_id, rng.getrandbits(INCARNATION_BITS), rng
+            settings.instance_id, random.getrandbits(INCARNATION_BITS), rng
         )
         self.pressure = Pressure(level, self.replica, self.selector)
         self.wait_queue = WaitQueue(self.selector, metrics, self.pressure)
@@ -237,7 +236,7 @@
             get_time,
         )
         self.version_check = VersionCheck(
-            self.replica, self.membership, secrets.randbits(PERMIT_NUMBER_BITS), rng
+            self.replica, self.membership, random.getrandbits(PERMIT_NUMBER_BITS), rng
         )
         self.repairs = RouteRepair(
             self.selector, control, self.wait_queue, self.suspects, metrics
