--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -13,12 +13,14 @@
 from wigeondrift.errors import TransportError
 from wigeondrift.wire.address import parse_address
 from wigeondrift.wire.http_client import HttpClient
-from wigeondrift.wire.http_server import Exchange, HttpServer
+from wigeondrift.wire.http_server import Exchange, HttpLimits, HttpServer
 
 HEARTBEAT_SECONDS = 1.2
 CALL_TIMEOUT_SECONDS = 1.0
 EVENT_SECONDS = 0.03
 EVENTS = 20
+# The largest body that a router forwards by default.
+MAX_BODY_BYTES = 4194304
 SEAL_HEADER = ("Wigeondrift-Response-Seal", "soak")
 STAGES_HEADER = "wigeondrift-hop-count"
 
@@ -153,7 +155,7 @@
     host, port = parse_address(address)
     listeners = await trio.open_tcp_listeners(port, host=host)
     async with trio.open_nursery() as nursery:
-        server = HttpServer(upstream.handle)
+        server = HttpServer(upstream.handle, HttpLimits(body_bytes=MAX_BODY_BYTES))
         nursery.start_soon(trio.serve_listeners, server.serve_stream, listeners)
         nursery.start_soon(
             send_heartbeats, upstream, store, f"servers/{upstream_id}", entry
--- a/wigeondrift/entry/service_memory.py
+++ b/wigeondrift/entry/service_memory.py
@@ -17,6 +17,8 @@
 from wigeondrift.errors import ConnectFailed, ConnectionLost
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+# Entries refuse an answer that is as large as the largest request.
+MAX_ECHO_CHARACTERS = 65536
 
 
 class FaultMode(enum.StrEnum):
@@ -131,7 +133,8 @@
         request_id = headers.get(REQUEST_ID_HEADER.lower(), "")
         body = call.body.decode("utf-8", "replace")
         self.entries.append(LedgerEntry(key, request_id, fencing, body, address))
-        document = {"order": len(self.entries), "key": key, "body": body}
+        echo = body[:MAX_ECHO_CHARACTERS]
+        document = {"order": len(self.entries), "key": key, "body": echo}
         answer = _make_answer(201, document)
         self.answers_by_key.setdefault(key, answer)
         return answer
--- a/wigeondrift_emulator/orders.py
+++ b/wigeondrift_emulator/orders.py
@@ -26,6 +26,7 @@
 
 CONTROL_PATH = "/control"
 JSON_HEADERS = [("Content-Type", "application/json")]
+MAX_BODY_BYTES = 4194304
 
 
 class SwitchUpdate(msgspec.Struct, forbid_unknown_fields=True):
@@ -87,7 +88,7 @@
         async def handle(exchange: Exchange) -> None:
             await self._handle(address, exchange)
 
-        server = HttpServer(handle, HttpLimits())
+        server = HttpServer(handle, HttpLimits(body_bytes=MAX_BODY_BYTES))
         host, port = parse_address(address)
         with trio.CancelScope() as scope:
             self._scopes_by_address[address] = scope
