Bound the memory that callers' requests hold in a process

Cause: bodies had no common limit, and each cost up to twice its size: growing arrays, a copy on completion, the traceback of a refusal, idle connections that kept their last request, and the copy joined with the head on sending. Small chunks were parsed without a pause, 8,000 in one read. Change: a BodyBudget accounts for connections, heads, unparsed bytes and bodies, with a bound from limits.memory_mb of a router and http.memory_mb of an entry. Beyond it the unfinished body that held most for longest is refused with 503. Small chunks are parsed 32 at a time, one caller in each iteration of the event loop. A body of over 64 KiB needs 4,096 bytes per second in a window of 5 s. Bodies are released once no attempt may send them. The readiness and metrics listeners take small requests only.

--- a/tests/features/steps/body_limits_steps.py
+++ b/tests/features/steps/body_limits_steps.py
@@ -3,6 +3,7 @@
 import itertools
 import os
 import socket
+import sys
 import tempfile
 import threading
 from pathlib import Path
@@ -11,7 +12,6 @@
 from behave import given, then, when
 
 from soak.deployment import HOST, make_configuration
-from wigeondrift.settings import HttpSettings
 from wigeondrift.table.rows import LimitRow
 from wigeondrift_emulator.processes import Process, wait_until
 from wigeondrift_emulator.stack import (
@@ -112,9 +112,7 @@
 @given("an entry of {memory:d} MB with a body limit of {limit:d} bytes")
 def start_entry(context, memory, limit):
     context.body_limit = limit
-    http = {"body_bytes": limit}
-    if "memory_mb" in HttpSettings.__struct_fields__:
-        http["memory_mb"] = memory
+    http = {"body_bytes": limit, "memory_mb": memory}
     settings = StackSettings(
         domains=("rajkot",), limit=LimitRow(tokens=1e6), entry={"http": http}
     )
@@ -230,7 +228,8 @@
     peak = int(status["VmHWM"].split()[0]) / 1024.0
     descriptors = len(list((path / "fd").iterdir()))
     if "BODY_LIMITS_FIGURES" in os.environ:
-        print(f"peak {peak:.0f} MB, {descriptors} descriptors", flush=True)
+        figures = f"peak {peak:.0f} MB, {descriptors} descriptors"
+        print(figures, file=sys.__stdout__, flush=True)
     assert peak < memory, f"peak of {peak:.0f} MB"
     assert descriptors < bound, f"{descriptors} descriptors"
 
--- a/wigeondrift/entry/gateway.py
+++ b/wigeondrift/entry/gateway.py
@@ -26,7 +26,18 @@
     check_traceparent,
 )
 from wigeondrift.wire.address import parse_address
-from wigeondrift.wire.http_server import Exchange, HttpLimits, HttpServer
+from wigeondrift.wire.body_budget import (
+    ENTRY_DECODED_FACTOR,
+    BodyBudget,
+    get_budget_bytes,
+)
+from wigeondrift.wire.body_report import BodyReport
+from wigeondrift.wire.http_server import (
+    Exchange,
+    HttpLimits,
+    HttpServer,
+    limit_receive_buffers,
+)
 
 BACKLOG = 1024
 ABORT_GRACE_SECONDS = 1.0
@@ -78,6 +89,7 @@
     __slots__ = (
         "_accept_scope",
         "_accounts",
+        "_body_report",
         "_gate",
         "_handlers_by_path",
         "_idle",
@@ -120,8 +132,14 @@
         self._tracer = tracer
         self._on_stopping = on_stopping
         self._accounts = Accounts(tables)
-        limits = HttpLimits(**msgspec.structs.asdict(settings.http))
-        self._server = HttpServer(self.handle, limits, self._answer_unreadable)
+        options = msgspec.structs.asdict(settings.http)
+        budget = BodyBudget(
+            get_budget_bytes(options.pop("memory_mb")), ENTRY_DECODED_FACTOR
+        )
+        budget.set_largest_body(settings.http.body_bytes)
+        self._body_report = BodyReport(budget, metrics)
+        limits = HttpLimits(**options)
+        self._server = HttpServer(self.handle, limits, self._answer_unreadable, budget)
         self._listeners: list[trio.SocketListener] = []
         self._accept_scope = trio.CancelScope()
         self._idle = trio.Event()
@@ -144,6 +162,7 @@
         self._listeners = await trio.open_tcp_listeners(
             port, host=host, backlog=BACKLOG
         )
+        limit_receive_buffers(self._listeners)
         self._runs.start(nursery)
         nursery.start_soon(self._accept, nursery)
         log_event(_LOGGER, logging.INFO, Event.STARTED, address=self._settings.listen)
@@ -322,6 +341,7 @@
         """Record the gauges of the process; called by the timer service."""
         self._metrics.gauge(Metric.RUNNING, self.requests)
         self._metrics.gauge(Metric.TABLE_VERSION, self._tables.table_version)
+        await self._body_report.record(now)
 
     def get_status(self) -> EntryStatus:
         """Return the status of the process."""
--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -40,6 +40,7 @@
     QUARANTINED = "quarantined"
     SUSPENDED = "suspended"
     UPSTREAM_LIMITED = "upstream_limited"
+    BODY_MEMORY_FULL = "body_memory_full"
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
     NOT_READY = "not_ready"
@@ -104,6 +105,7 @@
     ErrorKind.STREAM_CUT: ErrorResponse(502, Outcome.UNKNOWN, None, 2027),
     ErrorKind.SUSPENDED: ErrorResponse(503, Outcome.NOT_RUN, SUSPENSION_SECONDS, 2030),
     ErrorKind.UPSTREAM_LIMITED: ErrorResponse(503, Outcome.NOT_RUN, 1, 2031),
+    ErrorKind.BODY_MEMORY_FULL: ErrorResponse(503, Outcome.NOT_RUN, 1, 2301),
     ErrorKind.CALLER_CLOSED: ErrorResponse(499, Outcome.UNKNOWN, None, 2029),
     ErrorKind.INTERNAL: ErrorResponse(500, Outcome.UNKNOWN, None, 2028),
 }
--- a/wigeondrift/platform/settings.py
+++ b/wigeondrift/platform/settings.py
@@ -2,7 +2,10 @@
 
 from wigeondrift.errors import SettingsError
 from wigeondrift.router.settings import Bounds, RouterSettings
+from wigeondrift.wire.body_budget import MAX_MEMORY_MB
+from wigeondrift.wire.numbers import parse_whole_number
 
+MEMORY_KEY = "limits.memory_mb"
 SETTINGS_VARIABLE = "WIGEONDRIFT_CONFIG"
 MS_PER_SECOND = 1000.0
 
@@ -48,10 +51,19 @@
         heartbeat=float(get("heartbeat_ms", "1200")) / MS_PER_SECOND,
         descriptors=int(get("limits.max_fds", "4096")),
         link_mbps=float(get("limits.link_mbps", "0")),
+        memory_mb=_parse_memory(get(MEMORY_KEY) or "0"),
         bounds=_make_bounds(values_by_name),
     )
 
 
+def _parse_memory(text: str) -> int:
+    memory_mb = parse_whole_number(text)
+    if memory_mb is None or memory_mb > MAX_MEMORY_MB:
+        reason = f"{MEMORY_KEY}={text} is not a whole number from 0 to {MAX_MEMORY_MB}"
+        raise ValueError(reason)
+    return memory_mb
+
+
 def _make_bounds(values_by_name: dict[str, str]) -> Bounds:
     def seconds(name: str, default: float) -> float:
         value = values_by_name.get(f"bounds.{name}")
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -326,6 +326,7 @@
             # If the upstream closes a reused connection, it is unknown whether it
             # received the request, and only idempotent requests may be sent again.
             new_connection=not rule.is_idempotent,
+            on_sent=lambda: _release_last_body(exchange, context),
         ) as response:
             self._selector.record_answer(upstream)
             head = self._header_codec.decode_head(response.status, response.headers)
@@ -335,6 +336,8 @@
             if head.is_leaving:
                 self._selector.record_leaving(upstream, call.request_id)
             self._selector.record_limit(upstream, head.limit, now, call.request_id)
+            if not (rule.is_idempotent or head.is_not_run):
+                context.release_body(exchange)
             if head.running is not None:
                 load = head.running + (head.waiting or 0)
                 self._selector.record_load(upstream.upstream_id, load)
@@ -488,6 +491,12 @@
             await _write_to_caller(exchange.start(head.status, head.headers, events))
 
 
+def _release_last_body(exchange: Exchange, context: RequestContext) -> None:
+    """Release the body once the last attempt that is allowed has been sent."""
+    if context.attempts >= context.rule.attempts:
+        context.release_body(exchange)
+
+
 def _check_request_id(
     head: UpstreamHead, call: CallerRequest, response: ClientResponse
 ) -> None:
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -59,6 +59,8 @@
 from wigeondrift.telemetry.events import configure_rate_limited_logging
 from wigeondrift.telemetry.metrics import Metrics, PrometheusMetrics
 from wigeondrift.timer import TimerService, TrioClock
+from wigeondrift.wire.body_budget import BodyBudget, get_budget_bytes
+from wigeondrift.wire.body_report import REPORT_SECONDS, BodyReport
 from wigeondrift.wire.http_client import HttpClient
 
 # File descriptors reserved for connections to upstreams and the store and for files.
@@ -276,6 +278,11 @@
     )
     reloader = Reloader(settings, load)
     parts.subscribe(timer, reloader)
+    budget = BodyBudget(get_budget_bytes(settings.memory_mb))
+    reloader.subscribe(
+        lambda settings: budget.set_limit(get_budget_bytes(settings.memory_mb))
+    )
+    timer.subscribe("bodies", REPORT_SECONDS, BodyReport(budget, metrics).record)
     exchange = UsageExchange(
         settings.instance_id,
         settings.failure_domain,
@@ -322,6 +329,7 @@
             parts.readiness,
             settings.bounds.grace,
             max(MIN_CONNECTIONS, settings.descriptors - RESERVED_DESCRIPTORS),
+            budget=budget,
         ),
     ]
     return Application(components, settings.bounds.grace), reloader
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -357,6 +357,8 @@
     def _may_retry(self, context: RequestContext, failure: AttemptFailed) -> bool:
         if failure.may_have_run and not context.rule.is_idempotent:
             return False
+        if context.is_body_released:
+            return False
         if not failure.was_sent:
             return True
         if not context.events.can_resume:
--- a/wigeondrift/router/listeners.py
+++ b/wigeondrift/router/listeners.py
@@ -11,7 +11,13 @@
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.telemetry.metrics import PrometheusMetrics
 from wigeondrift.wire.address import parse_address
-from wigeondrift.wire.http_server import Exchange, HttpLimits, HttpServer
+from wigeondrift.wire.body_budget import BodyBudget, get_budget_bytes
+from wigeondrift.wire.http_server import (
+    Exchange,
+    HttpLimits,
+    HttpServer,
+    limit_receive_buffers,
+)
 
 # Time for the load balancer to notice that the router is no longer ready: two of its
 # checks, a second apart, and the connections that are being opened.
@@ -22,7 +28,10 @@
 LAST_ANSWERS_SECONDS = 0.2
 POLL_SECONDS = 0.1
 BACKLOG = 1024
+# Requests for readiness and metrics are small and have no bodies.
 PAGE_CONNECTIONS = 64
+PAGE_HEADER_BYTES = 8192
+PAGE_BODY_BYTES = 1024
 METRICS_PATH = "/metrics"
 
 
@@ -76,11 +85,14 @@
         Maximum number of connections.
     notice : float
         Time in which the load balancer notices a stop, in seconds.
+    budget : BodyBudget, optional
+        Account of the memory that callers' requests hold; the default if absent.
     """
 
     __slots__ = (
         "_accepting",
         "_address",
+        "_budget",
         "_forwarder",
         "_grace",
         "_limits",
@@ -101,6 +113,7 @@
         grace: float,
         connections: int,
         notice: float = BALANCER_NOTICE_SECONDS,
+        budget: BodyBudget | None = None,
     ) -> None:
         self._accepting = trio.CancelScope()
         self._notice = notice
@@ -110,7 +123,9 @@
         self._readiness = readiness
         self._grace = grace
         self._limits = HttpLimits(connections=connections)
-        self._server = HttpServer(forwarder.handle, self._limits)
+        self._budget = budget or BodyBudget(get_budget_bytes(0))
+        self._budget.set_largest_body(self._limits.body_bytes)
+        self._server = HttpServer(forwarder.handle, self._limits, budget=self._budget)
         self._listeners: list[trio.SocketListener] = []
         self._logger = logging.getLogger(LOGGER_NAME)
 
@@ -121,6 +136,7 @@
         self._listeners = await trio.open_tcp_listeners(
             port, host=host, backlog=BACKLOG
         )
+        limit_receive_buffers(self._listeners)
         nursery.start_soon(self._serve, nursery)
         log_event(self._logger, logging.INFO, Event.STARTED, address=self._address)
 
@@ -138,6 +154,7 @@
         limits = configuration.limits
         self._limits.header_bytes = limits.header_bytes
         self._limits.body_bytes = limits.body_bytes
+        self._budget.set_largest_body(limits.body_bytes)
         self._limits.read_timeout = limits.header_timeout
         self._limits.idle_timeout = limits.idle_timeout
 
@@ -182,7 +199,11 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        limits = HttpLimits(connections=PAGE_CONNECTIONS)
+        limits = HttpLimits(
+            header_bytes=PAGE_HEADER_BYTES,
+            body_bytes=PAGE_BODY_BYTES,
+            connections=PAGE_CONNECTIONS,
+        )
         self._server = HttpServer(self._answer, limits)
 
     async def start(self, nursery: trio.Nursery) -> None:
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -12,6 +12,7 @@
 from wigeondrift.systems.chains import RouteDemand
 from wigeondrift.systems.refusals import EARLY_EVENTS
 from wigeondrift.systems.suspects import MAX_TRAITS_PER_REQUEST, make_digest
+from wigeondrift.wire.http_server import Exchange
 
 # Callers abandon a stream without data after this time, or after these multiples of
 # the route's objective or event gap if those are longer (the platform documents this).
@@ -91,6 +92,8 @@
         Longest pause between two events, in seconds.
     is_risky : bool
         Whether an upstream died under a request with one of its traits.
+    is_body_released : bool
+        Whether the body was dropped, so that no attempt may follow.
     is_trial : bool
         Whether it is tried although it has a refused trait.
     traits : tuple of str
@@ -104,6 +107,7 @@
         "events",
         "excluded",
         "expected_first",
+        "is_body_released",
         "is_risky",
         "is_trial",
         "longest_gap",
@@ -137,12 +141,19 @@
         self.wait_seconds = 0.0
         self.expected_first: float | None = None
         self.longest_gap: float | None = None
+        self.is_body_released = False
         self.is_risky = False
         self.is_trial = False
         whole = make_digest(service.name, "request", call.target, call.key, call.body)
         parts = call.prompt_parts[: MAX_TRAITS_PER_REQUEST - 1]
         self.traits = (whole, *(make_digest(service.name, part) for part in parts))
 
+    def release_body(self, exchange: Exchange) -> None:
+        """Drop the body, which no attempt may send again."""
+        self.is_body_released = True
+        self.call.body = b""
+        exchange.release_body()
+
     @property
     def demand(self) -> RouteDemand:
         """Expected mean demand of the request on a route."""
--- a/wigeondrift/router/settings.py
+++ b/wigeondrift/router/settings.py
@@ -48,6 +48,8 @@
         Interval of an upstream's heartbeats, in seconds.
     descriptors : int
         Maximum number of open file descriptors.
+    memory_mb : int
+        Memory of the machine for this process, in MiB; zero for the default.
     link_mbps : float
         Bandwidth of the instance's link, in Mbit/s.
     bounds : Bounds
@@ -63,4 +65,5 @@
     heartbeat: float = 1.2
     descriptors: int = 4096
     link_mbps: float = 0.0
+    memory_mb: int = 0
     bounds: Bounds = Bounds()
--- a/wigeondrift/settings.py
+++ b/wigeondrift/settings.py
@@ -8,6 +8,7 @@
 from wigeondrift.errors import SettingsError
 from wigeondrift.settings_rules import (
     AddressRule,
+    BodyMemoryRule,
     DistinctRule,
     LessThanRule,
     Rule,
@@ -15,11 +16,13 @@
     UrlRule,
 )
 from wigeondrift.validation import find_faults
+from wigeondrift.wire.body_budget import MAX_MEMORY_MB
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Bytes = Annotated[int, msgspec.Meta(ge=256, le=64 * 1048576)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Address = Annotated[str, msgspec.Meta(max_length=64)]
+MemoryMb = Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
@@ -40,6 +43,9 @@
         Timeout for a single write, in seconds.
     connections : int
         Maximum number of open connections.
+    memory_mb : int
+        Memory for this process, in MiB, from which the bound for all bodies together
+        follows; zero for the default of 256.
     """
 
     header_bytes: Bytes = 16384
@@ -48,6 +54,7 @@
     idle_timeout: Seconds = 60.0
     write_timeout: Seconds = 10.0
     connections: Positive = 4096
+    memory_mb: MemoryMb = 0
 
 
 class RequestSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -224,6 +231,7 @@
     EntrySettings: (
         AddressRule("listen", "post", "agent", "platform"),
         DistinctRule("listen", "post", "agent", "platform"),
+        BodyMemoryRule("http.memory_mb", "http.body_bytes"),
         LessThanRule(
             "requests.progress_timeout",
             "requests.call_timeout",
--- a/wigeondrift/settings_rules.py
+++ b/wigeondrift/settings_rules.py
@@ -9,6 +9,11 @@
 import msgspec
 
 from wigeondrift.validation import Fault
+from wigeondrift.wire.body_budget import (
+    ENTRY_DECODED_FACTOR,
+    get_budget_bytes,
+    get_needed_bytes,
+)
 
 MAX_PORT = 65535
 
@@ -139,6 +144,31 @@
         yield Fault(f"$.{self._lower}", reason)
 
 
+class BodyMemoryRule(Rule):
+    """Requires the memory for bodies to hold one of the largest size."""
+
+    __slots__ = ("_body_path", "_memory_path")
+
+    def __init__(self, memory_path: str, body_path: str) -> None:
+        self._memory_path = memory_path
+        self._body_path = body_path
+
+    def check(self, values: SettingsValues) -> Iterator[Fault]:
+        """Yield a fault if a stated memory is too small; zero is the default."""
+        memory_mb = values.get(self._memory_path)
+        body_bytes = values.get(self._body_path)
+        if msgspec.UNSET in (memory_mb, body_bytes) or not memory_mb:
+            return
+        budget = get_budget_bytes(memory_mb)
+        needed = get_needed_bytes(body_bytes, ENTRY_DECODED_FACTOR)
+        if budget < needed:
+            reason = (
+                f"{memory_mb} leaves {budget} bytes for bodies, and one of "
+                f"{self._body_path} = {body_bytes} needs {needed}"
+            )
+            yield Fault(f"$.{self._memory_path}", reason)
+
+
 def iter_strings(
     values: SettingsValues, paths: tuple[str, ...]
 ) -> Iterator[tuple[str, str]]:
--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -37,6 +37,7 @@
     STREAM_RESUMED = 2101, "A broken or stalled token stream resumed on a new route."
     STREAM_EVENT_DROPPED = 2102, "An engine event of another attempt or index."
     CLAIM_UNKNOWN = 2201, "An order's outcome is unknown; an operator must settle it."
+    BODIES_REFUSED = 2302, "Bodies were given up for want of memory; their number."
     TABLE_APPLIED = 3001, "A newer table is in force."
     TABLE_REFUSED = 3002, "A newer table failed its checks; the old one stays."
     PLATFORM_LOST = 3101, "The platform does not respond."
--- a/wigeondrift/telemetry/metrics.py
+++ b/wigeondrift/telemetry/metrics.py
@@ -43,6 +43,18 @@
         "requests",
         "Requests refused for the limits of all upstreams.",
     )
+    BODIES_HELD = (
+        "bodies.held",
+        "gauge",
+        "bytes",
+        "Memory that callers' requests hold.",
+    )
+    BODIES_REFUSED = (
+        "bodies.refused",
+        "counter",
+        "bodies",
+        "Bodies given up or refused for want of memory.",
+    )
     UPSTREAM_DEATHS = (
         "upstreams.deaths",
         "counter",
--- a/wigeondrift/wire/http_client.py
+++ b/wigeondrift/wire/http_client.py
@@ -5,7 +5,7 @@
 import os
 import re
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
 import h11
@@ -285,16 +285,22 @@
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
-        """Send a complete request in a single write."""
+        """Send a complete request, in a single write unless the body is large.
+
+        A large body is not copied to join it with the head.
+        """
         head = h11.Request(
             method=method, target=target, headers=encode_headers(headers)
         )
-        data = self._connection.send(head)
+        parts = [self._connection.send(head)]
         if body:
-            data += self._connection.send(h11.Data(data=body))
-        data += self._connection.send(h11.EndOfMessage())
+            parts.append(self._connection.send(h11.Data(data=body)))
+        parts.append(self._connection.send(h11.EndOfMessage()))
+        if len(body) <= SMALL_BODY_BYTES:
+            parts = [b"".join(parts)]
         try:
-            await self._stream.send_all(data)
+            for part in parts:
+                await self._stream.send_all(part)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionLost("the connection broke on sending") from error
 
@@ -424,6 +430,7 @@
         *,
         head_timeout: float = 10.0,
         new_connection: bool = False,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[ClientResponse]:
         """Send a request and yield its response as a context manager.
 
@@ -442,6 +449,8 @@
             seconds.
         new_connection : bool
             Whether to open a new connection even if an idle one is available.
+        on_sent : callable
+            Called when the request has been sent.
 
         Raises
         ------
@@ -462,6 +471,8 @@
             try:
                 with trio.fail_after(head_timeout):
                     await channel.send(method, target, all_headers, body)
+                    del body
+                    on_sent()
                     response = await channel.read_head()
             except trio.TooSlowError as error:
                 raise ConnectionSilent(f"{address} stayed silent") from error
--- a/wigeondrift/wire/http_server.py
+++ b/wigeondrift/wire/http_server.py
@@ -2,6 +2,8 @@
 
 import logging
 import os
+import socket
+import sys
 import traceback
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -10,10 +12,32 @@
 
 from wigeondrift.errors import ConnectionLost, ErrorKind, RequestError
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
+from wigeondrift.wire.body_budget import (
+    SMALL_BODY_BYTES,
+    BodyBudget,
+    HeldBody,
+    make_refusal,
+)
 from wigeondrift.wire.headers import decode_headers, encode_headers
 from wigeondrift.wire.numbers import MAX_DIGITS
 
 READ_SIZE_BYTES = 65536
+# Bytes read at once where little is expected: heads, and data behind a request that is
+# being served.
+HEAD_READ_BYTES = 8192
+PIPELINED_READ_BYTES = 4096
+# Memory of an open connection (task, protocol state, socket objects) and of one header
+# (its names and values in the forms of the parser and of the request).
+CONNECTION_BYTES = 12288
+HEADER_OVERHEAD_BYTES = 512
+# Events of small chunks that one caller may have parsed before others run; about a
+# third of a millisecond.
+EVENTS_PER_TURN = 32
+# A chunk of this size costs the parser little for its length.
+CHEAP_CHUNK_BYTES = 1024
+# A body above the small ones must bring the minimum rate in each window.
+RATE_WINDOW_SECONDS = 5.0
+RECEIVE_BUFFER_BYTES = 131072
 MAX_DRAIN_SECONDS = 1.0
 MAX_DRAIN_READS = 64
 METHOD_WITHOUT_RESPONSE_BODY = "HEAD"
@@ -36,10 +60,14 @@
         Timeout for a single write, in seconds.
     connections : int
         Maximum number of open connections.
+    body_rate : float
+        Minimum rate of a body of over 64 KiB, in bytes per second, over a window of
+        five seconds.
     """
 
     __slots__ = (
         "body_bytes",
+        "body_rate",
         "connections",
         "header_bytes",
         "idle_timeout",
@@ -55,6 +83,7 @@
         idle_timeout: float = 60.0,
         write_timeout: float = 10.0,
         connections: int = 4096,
+        body_rate: float = 4096.0,
     ) -> None:
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
@@ -62,6 +91,7 @@
         self.idle_timeout = idle_timeout
         self.write_timeout = write_timeout
         self.connections = connections
+        self.body_rate = body_rate
 
 
 class Request:
@@ -121,6 +151,7 @@
 
     __slots__ = (
         "_connection",
+        "_held",
         "_is_last",
         "_limits",
         "_stream",
@@ -135,14 +166,22 @@
         stream: trio.abc.Stream,
         limits: HttpLimits,
         is_last: Callable[[], bool] = lambda: False,
+        held: HeldBody | None = None,
     ) -> None:
         self.request = request
+        self._held = held
         self.started = False
         self._is_last = is_last
         self._connection = connection
         self._stream = stream
         self._limits = limits
 
+    def release_body(self) -> None:
+        """Drop the body of the request, which nothing will read again."""
+        self.request.body = b""
+        if self._held is not None:
+            self._held.release()
+
     async def respond(
         self, status: int, headers: Iterable[tuple[str, str]], body: bytes = b""
     ) -> None:
@@ -213,8 +252,10 @@
         after that.
         """
         try:
-            data = await self._stream.receive_some(READ_SIZE_BYTES)
+            data = await self._stream.receive_some(PIPELINED_READ_BYTES)
             self._connection.receive_data(data)
+            if self._held is not None:
+                self._held.add_unparsed(len(data))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             data = b""
         if not data:
@@ -254,6 +295,8 @@
 async def respond_with_text(exchange: Exchange, error: RequestError) -> None:
     """Respond to a connection-level error with its status and reason as text."""
     headers = [("Content-Type", "text/plain"), ("Connection", "close")]
+    if error.retry_after is not None:
+        headers.append(("Retry-After", str(error.retry_after)))
     await exchange.respond(error.status, headers, error.reason.encode())
 
 
@@ -268,12 +311,16 @@
         Size limits and timeouts.
     on_error : callable, optional
         Coroutine function that responds to a request that could not be read.
+    budget : BodyBudget, optional
+        Account of the memory that requests hold; without a bound if absent.
     """
 
     __slots__ = (
+        "_budget",
         "_handler",
         "_limits",
         "_on_error",
+        "_parse_turn",
         "_close_announced",
         "_open_connections",
         "_keep_alive_stopped",
@@ -285,7 +332,11 @@
         handler: Handler,
         limits: HttpLimits | None = None,
         on_error: ErrorResponder = respond_with_text,
+        budget: BodyBudget | None = None,
     ) -> None:
+        self._budget = budget or BodyBudget(sys.maxsize)
+        # Waiting tasks get the lock in order, one in each iteration of the event loop.
+        self._parse_turn = trio.Lock()
         self._handler = handler
         self._limits = limits or HttpLimits()
         self._on_error = on_error
@@ -311,8 +362,10 @@
             await trio.aclose_forcefully(stream)
             return
         self._open_connections += 1
+        held = self._budget.open()
         try:
-            await self._serve_requests(stream)
+            held.set_other(CONNECTION_BYTES)
+            await self._serve_requests(stream, held)
         except (ConnectionLost, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except Exception as error:
@@ -324,10 +377,11 @@
                 reason="".join(traceback.format_exception(error)),
             )
         finally:
+            self._budget.close(held)
             self._open_connections -= 1
             await trio.aclose_forcefully(stream)
 
-    async def _serve_requests(self, stream: trio.abc.Stream) -> None:
+    async def _serve_requests(self, stream: trio.abc.Stream, held: HeldBody) -> None:
         limits = self._limits
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -335,13 +389,18 @@
         while True:
             if not await self._wait_for_first_byte(connection, stream):
                 return
-            request = await self._read_request(connection, stream)
+            request = await self._read_request(connection, stream, held)
             if request is None:
                 return
             exchange = Exchange(
-                request, connection, stream, limits, lambda: self._close_announced
+                request, connection, stream, limits, lambda: self._close_announced, held
             )
-            if not await self._handle(exchange):
+            # An idle connection must not keep the last request.
+            del request
+            is_open = await self._handle(exchange)
+            exchange.release_body()
+            del exchange
+            if not is_open:
                 return
             reusable = (
                 connection.our_state is h11.DONE and connection.their_state is h11.DONE
@@ -382,7 +441,7 @@
         with trio.move_on_after(self._limits.idle_timeout) as scope:
             self.idle_scopes.add(scope)
             try:
-                data = await stream.receive_some(READ_SIZE_BYTES)
+                data = await stream.receive_some(HEAD_READ_BYTES)
             finally:
                 self.idle_scopes.discard(scope)
             connection.receive_data(data)
@@ -390,20 +449,25 @@
         return False
 
     async def _read_request(
-        self, connection: h11.Connection, stream: trio.abc.Stream
+        self, connection: h11.Connection, stream: trio.abc.Stream, held: HeldBody
     ) -> Request | None:
-        try:
-            with trio.fail_after(self._limits.read_timeout):
-                return await self._read_events(connection, stream)
-        except trio.TooSlowError:
+        with trio.CancelScope() as scope:
+            held.begin(scope.cancel)
+            try:
+                return await self._read_events(connection, stream, held, scope)
+            except h11.RemoteProtocolError as violation:
+                kind = ErrorKind.MALFORMED_REQUEST
+                if violation.error_status_hint == 431:
+                    kind = ErrorKind.HEADERS_TOO_LARGE
+                error = RequestError(kind, "the request is not valid HTTP/1.1")
+            except RequestError as refusal:
+                # The frames of the traceback would keep what has been received.
+                error = refusal.with_traceback(None)
+        if scope.cancelled_caught:
             error = RequestError(ErrorKind.REQUEST_TIMEOUT, "the request came slowly")
-        except h11.RemoteProtocolError as violation:
-            kind = ErrorKind.MALFORMED_REQUEST
-            if violation.error_status_hint == 431:
-                kind = ErrorKind.HEADERS_TOO_LARGE
-            error = RequestError(kind, "the request is not valid HTTP/1.1")
-        except RequestError as refusal:
-            error = refusal
+            if held.is_evicted:
+                error = make_refusal()
+        held.release()
         await self._send_error(connection, stream, error)
         return None
 
@@ -434,10 +498,18 @@
             raise RequestError(ErrorKind.REQUEST_TOO_LARGE, "the body is too large")
 
     async def _read_events(
-        self, connection: h11.Connection, stream: trio.abc.Stream
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        held: HeldBody,
+        scope: trio.CancelScope,
     ) -> Request | None:
+        """Return the next request; ``scope`` ends the reading if it is too slow."""
         head = None
-        body = bytearray()
+        head_bytes = CONNECTION_BYTES
+        events = 0
+        pace = _Pace(scope, self._limits)
+        held.set_other(head_bytes, len(connection.trailing_data[0]))
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
@@ -446,22 +518,75 @@
                         status_code=100, headers=[]
                     )
                     await stream.send_all(connection.send(continue_response))
-                connection.receive_data(await stream.receive_some(READ_SIZE_BYTES))
+                size = HEAD_READ_BYTES if head is None else READ_SIZE_BYTES
+                data = await stream.receive_some(size)
+                if head is None:
+                    head_bytes += len(data)
+                held.set_other(head_bytes, len(data))
+                connection.receive_data(data)
+                # While the next read waits, nothing else may keep this data.
+                del data
             elif isinstance(event, h11.Request):
                 self._validate_head(event)
                 head = event
+                head_bytes += HEADER_OVERHEAD_BYTES * len(head.headers)
+                held.set_other(head_bytes, len(connection.trailing_data[0]))
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits.body_bytes:
+                if held.size + len(event.data) > self._limits.body_bytes:
                     raise RequestError(
                         ErrorKind.REQUEST_TOO_LARGE, "the body is too large"
                     )
+                held.append(event.data)
+                pace.update(held.size)
+                events += len(event.data) < CHEAP_CHUNK_BYTES
+                if events >= EVENTS_PER_TURN:
+                    events = 0
+                    async with self._parse_turn:
+                        pass
             elif isinstance(event, h11.EndOfMessage):
-                return _make_request(head, bytes(body))
+                held.set_other(head_bytes, len(connection.trailing_data[0]))
+                return _make_request(head, held.finish())
             else:
                 return None
 
 
+class _Pace:
+    """Ends the reading of a request at its time-out or below the minimum rate."""
+
+    __slots__ = ("_ends_at", "_limits", "_scope", "_window_at", "_window_size")
+
+    def __init__(self, scope: trio.CancelScope, limits: HttpLimits) -> None:
+        now = trio.current_time()
+        self._limits = limits
+        self._scope = scope
+        self._ends_at = scope.deadline = now + limits.read_timeout
+        self._window_at = now
+        self._window_size = 0
+
+    def update(self, size: int) -> None:
+        """Take note of the length of the body received so far, in bytes."""
+        if size <= SMALL_BODY_BYTES:
+            return
+        needed = self._limits.body_rate * RATE_WINDOW_SECONDS
+        if not self._window_size or size - self._window_size >= needed:
+            self._window_at = trio.current_time()
+            self._window_size = size
+            window_ends_at = self._window_at + RATE_WINDOW_SECONDS
+            self._scope.deadline = min(self._ends_at, window_ends_at)
+
+
+def limit_receive_buffers(listeners: Iterable[trio.SocketListener]) -> None:
+    """Bound the kernel's memory for bytes that were received and not yet read.
+
+    Connections take the size over from their listener. Without it, the kernel lets
+    the buffer of each connection grow to several megabytes.
+    """
+    for listener in listeners:
+        listener.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+
+
 async def _drain(stream: trio.abc.Stream) -> None:
     """Read for a bounded time, so that a TCP reset does not discard the response."""
     if isinstance(stream, trio.abc.HalfCloseableStream):
