Test who is given up when the memory for bodies is used up

Cause: many small bodies that stay open kept large ones out of the budget, and a refused body stayed accounted for with bytes that the parser never got. Change: small bodies of over a second compete with large ones that have just begun; a refusal accounts for what the parser holds.

--- a/wigeondrift/router/relay.py
+++ b/wigeondrift/router/relay.py
@@ -57,6 +57,8 @@
 CHANGES_PATH = "/changes"
 # One connection per follower, and as many again while the relays change.
 MAX_FOLLOWER_CONNECTIONS = 512
+# A query is a position and a time.
+MAX_QUERY_BYTES = 4096
 STATUS_OK = 200
 STATUS_HISTORY_LOST = 410
 # Time that a relay has to reach the store again before it refuses its followers'
@@ -327,7 +329,10 @@
         self._port = port
         self._changed = trio.Event()
         self._server = HttpServer(
-            self.answer, HttpLimits(connections=MAX_FOLLOWER_CONNECTIONS)
+            self.answer,
+            HttpLimits(
+                body_bytes=MAX_QUERY_BYTES, connections=MAX_FOLLOWER_CONNECTIONS
+            ),
         )
         replica.subscribe(self._notify_followers)
 
--- a/wigeondrift/wire/body_budget.py
+++ b/wigeondrift/wire/body_budget.py
@@ -185,6 +185,17 @@
         kept = self._other_bytes + self._unparsed_bytes
         self._budget.add(self, kept - self.held_bytes)
 
+    def abandon(self, unparsed: int) -> None:
+        """Release the body of a request that is refused.
+
+        Parameters
+        ----------
+        unparsed : int
+            Bytes that the parser still holds.
+        """
+        self._unparsed_bytes = unparsed
+        self.release()
+
     def evict(self) -> None:
         """Give up the body and end its reading."""
         self.is_evicted = True
@@ -201,7 +212,8 @@
 
     The load that it addresses is that of many unfinished or waiting bodies. Beyond the
     bound, the unfinished body that has held the most memory for the longest time is
-    given up. Only if there is no large one, a small one that takes long is.
+    given up. Small ones that take long are considered only if no large one does, and
+    small ones that have just begun never are.
 
     Parameters
     ----------
@@ -299,9 +311,10 @@
     def _choose_victim(self) -> HeldBody | None:
         now = self.get_time()
         unfinished = [body for body in self._bodies if body.is_open]
-        candidates = [b for b in unfinished if b.held_bytes > SMALL_HELD_BYTES]
-        if not candidates:
-            candidates = [b for b in unfinished if now - b.started_at >= SLOW_SECONDS]
+        large = {b for b in unfinished if b.held_bytes > SMALL_HELD_BYTES}
+        slow = {b for b in unfinished if now - b.started_at >= SLOW_SECONDS}
+        # A large body that has just begun is not given up for many small slow ones.
+        candidates = large & slow or large | slow
         return max(
             candidates,
             key=lambda b: b.held_bytes * max(MIN_AGE_SECONDS, now - b.started_at),
--- a/wigeondrift/wire/http_server.py
+++ b/wigeondrift/wire/http_server.py
@@ -28,7 +28,7 @@
 PIPELINED_READ_BYTES = 4096
 # Memory of an open connection (task, protocol state, socket objects) and of one header
 # (its names and values in the forms of the parser and of the request).
-CONNECTION_BYTES = 12288
+CONNECTION_BYTES = 10240
 HEADER_OVERHEAD_BYTES = 512
 # Events of small chunks that one caller may have parsed before others run; about a
 # third of a millisecond.
@@ -467,7 +467,7 @@
             error = RequestError(ErrorKind.REQUEST_TIMEOUT, "the request came slowly")
             if held.is_evicted:
                 error = make_refusal()
-        held.release()
+        held.abandon(len(connection.trailing_data[0]))
         await self._send_error(connection, stream, error)
         return None
 
