--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -114,10 +114,17 @@
         Number of routers.
     has_restorations : bool
         Whether the store is also restored from copies of before.
+    has_crowds : bool
+        Whether crowds of callers also leave large bodies unfinished.
     """
 
     def __init__(
-        self, seed: int, seconds: float, routers: int, has_restorations: bool = False
+        self,
+        seed: int,
+        seconds: float,
+        routers: int,
+        has_restorations: bool = False,
+        has_crowds: bool = False,
     ) -> None:
         self._rng = random.Random(seed)
         self._seconds = seconds
@@ -125,7 +132,11 @@
         self._deployment = Deployment(routers)
         self.callers = Callers(self._deployment, self._rng, seed)
         self.faults = Faults(
-            self._deployment, self._rng, self._is_planned_only, has_restorations
+            self._deployment,
+            self._rng,
+            self._is_planned_only,
+            has_restorations,
+            has_crowds,
         )
         self.violations: list[str] = []
 
@@ -196,9 +207,15 @@
         return f"{len(calls)} requests, {served} served, {len(self.faults.log)} faults"
 
 
-def run_seed(seed: int, seconds: float, routers: int, has_restorations: bool) -> bool:
+def run_seed(
+    seed: int,
+    seconds: float,
+    routers: int,
+    has_restorations: bool,
+    has_crowds: bool = False,
+) -> bool:
     """Run one seed; print its result and return whether all invariants held."""
-    soak = Soak(seed, seconds, routers, has_restorations)
+    soak = Soak(seed, seconds, routers, has_restorations, has_crowds)
     try:
         trio.run(soak.run)
     except* (WigeondriftError, trio.TooSlowError, OSError) as errors:
@@ -222,6 +239,7 @@
     seconds: float = 10.0,
     routers: int = 3,
     restorations: bool = False,
+    crowds: bool = False,
 ) -> None:
     """Run seeds one after another.
 
@@ -237,9 +255,11 @@
         Number of routers.
     restorations
         Whether the store is also restored from copies of before.
+    crowds
+        Whether crowds of callers also leave large bodies unfinished.
     """
     kept = sum(
-        run_seed(seed + number, seconds, routers, restorations)
+        run_seed(seed + number, seconds, routers, restorations, crowds)
         for number in range(count)
     )
     print(f"{kept} kept, {count - kept} broken")
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -18,6 +18,8 @@
 SERVICE_INSTANCES = ("m1", "m2")
 ZONES = ("east", "west")
 HEARTBEAT_MS = 1200
+# The bound for bodies is then below what a crowd of ``soak.crowd`` sends.
+MEMORY_MB = 160
 GRACE_SECONDS = 4
 CALL_TIMEOUT_SECONDS = 1.0
 START_TIMEOUT_SECONDS = 20.0
@@ -178,6 +180,7 @@
             "bounds.revoke_strict": "true",
             "bounds.revoke_ms": 5000,
             "bounds.budget_slack": 100,
+            "limits.memory_mb": MEMORY_MB,
             "platform.address": store_proxy_address,
         }
         file = tempfile.NamedTemporaryFile("w", suffix=".conf")  # noqa: SIM115
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from soak.crowd import hold_bodies
 from soak.deployment import Deployment
 from soak.invariants import REVOCATION_TIMEOUT_SECONDS
 from soak.proxy import MODES
@@ -27,6 +28,8 @@
         Whether to inject only planned stops, reloads and configuration changes.
     has_restorations : bool
         Whether the store is also restored from copies of before.
+    has_crowds : bool
+        Whether crowds of callers also leave large bodies unfinished.
 
     Attributes
     ----------
@@ -43,11 +46,13 @@
         rng: random.Random,
         is_planned_only: bool,
         has_restorations: bool = False,
+        has_crowds: bool = False,
     ) -> None:
         self._deployment = deployment
         self._rng = rng
         self._is_planned_only = is_planned_only
         self._has_restorations = has_restorations
+        self._has_crowds = has_crowds
         self._unavailable: set[str] = set()
         self.revoked_at_by_key: dict[str, float] = {}
         self.log: list[str] = []
@@ -67,6 +72,8 @@
         if self._has_restorations:
             # Without them, the faults of a seed stay those of before.
             unplanned.append(self._restore_store)
+        if self._has_crowds:
+            unplanned.append(self._crowd_router)
         actions = planned if self._is_planned_only else [*planned, *unplanned]
         ends_at = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
@@ -161,6 +168,12 @@
         await self._hold_fault()
         program.resume()
 
+    async def _crowd_router(self) -> None:
+        name = self._rng.choice(list(self._deployment.routers_by_name))
+        self._log(f"crowd at {name}")
+        with trio.move_on_after(self._rng.choice(FAULT_SECONDS)):
+            await hold_bodies(self._deployment.get_address(name))
+
     async def _restore_store(self) -> None:
         self._log("store: restored")
         with trio.move_on_after(REVOCATION_TIMEOUT_SECONDS):
--- a/tests/features/body_limits.feature
+++ b/tests/features/body_limits.feature
@@ -5,7 +5,7 @@
 
   Scenario Outline: A router survives callers that <behaviour>
     Given a router of 96 MB with a body limit of 4194304 bytes
-    When 30 callers <behaviour>
+    When a crowd of 30 connections is told to <behaviour>
     Then the process lives with a peak below 96 MB and 120 descriptors
     And one ordinary request is answered
 
@@ -19,7 +19,7 @@
 
   Scenario Outline: An entry survives callers that <behaviour>
     Given an entry of 96 MB with a body limit of 4194304 bytes
-    When 30 callers <behaviour>
+    When a crowd of 30 connections is told to <behaviour>
     Then the process lives with a peak below 96 MB and 120 descriptors
     And one ordinary request is answered
 
--- a/tests/features/steps/body_limits_steps.py
+++ b/tests/features/steps/body_limits_steps.py
@@ -187,7 +187,7 @@
         context.caller_errors.append(error)
 
 
-@when("{count:d} callers {behaviour}")
+@when("a crowd of {count:d} connections is told to {behaviour}")
 def run_callers(context, count, behaviour):
     send = SENDERS_BY_BEHAVIOUR[behaviour]
     host, port = context.target.address.split(":")
--- a/wigeondrift/wire/body_budget.py
+++ b/wigeondrift/wire/body_budget.py
@@ -23,8 +23,7 @@
 # Bodies up to this size are ordinary. They are given up only if they take long, and a
 # part of the budget is kept for them.
 SMALL_BODY_BYTES = 65536
-# What a connection with a small body holds at most: the body, its head and the fixed
-# memory of a connection.
+# What the connection, the head and the parser hold at most beside a small body.
 SMALL_HELD_BYTES = 2 * SMALL_BODY_BYTES
 LARGE_SHARE = 7 / 8
 # Age from which an unfinished small body may be given up, in seconds.
@@ -97,6 +96,12 @@
         self.is_open = False
         self.is_evicted = False
 
+    @property
+    def is_large(self) -> bool:
+        """Whether it holds more than a connection with an ordinary small body."""
+        other = self._other_bytes + self._unparsed_bytes
+        return self.size > SMALL_BODY_BYTES or other > SMALL_HELD_BYTES
+
     def begin(self, on_evict: Callable[[], None]) -> None:
         """Begin to receive a request."""
         self._on_evict = on_evict
@@ -295,31 +300,36 @@
         self.held_bytes += count
         if count <= 0 or not body.is_open:
             return
-        bound = self.limit_bytes
-        if body.held_bytes > SMALL_HELD_BYTES:
-            bound *= LARGE_SHARE
-        while self.held_bytes > bound:
-            victim = self._choose_victim() or body
+        bound = self.limit_bytes * (LARGE_SHARE if body.is_large else 1)
+        if self.held_bytes <= bound:
+            return
+        for victim in self._rank_victims():
             self.refused += 1
-            if victim is not body:
-                victim.evict()
-                continue
-            body.is_evicted = True
-            body.release()
-            raise make_refusal()
-
-    def _choose_victim(self) -> HeldBody | None:
+            victim.evict()
+            if victim is body:
+                raise make_refusal()
+            if self.held_bytes <= bound:
+                return
+        self.refused += 1
+        body.evict()
+        raise make_refusal()
+
+    def _rank_victims(self) -> list[HeldBody]:
+        """Return the bodies that may be given up, in order."""
         now = self.get_time()
-        unfinished = [body for body in self._bodies if body.is_open]
-        large = {b for b in unfinished if b.held_bytes > SMALL_HELD_BYTES}
-        slow = {b for b in unfinished if now - b.started_at >= SLOW_SECONDS}
-        # A large body that has just begun is not given up for many small slow ones.
-        candidates = large & slow or large | slow
-        return max(
-            candidates,
-            key=lambda b: b.held_bytes * max(MIN_AGE_SECONDS, now - b.started_at),
-            default=None,
-        )
+
+        def get_rank(body: HeldBody) -> tuple[bool, float]:
+            age = now - body.started_at
+            # A large body that has just begun is not given up for many small slow ones.
+            is_first = body.is_large and age >= SLOW_SECONDS
+            return is_first, body.held_bytes * max(MIN_AGE_SECONDS, age)
+
+        candidates = [
+            body
+            for body in self._bodies
+            if body.is_open and (body.is_large or now - body.started_at >= SLOW_SECONDS)
+        ]
+        return sorted(candidates, key=get_rank, reverse=True)
 
 
 def make_refusal() -> RequestError:
--- a/wigeondrift/wire/http_server.py
+++ b/wigeondrift/wire/http_server.py
@@ -400,6 +400,7 @@
             is_open = await self._handle(exchange)
             exchange.release_body()
             del exchange
+            held.set_other(CONNECTION_BYTES, len(connection.trailing_data[0]))
             if not is_open:
                 return
             reusable = (
