--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -360,6 +360,8 @@
     async def _may_retry(self, context: RequestContext, failure: AttemptFailed) -> bool:
         if failure.may_have_run and not context.rule.is_idempotent:
             return False
+        if context.is_body_released:
+            return False
         has_attempts = context.attempts < context.rule.attempts
         if not failure.was_sent:
             return has_attempts or not context.is_sent_again
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -14,6 +14,7 @@
 from wigeondrift.systems.refusals import EARLY_EVENTS
 from wigeondrift.systems.suspects import MAX_TRAITS_PER_REQUEST, make_digest
 from wigeondrift.systems.urgency import NO_SCALE, UrgencyScale
+from wigeondrift.wire.http_server import Exchange
 
 # Callers abandon a stream without data after this time, or after these multiples of
 # the route's objective or event gap if those are longer (the platform documents this).
@@ -94,6 +95,8 @@
         Longest pause between two events, in seconds.
     is_risky : bool
         Whether an upstream died under a request with one of its traits.
+    is_body_released : bool
+        Whether the body was dropped, so that no attempt may follow.
     is_trial : bool
         Whether it is tried although it has a refused trait.
     turned_away : Chain or None
@@ -118,6 +121,7 @@
         "events",
         "excluded",
         "expected_first",
+        "is_body_released",
         "is_risky",
         "is_sent_again",
         "is_trial",
@@ -156,6 +160,7 @@
         self.wait_seconds = 0.0
         self.expected_first: float | None = None
         self.longest_gap: float | None = None
+        self.is_body_released = False
         self.is_risky = False
         self.is_trial = False
         self.turned_away: Chain | None = None
@@ -167,6 +172,12 @@
         parts = call.prompt_parts[: MAX_TRAITS_PER_REQUEST - 1]
         self.traits = (whole, *(make_digest(service.name, part) for part in parts))
 
+    def release_body(self, exchange: Exchange) -> None:
+        """Drop the body, which no attempt may send again."""
+        self.is_body_released = True
+        self.call.body = b""
+        exchange.release_body()
+
     @property
     def is_resumed(self) -> bool:
         """Whether the request continues a stream of which the caller has events."""
