--- a/tests/features/steps/body_budget_steps.py
+++ b/tests/features/steps/body_budget_steps.py
@@ -61,6 +61,15 @@
 def check_given_up(context, name):
     given_up = [key for key, body in context.bodies.items() if body.is_evicted]
     assert given_up == [name], given_up
+    # A body without its middle must not complete.
+    body = context.bodies[name]
+    for use in (lambda: body.append(b"rest"), body.finish):
+        try:
+            use()
+        except RequestError as error:
+            assert error.status == 503
+        else:
+            raise AssertionError("a body that was given up was used")
 
 
 @then("{count:d} random uses keep the account within its bound and end at zero")
