--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -156,7 +156,7 @@
             self.directory, settings.failure_domain, rng, settings.instance_id
         )
         level = PressureLevel(
-            settings.instance_id, rng.getrandbits(INCARNATION_BITS), rng
+            settings.instance_id, random.getrandbits(INCARNATION_BITS), rng
         )
         self.pressure = Pressure(level, self.replica, self.selector)
         self.wait_queue = WaitQueue(self.selector, metrics, self.pressure)
