--- a/tests/features/steps/priorities_steps.py
+++ b/tests/features/steps/priorities_steps.py
@@ -68,7 +68,9 @@
 def check_urgencies(context, urgencies):
     def check(world):
         servers = [world.servers_by_id[name] for name in FIRST_STAGES]
-        got = [r.headers_by_name.get(URGENCY, "none") for s in servers for r in s.served]
+        got = [
+            r.headers_by_name.get(URGENCY, "none") for s in servers for r in s.served
+        ]
         assert got == urgencies.split(", "), got
 
     queue_check(context, check)
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -65,6 +65,7 @@
     PresenceAnswer,
     PresenceRequest,
 )
+from wigeondrift.systems.outcomes import OutcomeNews
 from wigeondrift.systems.pressure import PressureLevel, PressureNews
 from wigeondrift.systems.relays import RelayTable
 from wigeondrift.systems.repeat_pool import (
@@ -375,6 +376,7 @@
     peers.subscribe_with_source(FaultNews, parts.faults.apply_news)
     parts.pressure.subscribe(peers.announce)
     peers.subscribe(PressureNews, parts.pressure.apply_news)
+    peers.subscribe_with_source(OutcomeNews, parts.faults.apply_outcome_news)
     peers.add_responder(PermitRequest, parts.permits.answer_permit_request)
     peers.subscribe(PermitAnswer, parts.permits.apply_permit_answer)
     peers.add_responder(PresenceRequest, parts.permits.answer_presence_request)
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -28,6 +28,7 @@
     PresenceAnswer,
     PresenceRequest,
 )
+from wigeondrift.systems.outcomes import OutcomeNews
 from wigeondrift.systems.pressure import PressureNews
 from wigeondrift.systems.repeat_pool import (
     RepeatAnswer,
@@ -39,7 +40,15 @@
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.address import parse_address
 
-News = DeathNews | SoundNews | TrialNews | LimitNews | FaultNews | PressureNews
+News = (
+    DeathNews
+    | SoundNews
+    | TrialNews
+    | LimitNews
+    | FaultNews
+    | PressureNews
+    | OutcomeNews
+)
 PeerRequest = (
     PermitRequest | PresenceRequest | VersionRequest | RepeatRequest | ShareRequest
 )
