Share the measured pace of slow runners between routers

Routers expected the times of a slow runner from the figures of its accelerator and went on using its routes. A router whose stream is slow now reads the reports of its route's runners and tells the others, and all of them multiply the times of a slow runner by its pace.

--- a/wigeondrift/platform/upstreams.py
+++ b/wigeondrift/platform/upstreams.py
@@ -1,5 +1,6 @@
 """Entries and reports of upstreams, and orders to runners."""
 
+import math
 import re
 from typing import Annotated
 
@@ -73,6 +74,8 @@
     layers: _WireLayers | None = None
     born: _WholeNumber = 0
     stalled: list[dict[str, str]] = []
+    # Of any type, because a bad pace must not make the rest of a report unreadable.
+    pace: object = 1.0
 
 
 class _WireConflict(msgspec.Struct):
@@ -145,9 +148,19 @@
             entry.get("id", ""): entry.get("address", "") for entry in wire.stalled
         },
         is_leaving=has_leaving_mark,
+        pace=_read_pace(wire.pace),
     )
 
 
+def _read_pace(value: object) -> float:
+    """Return the pace in a report, NaN if it is no number."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    try:
+        return float(value) if is_number else math.nan
+    except OverflowError:
+        return math.nan
+
+
 class HttpRunnerControl(RunnerControl):
     """Reads reports of runners and sends orders to them over HTTP.
 
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -20,6 +20,7 @@
 from wigeondrift.router.entities import RequestKind, RunnerReport, Upstream
 from wigeondrift.router.faults import SharedFaults
 from wigeondrift.router.header_codec import HeaderCodec
+from wigeondrift.router.paces import SharedPaces
 from wigeondrift.router.repair import (
     MAX_SILENCE_SHARE,
     RepairableStream,
@@ -69,6 +70,8 @@
         Changes the routes of stalled streams.
     faults : SharedFaults
         Receives what shows that an upstream is at fault.
+    paces : SharedPaces
+        Receives the timing of streams.
     """
 
     __slots__ = (
@@ -80,6 +83,7 @@
         "_header_codec",
         "_logger",
         "_metrics",
+        "_paces",
         "_suspects",
     )
 
@@ -93,6 +97,7 @@
         suspects: SuspectRegistry,
         repairs: RouteRepair,
         faults: SharedFaults,
+        paces: SharedPaces,
     ) -> None:
         self._repairs = repairs
         self._selector = selector
@@ -103,6 +108,7 @@
         self._logger = logging.getLogger(LOGGER_NAME)
         self._suspects = suspects
         self._faults = faults
+        self._paces = paces
 
     async def call(
         self,
@@ -192,6 +198,10 @@
                     stream,
                     nursery.cancel_scope,
                 )
+                if reservation is not None:
+                    nursery.start_soon(
+                        self._paces.watch_first_event, reservation, progress
+                    )
                 try:
                     await self._send(exchange, context, upstream, reservation, progress)
                     progress.ended = True
@@ -500,6 +510,10 @@
         if progress.first_event_at is not None:
             gap = now - progress.last_event_at
             context.longest_gap = max(gap, context.longest_gap or 0.0)
+            if progress.reads_again:
+                progress.gaps.clear()
+            elif reservation is not None:
+                self._paces.record_gap(context.service, reservation, progress, gap)
         else:
             progress.first_event_at = now
             if reservation is not None:
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -28,6 +28,7 @@
     ReadyListener,
 )
 from wigeondrift.router.membership import Membership, RouterEntry
+from wigeondrift.router.paces import SharedPaces
 from wigeondrift.router.peers import PeerExchange
 from wigeondrift.router.permits import Permits
 from wigeondrift.router.planner import Planner
@@ -64,6 +65,7 @@
     PresenceAnswer,
     PresenceRequest,
 )
+from wigeondrift.systems.paces import PaceNews
 from wigeondrift.systems.relays import RelayTable
 from wigeondrift.systems.repeat_pool import (
     RepeatAnswer,
@@ -114,6 +116,7 @@
         "forwarder",
         "freshness",
         "membership",
+        "paces",
         "permits",
         "planner",
         "prober",
@@ -207,6 +210,16 @@
             self.directory, self.selector, self.membership, control, metrics
         )
         self.replica.subscribe(self.faults.forget_absent_upstreams)
+        self.paces = SharedPaces(
+            self.directory,
+            self.selector,
+            self.membership,
+            control,
+            self.faults,
+            metrics,
+            rng,
+        )
+        self.replica.subscribe(self.paces.forget_absent_upstreams)
         reach = self.selector.reach
         self.planner = Planner(
             self.store,
@@ -266,6 +279,7 @@
                 self.suspects,
                 self.repairs,
                 self.faults,
+                self.paces,
             ),
             repairs=self.repairs,
             header_codec=header_codec,
@@ -356,6 +370,8 @@
     peers.subscribe(LimitNews, parts.selector.apply_limit_news)
     parts.faults.connect(peers.announce)
     peers.subscribe_with_source(FaultNews, parts.faults.apply_news)
+    parts.paces.connect(peers.announce)
+    peers.subscribe_with_source(PaceNews, parts.paces.apply_news)
     peers.add_responder(PermitRequest, parts.permits.answer_permit_request)
     peers.subscribe(PermitAnswer, parts.permits.apply_permit_answer)
     peers.add_responder(PresenceRequest, parts.permits.answer_presence_request)
@@ -379,6 +395,7 @@
         parts.suspects,
         peers,
         parts.faults,
+        parts.paces,
         parts.permits,
         parts.version_check,
         parts.repeats,
--- a/wigeondrift/router/entities.py
+++ b/wigeondrift/router/entities.py
@@ -255,6 +255,8 @@
         Address of the stage that stalls a request, by request id.
     is_leaving : bool
         Whether the runner is leaving and must get no new requests.
+    pace : float
+        Factor by which the runner is slow; NaN if the report has no valid one.
     """
 
     order_count: int
@@ -264,3 +266,4 @@
     started_at_ms: int
     stalled_by_request: dict[str, str]
     is_leaving: bool = False
+    pace: float = 1.0
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -28,6 +28,7 @@
     PresenceAnswer,
     PresenceRequest,
 )
+from wigeondrift.systems.paces import PaceNews
 from wigeondrift.systems.repeat_pool import (
     RepeatAnswer,
     RepeatRequest,
@@ -38,7 +39,7 @@
 from wigeondrift.telemetry.events import LOGGER_NAME, Event, log_event
 from wigeondrift.wire.address import parse_address
 
-News = DeathNews | SoundNews | TrialNews | LimitNews | FaultNews
+News = DeathNews | SoundNews | TrialNews | LimitNews | FaultNews | PaceNews
 PeerRequest = (
     PermitRequest | PresenceRequest | VersionRequest | RepeatRequest | ShareRequest
 )
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -10,6 +10,7 @@
 from wigeondrift.router.entities import RouteRule, ServiceSpec
 from wigeondrift.router.event_stream import EventBuffer
 from wigeondrift.systems.chains import Chain, RouteDemand
+from wigeondrift.systems.paces import EventGaps
 from wigeondrift.systems.refusals import EARLY_EVENTS
 from wigeondrift.systems.suspects import MAX_TRAITS_PER_REQUEST, make_digest
 
@@ -195,12 +196,15 @@
         Whether the route was changed while the stream ran.
     reads_again : bool
         Whether new stages of the route still read the tokens so far.
+    gaps : EventGaps
+        Latest gaps between events.
     """
 
     __slots__ = (
         "ended",
         "events",
         "first_event_at",
+        "gaps",
         "is_repaired",
         "is_writing",
         "last_event_at",
@@ -219,6 +223,7 @@
         self.suspects: tuple[str, ...] = ()
         self.is_repaired = False
         self.reads_again = False
+        self.gaps = EventGaps()
 
     @property
     def has_events(self) -> bool:
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -15,6 +15,7 @@
 from wigeondrift.systems.faults import FaultTable
 from wigeondrift.systems.health import Health
 from wigeondrift.systems.limits import LimitNews, RequestLimits
+from wigeondrift.systems.paces import PaceTable
 from wigeondrift.systems.placement import BYTES_PER_MB
 from wigeondrift.systems.reach import Reachability
 from wigeondrift.systems.route_repair import RepairPlan, find_repair
@@ -170,6 +171,8 @@
     reach : Reachability
     ledger : CacheLedger
     limits : RequestLimits
+    paces : PaceTable
+        Measured paces of runners.
     """
 
     __slots__ = (
@@ -190,6 +193,7 @@
         "health",
         "ledger",
         "limits",
+        "paces",
         "peer_count",
         "reach",
     )
@@ -220,6 +224,7 @@
         self.reach = Reachability(failure_domain)
         self.back_offs = BackOffs()
         self.limits = RequestLimits(instance_id)
+        self.paces = PaceTable(instance_id)
         self.ledger = CacheLedger(self._get_cache_capacity)
 
     def _get_cache_capacity(self, runner: Upstream) -> float:
@@ -292,14 +297,14 @@
             if upstream_id in known_ids
         }
         usable = [r for r in runners if r.upstream_id not in avoided | told]
-        chain_set = ChainSet(service.engine, usable)
+        chain_set = ChainSet(service.engine, usable, self.paces)
         if not chain_set.chains and told - avoided:
             # News of other routers alone leave no service without a route.
             usable = [r for r in runners if r.upstream_id not in avoided]
-            chain_set = ChainSet(service.engine, usable)
+            chain_set = ChainSet(service.engine, usable, self.paces)
         if not chain_set.chains and avoided:
             usable = [r for r in runners if r.upstream_id not in failed]
-            chain_set = ChainSet(service.engine, usable)
+            chain_set = ChainSet(service.engine, usable, self.paces)
         self._chains_by_service[service.name] = chain_set
         log_event(
             self._logger,
@@ -405,6 +410,10 @@
             self.limits.list_closed(now),
         )
 
+    def estimate_event_gap(self, service: ServiceSpec, chain: Chain) -> float:
+        """Return the expected time between two events on a route, in seconds."""
+        return self.get_chains(service).estimate_event_gap(chain, self.ledger)
+
     def find_repair(
         self,
         service: ServiceSpec,
--- a/wigeondrift/systems/chains.py
+++ b/wigeondrift/systems/chains.py
@@ -15,6 +15,7 @@
 from wigeondrift.entities import Route, Stage
 from wigeondrift.router.entities import EngineSpec, Upstream
 from wigeondrift.systems.cache_usage import CacheLedger, Usage
+from wigeondrift.systems.paces import PaceTable
 from wigeondrift.systems.ranking import get_fraction
 
 # Transfer time of a token between two runners, without the delay between domains.
@@ -268,17 +269,36 @@
 class ChainSet:
     """Routes of one model over the runners that are currently usable.
 
+    The routes do not depend on the paces of their runners, but their expected times do.
+
     Parameters
     ----------
     engine : EngineSpec
     runners : iterable of Upstream
         Runners that accept requests and are not avoided.
+    paces : PaceTable, optional
+        Measured paces of runners, which may change.
     """
 
-    __slots__ = ("_engine", "_preferred", "_routes_by_id", "chains")
+    __slots__ = (
+        "_engine",
+        "_known_pace_changes",
+        "_paces",
+        "_preferred",
+        "_routes_by_id",
+        "chains",
+    )
 
-    def __init__(self, engine: EngineSpec, runners: Iterable[Upstream]) -> None:
+    def __init__(
+        self,
+        engine: EngineSpec,
+        runners: Iterable[Upstream],
+        paces: PaceTable | None = None,
+    ) -> None:
         self._engine = engine
+        self._paces = paces or PaceTable()
+        # Changes of paces that the rates and the preferred routes account for.
+        self._known_pace_changes = self._paces.change_count
         self._preferred: list[Chain] | None = None
         self.chains: list[Chain] = []
         runners_by_version: dict[int, list[Upstream]] = {}
@@ -332,12 +352,19 @@
             used.update(chain.route.instance_ids)
 
     def _get_idle_cost(self, runner: Upstream, layers: int) -> float:
-        return self._get_step_seconds(runner, layers, 0.0, 0.0)
+        return self._get_normal_step_seconds(runner, layers, 0.0, 0.0)
 
     def _get_step_seconds(
         self, runner: Upstream, layers: int, requests: float, tokens: float
     ) -> float:
         """Return the time of a decode step over some layers, in seconds."""
+        seconds = self._get_normal_step_seconds(runner, layers, requests, tokens)
+        return self._paces.get_pace(runner) * seconds
+
+    def _get_normal_step_seconds(
+        self, runner: Upstream, layers: int, requests: float, tokens: float
+    ) -> float:
+        """Return the time of a decode step at the normal pace, in seconds."""
         engine = self._engine
         accelerator = engine.accelerators_by_kind.get(runner.kind)
         factor = 1.0 if accelerator is None else accelerator.step_factor
@@ -361,8 +388,36 @@
         step = self._get_step_seconds(runner, layers, used.requests, tokens)
         # While requests are decoding, each iteration runs all steps of an event.
         steps = engine.steps_per_event if used.requests > 0 else 1
+        prompt_seconds *= self._paces.get_pace(runner)
         return steps * step + prompt_seconds * layer_fraction
 
+    def estimate_event_gap(self, chain: Chain, ledger: CacheLedger) -> float:
+        """Return the expected time between two events of a running stream.
+
+        Runners with queued prompts also prefill a chunk between two events.
+        """
+        seconds = chain.domain_crossings * DOMAIN_CROSSING_SECONDS
+        for stage, runner in zip(chain.route.stages, chain.runners, strict=True):
+            layers = stage.end_layer - stage.first_layer
+            used = ledger.get_usage(runner.upstream_id)
+            seconds += HOP_SECONDS
+            if used.pending_prefill_tokens > 0:
+                seconds += self._get_prefill_step_seconds(runner, layers, used)
+            else:
+                tokens = used.cells / max(1, layers)
+                seconds += self._engine.steps_per_event * self._get_step_seconds(
+                    runner, layers, used.requests, tokens
+                )
+        return seconds
+
+    def _apply_pace_changes(self) -> None:
+        """Forget what was computed with paces that have changed since."""
+        if self._known_pace_changes != self._paces.change_count:
+            self._known_pace_changes = self._paces.change_count
+            self._preferred = None
+            for chain in self.chains:
+                chain.rate = None
+
     def choose(
         self,
         demand: RouteDemand,
@@ -460,6 +515,7 @@
         Weighted rendezvous hashing: over all routers each route is preferred about in
         proportion to its rate, and a change of one route leaves the others preferred.
         """
+        self._apply_pace_changes()
         if self._preferred is None:
             scored = []
             for chain in self.chains:
@@ -472,6 +528,7 @@
 
     def get_rate(self, chain: Chain, ledger: CacheLedger) -> float:
         """Return the requests per second that a route serves at the reference load."""
+        self._apply_pace_changes()
         if chain.rate is not None:
             return chain.rate
         engine = self._engine
--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -80,6 +80,7 @@
     FAULT_APPLIED = 3592, "An upstream is avoided because another router told of it."
     REPEAT_DENIED = 3593, "Neither this router nor the shared pool has a retry left."
     POOL_SILENT = 3594, "The router that gives out retries does not answer."
+    PACE_CHANGED = 3621, "The known pace of a runner changed."
     REQUEST_QUARANTINED = 3401, "A fingerprint is refused: upstreams died running it."
     SUSPECT_TRIED = 3402, "A request runs although it has a refused trait, as a trial."
     SUSPECTS_VOUCHED = 3403, "Upstreams here survived traits with deaths on record."
--- a/wigeondrift/telemetry/metrics.py
+++ b/wigeondrift/telemetry/metrics.py
@@ -61,6 +61,12 @@
         "messages",
         "Messages of other routers for which an upstream was avoided.",
     )
+    PACES_SENT = (
+        "paces.sent",
+        "counter",
+        "messages",
+        "Messages sent to the other routers about the pace of runners.",
+    )
     REPEATS_GRANTED = (
         "retries.granted",
         "counter",
@@ -89,6 +95,12 @@
     )
     FIRST_TOKEN = "first_token", "timing", "ms", "Time to the first token."
     REQUEST_TIME = "request_time", "timing", "ms", "Time to the end of the answer."
+    SLOW_RUNNERS = (
+        "runners.slow",
+        "gauge",
+        "runners",
+        "Runners that this router knows to be slow.",
+    )
     RUNNING = "running", "gauge", "requests", "Requests in progress."
     TABLE_VERSION = "table_version", "gauge", "version", "Table version in force."
 
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -96,6 +96,11 @@
     running_by_id : dict of str to RunningRequest
     aborted_calls : int
         Number of calls that their caller closed before the answer was complete.
+    pace : float
+        Factor by which the report says that the upstream is slow.
+    paces_by_address : dict of str to float
+        Factors on the time between the events of streams whose path has these
+        addresses; the largest one counts. Shared by the servers of one world.
     reports : int
         Number of times that the report was requested.
     limit : str
@@ -135,6 +140,8 @@
         self.late_seconds = 1.5
         self.running_by_id: dict[str, RunningRequest] = {}
         self.aborted_calls = 0
+        self.pace = 1.0
+        self.paces_by_address: dict[str, float] = {}
         self.reports = 0
         self.born = 1
         self.limit = ""
@@ -175,7 +182,7 @@
             "waiting": 0,
             "kv_used": 0,
             "kv_total": 1000,
-            "pace": 1.0,
+            "pace": self.pace,
             "born": self.born,
             "layers": {"from": self.layers[0], "to": self.layers[1], "version": 1},
             "stalled": stalled,
@@ -325,7 +332,8 @@
         first = int(after) + 1 if after else 0
         await exchange.start(200, headers)
         for sent, number in enumerate(range(first, self.events)):
-            await trio.sleep(EVENT_SECONDS)
+            paces = [self.paces_by_address.get(part, 1.0) for part in running.path]
+            await trio.sleep(EVENT_SECONDS * max(paces, default=1.0))
             if is_deadly and sent == self.deadly_events:
                 await self._die()
             if sent == self.events_before_fault and self.fault == "split":
