--- a/tests/features/peers.feature
+++ b/tests/features/peers.feature
@@ -47,6 +47,7 @@
       | "east-2"   | an endless share of retries   |
       | "east-2"   | news of a fault of no known kind |
       | "east-2"   | news of a fault before all time |
+      | "east-2"   | news of a pace that is no number |
 
   Scenario: News of deaths reach a peer at once
     Given a router that listens for the usage of "east-2"
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -1,6 +1,7 @@
 """Steps on the messages between routers, some of them over real datagram sockets."""
 
 import contextlib
+import math
 import random
 import re
 import socket
@@ -21,6 +22,7 @@
 from wigeondrift.systems.exchange import UsageExchange
 from wigeondrift.systems.faults import FaultNews
 from wigeondrift.systems.limits import LimitNews, PermitAnswer, PermitRequest
+from wigeondrift.systems.paces import PaceNews
 from wigeondrift.systems.repeat_pool import ShareAnswer
 from wigeondrift.systems.suspects import DeathNews, ReportedDeath, make_digest
 
@@ -140,6 +142,7 @@
             "evidence": "rumour",
         },
         "news of a fault before all time": lambda: FaultNews("u1", -1, "silent"),
+        "news of a pace that is no number": lambda: PaceNews("u1", 1, math.nan),
         "a request for a permit": lambda: PermitRequest(9, "u1", 1.0),
     }
     data = makers[datagram]()
--- a/wigeondrift/router/paces.py
+++ b/wigeondrift/router/paces.py
@@ -16,6 +16,7 @@
 from wigeondrift.router.selector import Reservation, UpstreamSelector
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.paces import (
+    ASK_SECONDS,
     MAX_CONCURRENT_QUESTIONS,
     NORMAL_PACE,
     PaceNews,
@@ -126,11 +127,15 @@
     async def watch_first_event(
         self, reservation: Reservation, progress: Progress
     ) -> None:
-        """Ask the runners of a route if the first event of a stream is overdue."""
-        limit = get_first_event_limit(reservation.first_seconds)
-        await trio.sleep(limit)
-        if not progress.has_events and not progress.is_repaired:
+        """Ask the runners of a route while the first event of a stream is overdue.
+
+        They are asked more than once, because a report may be older than the cause of
+        the delay.
+        """
+        await trio.sleep(get_first_event_limit(reservation.first_seconds))
+        while not progress.has_events and not progress.is_repaired:
             self.ask(reservation.chain.runners)
+            await trio.sleep(ASK_SECONDS)
 
     def ask(self, runners: Iterable[Upstream]) -> None:
         """Ask for the reports of runners that nobody has asked lately."""
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -412,7 +412,11 @@
 
     def estimate_event_gap(self, service: ServiceSpec, chain: Chain) -> float:
         """Return the expected time between two events on a route, in seconds."""
-        return self.get_chains(service).estimate_event_gap(chain, self.ledger)
+        # It is asked for at many events and needs no up-to-date routes.
+        chain_set = self._chains_by_service.get(service.name)
+        if chain_set is None:
+            chain_set = self.get_chains(service)
+        return chain_set.estimate_event_gap(chain, self.ledger)
 
     def find_repair(
         self,
--- a/wigeondrift/systems/paces.py
+++ b/wigeondrift/systems/paces.py
@@ -23,8 +23,8 @@
 # Shortest interval between two questions of one router to a runner, and the interval at
 # which the router that told of a slow runner asks it again.
 ASK_SECONDS = 1.0
-# Time for which a router asks no runner that another has told of. It is longer than
-# ``ASK_SECONDS``, so that the next news of that router arrive first.
+# Time for which a router asks no slow runner that another has told of. It is longer
+# than ``ASK_SECONDS``, so that the next news of that router arrive first.
 HEARD_SECONDS = 1.5
 # Range of the random delay of a first question. Many routers see their streams slow
 # down at the same time, and the news of the first one saves the others the question.
@@ -118,7 +118,7 @@
 
     __slots__ = (
         "_asked_at_by_id",
-        "_heard_at_by_id",
+        "_heard_until_by_id",
         "_instance_id",
         "_reported_at_by_id",
         "_slow_by_id",
@@ -130,8 +130,8 @@
         self.change_count = 0
         # Starts of this router's last questions.
         self._asked_at_by_id: dict[str, float] = {}
-        # Incarnations that others told of, and the times of the messages.
-        self._heard_at_by_id: dict[str, tuple[int, float]] = {}
+        # Incarnations that others told of, and until when they are not asked for that.
+        self._heard_until_by_id: dict[str, tuple[int, float]] = {}
         # Incarnations of which this router read a report, and when.
         self._reported_at_by_id: dict[str, tuple[int, float]] = {}
         self._slow_by_id: dict[str, _SlowRunner] = {}
@@ -153,9 +153,9 @@
         return now - asked_at >= ASK_SECONDS and not self.is_heard(entry, now)
 
     def is_heard(self, entry: Upstream, now: float) -> bool:
-        """Whether another router told of a runner lately, and will do so again."""
-        born, heard_at = self._heard_at_by_id.get(entry.upstream_id, (-1, -math.inf))
-        return born == entry.started_at_ms and now - heard_at < HEARD_SECONDS
+        """Whether another router told of a runner lately."""
+        born, until = self._heard_until_by_id.get(entry.upstream_id, (-1, -math.inf))
+        return born == entry.started_at_ms and now < until
 
     def record_question(self, upstream_id: str, now: float) -> None:
         """Record that this router asks a runner for its report."""
@@ -198,7 +198,9 @@
         age = now - self._get_report_time(entry)
         if is_own and sender > self._instance_id and age < HEARD_SECONDS:
             return False
-        self._heard_at_by_id[entry.upstream_id] = (entry.started_at_ms, now)
+        # Nobody asks a runner at its normal pace again without a slow stream.
+        pause = HEARD_SECONDS if news.pace > NORMAL_PACE else ASK_SECONDS
+        self._heard_until_by_id[entry.upstream_id] = (entry.started_at_ms, now + pause)
         if age < ASK_SECONDS:
             if is_own and news.pace > NORMAL_PACE:
                 slow.is_own = False
@@ -264,7 +266,7 @@
         """
         for table in (
             self._asked_at_by_id,
-            self._heard_at_by_id,
+            self._heard_until_by_id,
             self._reported_at_by_id,
         ):
             _drop(table, table.keys() - upstreams_by_id.keys())
