--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -27,6 +27,7 @@
     ReadyListener,
 )
 from wigeondrift.router.membership import Membership, RouterEntry
+from wigeondrift.router.paces import SharedPaces
 from wigeondrift.router.peers import PeerExchange
 from wigeondrift.router.permits import Permits
 from wigeondrift.router.planner import Planner
@@ -66,6 +67,7 @@
     PresenceRequest,
 )
 from wigeondrift.systems.outcomes import OutcomeNews
+from wigeondrift.systems.paces import PaceNews
 from wigeondrift.systems.pressure import PressureLevel, PressureNews
 from wigeondrift.systems.relays import RelayTable
 from wigeondrift.systems.repeat_pool import (
@@ -119,6 +121,7 @@
         "forwarder",
         "freshness",
         "membership",
+        "paces",
         "permits",
         "planner",
         "pressure",
@@ -217,6 +220,16 @@
             self.directory, self.selector, self.membership, control, metrics
         )
         self.replica.subscribe(self.faults.forget_absent_upstreams)
+        self.paces = SharedPaces(
+            self.directory,
+            self.selector,
+            self.membership,
+            control,
+            self.faults,
+            metrics,
+            rng,
+        )
+        self.replica.subscribe(self.paces.forget_absent_upstreams)
         reach = self.selector.reach
         self.planner = Planner(
             self.store,
@@ -276,6 +289,7 @@
                 self.suspects,
                 self.repairs,
                 self.faults,
+                self.paces,
             ),
             repairs=self.repairs,
             header_codec=header_codec,
@@ -377,6 +391,8 @@
     parts.pressure.subscribe(peers.announce)
     peers.subscribe(PressureNews, parts.pressure.apply_news)
     peers.subscribe_with_source(OutcomeNews, parts.faults.apply_outcome_news)
+    parts.paces.connect(peers.announce)
+    peers.subscribe_with_source(PaceNews, parts.paces.apply_news)
     peers.add_responder(PermitRequest, parts.permits.answer_permit_request)
     peers.subscribe(PermitAnswer, parts.permits.apply_permit_answer)
     peers.add_responder(PresenceRequest, parts.permits.answer_presence_request)
@@ -400,6 +416,7 @@
         parts.suspects,
         peers,
         parts.faults,
+        parts.paces,
         parts.permits,
         parts.version_check,
         parts.repeats,
--- a/wigeondrift/router/peers.py
+++ b/wigeondrift/router/peers.py
@@ -29,6 +29,7 @@
     PresenceRequest,
 )
 from wigeondrift.systems.outcomes import OutcomeNews
+from wigeondrift.systems.paces import PaceNews
 from wigeondrift.systems.pressure import PressureNews
 from wigeondrift.systems.repeat_pool import (
     RepeatAnswer,
@@ -48,6 +49,7 @@
     | FaultNews
     | PressureNews
     | OutcomeNews
+    | PaceNews
 )
 PeerRequest = (
     PermitRequest | PresenceRequest | VersionRequest | RepeatRequest | ShareRequest
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -20,6 +20,7 @@
     LOSS_WEIGHT_REPEATABLE,
     OutcomeTable,
 )
+from wigeondrift.systems.paces import PaceTable
 from wigeondrift.systems.placement import BYTES_PER_MB
 from wigeondrift.systems.reach import Reachability
 from wigeondrift.systems.route_repair import RepairPlan, find_repair
@@ -179,6 +180,8 @@
     reach : Reachability
     ledger : CacheLedger
     limits : RequestLimits
+    paces : PaceTable
+        Measured paces of runners.
     """
 
     __slots__ = (
@@ -201,6 +204,7 @@
         "ledger",
         "limits",
         "outcomes",
+        "paces",
         "peer_count",
         "reach",
     )
@@ -233,6 +237,7 @@
         self.back_offs = BackOffs()
         self.domain_cut_off = trio.Event()
         self.limits = RequestLimits(instance_id)
+        self.paces = PaceTable(instance_id)
         self.ledger = CacheLedger(self._get_cache_capacity)
 
     def _get_cache_capacity(self, runner: Upstream) -> float:
@@ -305,14 +310,14 @@
             if upstream_id in known_ids
         }
         usable = [r for r in runners if r.upstream_id not in avoided | told]
-        chain_set = ChainSet(service.engine, usable)
+        chain_set = ChainSet(service.engine, usable, self.paces)
         if not chain_set.chains and told - avoided:
             # News of other routers alone leave no service without a route.
             usable = [r for r in runners if r.upstream_id not in avoided]
-            chain_set = ChainSet(service.engine, usable)
+            chain_set = ChainSet(service.engine, usable, self.paces)
         if not chain_set.chains and avoided:
             usable = [r for r in runners if r.upstream_id not in failed]
-            chain_set = ChainSet(service.engine, usable)
+            chain_set = ChainSet(service.engine, usable, self.paces)
         self._chains_by_service[service.name] = chain_set
         log_event(
             self._logger,
@@ -423,6 +428,14 @@
             self.limits.list_closed(now),
         )
 
+    def estimate_event_gap(self, service: ServiceSpec, chain: Chain) -> float:
+        """Return the expected time between two events on a route, in seconds."""
+        # It is asked for at many events and needs no up-to-date routes.
+        chain_set = self._chains_by_service.get(service.name)
+        if chain_set is None:
+            chain_set = self.get_chains(service)
+        return chain_set.estimate_event_gap(chain, self.ledger)
+
     def find_repair(
         self,
         service: ServiceSpec,
