Send late requests to a second upstream

A request that may run again waits for one slow upstream although others have capacity. With a ratio in the file of options that wigeondrift-router takes as its argument, a late safe request or a resumable stream before its first event is also sent to a second upstream, in another failure domain if possible. The first response wins; the other attempt is cancelled and leaves no record. Without the file, Forwarder tries one upstream at a time as before.

--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -9,6 +9,7 @@
 
 from wigeondrift.platform.configuration import decode_configuration
 from wigeondrift.router.composition import RouterParts
+from wigeondrift.router.options import RouterOptions
 from wigeondrift.router.settings import Bounds, RouterSettings
 from wigeondrift.telemetry.metrics import NullMetrics
 from wigeondrift.wire.http_server import HttpServer
@@ -113,6 +114,8 @@
         self.servers_by_id = {}
         self.entries_by_id = {}
         self.deaths = 0
+        self.options = RouterOptions()
+        self.metrics = NullMetrics()
         self.settings = settings or RouterSettings(
             instance_id="router-1",
             failure_domain="east",
@@ -189,9 +192,10 @@
             client,
             MemoryClient(self.network),
             MemoryClient(self.network),
-            NullMetrics(),
+            self.metrics,
             random.Random(1),
             trio.current_time,
+            self.options,
         )
 
     def stop_router(self):
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -113,8 +113,7 @@
         CallerDisconnected
             If the caller closed its connection.
         """
-        context.upstreams.append(upstream.upstream_id)
-        context.attempts += 1
+        context.record_attempt(upstream, reservation)
         # Set before sending, because the deadline may cancel the attempt at any point.
         may_have_run_before = context.may_have_run
         context.may_have_run = True
@@ -129,6 +128,7 @@
         except ConnectFailed as error:
             context.attempts -= 1
             context.may_have_run = may_have_run_before
+            await _leave_if_superseded(context)
             self._selector.record_unreachable(upstream, str(error))
             raise AttemptFailed(
                 str(error), False, (upstream.upstream_id,), was_sent=False
@@ -141,10 +141,13 @@
             # left before the deadline may have seen no events for a while.
             now = trio.current_time()
             silence = now - progress.last_event_at
+            if context.is_superseded:
+                raise
             if now >= context.deadline or silence >= progress.silence_limit:
                 self._watch_route(context, upstream, reservation, progress)
             raise
         except TransportError as error:
+            await _leave_if_superseded(context)
             suspects = await self._examine_failure(
                 context, upstream, reservation, progress, error
             )
@@ -178,6 +181,7 @@
         if failure is not None:
             raise failure
         if not progress.ended:
+            await _leave_if_superseded(context)
             self._watch_route(context, upstream, reservation, progress)
             raise AttemptFailed("the stream fell silent", True, progress.suspects)
 
@@ -372,6 +376,7 @@
         progress: Progress,
     ) -> None:
         body = await response.read()
+        await _leave_if_superseded(context)
         if head.is_not_run:
             suspects = (upstream.upstream_id,)
             if head.faulty_address:
@@ -488,6 +493,12 @@
             await _write_to_caller(exchange.start(head.status, head.headers, events))
 
 
+async def _leave_if_superseded(context: RequestContext) -> None:
+    """Raise the pending cancellation if another attempt has won in the same turn."""
+    if context.is_superseded:
+        await trio.lowlevel.checkpoint_if_cancelled()
+
+
 def _check_request_id(
     head: UpstreamHead, call: CallerRequest, response: ClientResponse
 ) -> None:
--- a/wigeondrift/router/composition.py
+++ b/wigeondrift/router/composition.py
@@ -19,6 +19,7 @@
 )
 from wigeondrift.router.attempt import Sender
 from wigeondrift.router.forwarding import Forwarder
+from wigeondrift.router.hedging import Hedger
 from wigeondrift.router.listeners import (
     CallerListener,
     MetricsListener,
@@ -26,6 +27,7 @@
     ReadyListener,
 )
 from wigeondrift.router.membership import Membership, RouterEntry
+from wigeondrift.router.options import RouterOptions
 from wigeondrift.router.peers import PeerExchange
 from wigeondrift.router.permits import Permits
 from wigeondrift.router.planner import Planner
@@ -73,6 +75,7 @@
 PRUNE_SECONDS = 1.0
 # Time limit of connecting; a runner or the store accepts within milliseconds.
 CONNECT_SECONDS = 0.5
+DEFAULT_OPTIONS = RouterOptions()
 
 
 class RouterParts:
@@ -87,6 +90,7 @@
     rng : random.Random
     get_time : callable, optional
         Clock that includes time spent suspended, in seconds.
+    options : RouterOptions, optional
     """
 
     __slots__ = (
@@ -118,6 +122,7 @@
         metrics: Metrics,
         rng: random.Random,
         get_time: Callable[[], float] = get_boot_time,
+        options: RouterOptions = DEFAULT_OPTIONS,
     ) -> None:
         bounds = settings.bounds
         self.client = client
@@ -202,6 +207,20 @@
             get_time,
         )
         header_codec = PlatformHeaderCodec()
+        sender = Sender(
+            self.selector, client, control, header_codec, metrics, self.suspects
+        )
+        hedger = None
+        if options.hedging.ratio:
+            hedger = Hedger(
+                ratio=options.hedging.ratio,
+                window=bounds.retry_window,
+                selector=self.selector,
+                wait_queue=self.wait_queue,
+                suspects=self.suspects,
+                sender=sender,
+                metrics=metrics,
+            )
         self.forwarder = Forwarder(
             replica=self.replica,
             selector=self.selector,
@@ -209,13 +228,12 @@
             membership=self.membership,
             suspects=self.suspects,
             permits=self.permits,
-            sender=Sender(
-                self.selector, client, control, header_codec, metrics, self.suspects
-            ),
+            sender=sender,
             header_codec=header_codec,
             bounds=bounds,
             metrics=metrics,
             rng=rng,
+            hedger=hedger,
         )
         self.readiness = Readiness(
             self.replica, lambda: bool(self.directory.upstreams_by_id)
@@ -248,7 +266,9 @@
 
 
 def compose_router(
-    settings: RouterSettings, load: Callable[[], RouterSettings]
+    settings: RouterSettings,
+    load: Callable[[], RouterSettings],
+    options: RouterOptions = DEFAULT_OPTIONS,
 ) -> tuple[Application, Reloader]:
     """Compose a router process: its components, timer and settings reloader.
 
@@ -257,6 +277,7 @@
     settings : RouterSettings
     load : callable
         Reads the settings again.
+    options : RouterOptions, optional
 
     Returns
     -------
@@ -273,6 +294,7 @@
         HttpClient(CONNECT_SECONDS),
         metrics,
         random.Random(),
+        options=options,
     )
     reloader = Reloader(settings, load)
     parts.subscribe(timer, reloader)
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -17,6 +17,7 @@
 from wigeondrift.router.calls import CallerRequest
 from wigeondrift.router.entities import RouteRule, Upstream
 from wigeondrift.router.header_codec import HeaderCodec
+from wigeondrift.router.hedging import AttemptControl, Hedger
 from wigeondrift.router.membership import Membership
 from wigeondrift.router.permits import Permits
 from wigeondrift.router.replica import Replica
@@ -54,7 +55,7 @@
 RETRY_AFTER_JITTER = 0.8
 
 
-class Forwarder:
+class Forwarder(AttemptControl):
     """Forwards callers' requests to upstreams.
 
     Parameters
@@ -70,6 +71,8 @@
     bounds : Bounds
     metrics : Metrics
     rng : random.Random
+    hedger : Hedger, optional
+        Sends requests to a second upstream; none are if absent.
 
     Attributes
     ----------
@@ -86,6 +89,7 @@
         "_ends_at",
         "_selector",
         "_header_codec",
+        "_hedger",
         "_logger",
         "_membership",
         "_metrics",
@@ -113,7 +117,9 @@
         bounds: Bounds,
         metrics: Metrics,
         rng: random.Random,
+        hedger: Hedger | None = None,
     ) -> None:
+        self._hedger = hedger
         self._replica = replica
         self._selector = selector
         self._wait_queue = wait_queue
@@ -158,6 +164,8 @@
                 budget.update_bounds(
                     bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
                 )
+            if self._hedger is not None:
+                self._hedger.update_window(bounds.retry_window)
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request.
@@ -259,6 +267,8 @@
         if service is None:
             raise RequestError(ErrorKind.NO_UPSTREAM, "the service is not configured")
         self._get_budget(name).record_request(call.arrived_at)
+        if self._hedger is not None:
+            self._hedger.record_request(name, call.arrived_at)
         return RequestContext(call, rule, service, team)
 
     def _require_current(self) -> None:
@@ -326,7 +336,7 @@
                 await self._try_once(exchange, context)
                 return
             except AttemptFailed as failure:
-                self._record_failed_attempt(context, failure)
+                self.record_failed_attempt(context, failure)
                 if not failure.was_sent:
                     connect_failures += 1
                 if connect_failures >= MAX_CONNECT_FAILURES or not self._may_retry(
@@ -335,9 +345,10 @@
                     await self._fail_request(exchange, context, failure)
                     return
 
-    def _record_failed_attempt(
+    def record_failed_attempt(
         self, context: RequestContext, failure: AttemptFailed
     ) -> None:
+        """Exclude the upstreams at fault from further attempts, and log it."""
         context.excluded.update(failure.suspects)
         log_event(
             self._logger,
@@ -363,6 +374,10 @@
             return False
         if context.attempts >= context.rule.attempts:
             return False
+        return self.acquire_repeat(context)
+
+    def acquire_repeat(self, context: RequestContext) -> bool:
+        """Consume a part of the retry budget; return false if none is left."""
         budget = self._get_budget(context.service.name)
         peers = len(self._membership.list_peers())
         return budget.try_acquire(peers, trio.current_time())
@@ -389,6 +404,13 @@
 
     async def _try_once(self, exchange: Exchange, context: RequestContext) -> None:
         self._require_unsuspected(context)
+        if self._hedger is not None and self._hedger.may_hedge(exchange, context):
+            await self._hedger.run(exchange, context, self)
+        else:
+            await self.try_upstream(exchange, context)
+
+    async def try_upstream(self, exchange: Exchange, context: RequestContext) -> None:
+        """Choose an upstream, send it the request and forward its response."""
         engine = context.service.engine
         if engine is None or not engine.layers:
             await self._try_member(exchange, context)
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -7,8 +7,9 @@
 
 from wigeondrift.errors import WigeondriftError
 from wigeondrift.router.calls import CallerRequest, UpstreamHead
-from wigeondrift.router.entities import RouteRule, ServiceSpec
+from wigeondrift.router.entities import RouteRule, ServiceSpec, Upstream
 from wigeondrift.router.event_stream import EventBuffer
+from wigeondrift.router.selector import Reservation
 from wigeondrift.systems.chains import RouteDemand
 from wigeondrift.systems.refusals import EARLY_EVENTS
 from wigeondrift.systems.suspects import MAX_TRAITS_PER_REQUEST, make_digest
@@ -77,8 +78,6 @@
         Number of attempts, without failed connections.
     excluded : set of str
         Upstreams that failed an attempt.
-    may_have_run : bool
-        Whether an upstream may have executed the request.
     first_event_at : float or None
         Time at which the first event was forwarded, in seconds.
     upstreams : list of str
@@ -95,6 +94,8 @@
         Whether it is tried although it has a refused trait.
     traits : tuple of str
         Digests of what the request has in common with others of its service.
+    branches : tuple of RequestContext
+        States of the concurrent attempts; empty if there are none.
     """
 
     __slots__ = (
@@ -107,7 +108,8 @@
         "is_risky",
         "is_trial",
         "longest_gap",
-        "may_have_run",
+        "_may_have_run",
+        "branches",
         "wait_seconds",
         "rule",
         "service",
@@ -131,7 +133,8 @@
         self.events = EventBuffer(call.last_event_id)
         self.attempts = 0
         self.excluded: set[str] = set()
-        self.may_have_run = False
+        self._may_have_run = False
+        self.branches: tuple[RequestContext, ...] = ()
         self.first_event_at: float | None = None
         self.upstreams: list[str] = []
         self.wait_seconds = 0.0
@@ -143,6 +146,27 @@
         parts = call.prompt_parts[: MAX_TRAITS_PER_REQUEST - 1]
         self.traits = (whole, *(make_digest(service.name, part) for part in parts))
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have executed the request."""
+        return self._may_have_run or any(one.may_have_run for one in self.branches)
+
+    @may_have_run.setter
+    def may_have_run(self, value: bool) -> None:
+        self._may_have_run = value
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether another attempt has won, so that this one records nothing."""
+        return False
+
+    def record_attempt(
+        self, upstream: Upstream, reservation: Reservation | None
+    ) -> None:
+        """Count an attempt that is about to be sent."""
+        self.upstreams.append(upstream.upstream_id)
+        self.attempts += 1
+
     @property
     def demand(self) -> RouteDemand:
         """Expected mean demand of the request on a route."""
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -354,14 +354,43 @@
     def _estimate_member_load(
         self, member: Upstream, now: float
     ) -> tuple[float, float]:
+        load = self._get_load_share(member, now)
+        if member.failure_domain != self._failure_domain:
+            load += REMOTE_DOMAIN_LOAD_PENALTY
+        return (load, self._rng.random())
+
+    def list_ids(self, service: ServiceSpec) -> set[str]:
+        """Return the ids of all upstreams of a service."""
+        return {u.upstream_id for u in self._directory.list_service(service.name)}
+
+    def list_spare(self, service: ServiceSpec) -> list[Upstream] | None:
+        """Return the upstreams that extra work may use, None if there is none to spare.
+
+        There is none while an upstream of the service has a limit or wants no requests.
+        Upstreams that are avoided and members without a free slot are left out.
+        """
+        now = trio.current_time()
+        upstreams = self._directory.list_service(service.name)
+        closed = self.back_offs.list_closed(now)
+        for upstream in upstreams:
+            upstream_id = upstream.upstream_id
+            if upstream_id in closed or self.limits.get_limit(upstream_id) is not None:
+                return None
+        is_plain = service.engine is None or not service.engine.layers
+        return [
+            upstream
+            for upstream in upstreams
+            if not self.is_avoided(upstream, now)
+            and not (is_plain and self._get_load_share(upstream, now) >= 1.0)
+        ]
+
+    def _get_load_share(self, member: Upstream, now: float) -> float:
+        """Return the requests at a member of a plain service, divided by its slots."""
         load = float(self._active_calls_by_id.get(member.upstream_id, 0))
         reported = self._reported_load_by_id.get(member.upstream_id)
         if reported is not None and now - reported[0] < REPORTED_LOAD_TTL_SECONDS:
             load = max(load, reported[1])
-        load /= member.slots
-        if member.failure_domain != self._failure_domain:
-            load += REMOTE_DOMAIN_LOAD_PENALTY
-        return (load, self._rng.random())
+        return load / member.slots
 
     def record_start(self, upstream_id: str) -> None:
         """Count a request sent to a member of a plain service."""
--- a/wigeondrift/telemetry/metrics.py
+++ b/wigeondrift/telemetry/metrics.py
@@ -49,6 +49,30 @@
         "requests",
         "Requests on upstreams that died.",
     )
+    HEDGES_SENT = (
+        "hedges.sent",
+        "counter",
+        "requests",
+        "Requests also sent to a second upstream because they were late.",
+    )
+    HEDGES_WON = (
+        "hedges.won",
+        "counter",
+        "requests",
+        "Second attempts whose answer was first.",
+    )
+    HEDGES_LOST = (
+        "hedges.lost",
+        "counter",
+        "requests",
+        "Second attempts that were not first, failed or were abandoned.",
+    )
+    HEDGES_REFUSED = (
+        "hedges.refused",
+        "counter",
+        "requests",
+        "Second attempts not sent for the operator's ratio or the retry budget.",
+    )
     TOKENS = "tokens", "counter", "tokens", "Tokens handed to callers."
     RESUMES = "streams.resumed", "counter", "streams", "Streams resumed elsewhere."
     FIRST_TOKEN = "first_token", "timing", "ms", "Time to the first token."
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -24,6 +24,10 @@
 
     Attributes
     ----------
+    latency : float
+        Time before each answer or start of a stream, in seconds.
+    gate : trio.Event or None
+        Event that each answer or start of a stream waits for.
     served : list of Request
         Requests that the upstream started to run.
     refusals : int
@@ -71,6 +75,8 @@
     def __init__(self, upstream_id: str, events: int = 6) -> None:
         self.upstream_id = upstream_id
         self.events = events
+        self.latency = 0.0
+        self.gate: trio.Event | None = None
         self.served: list[Request] = []
         self.refusals = 0
         self.fault = ""
@@ -155,9 +161,11 @@
             if self.retry_after:
                 headers.append(("Retry-After", self.retry_after))
             self.refusals += 1
+            await self._wait_to_answer()
             await exchange.respond(503, headers)
             return
         self.served.append(request)
+        await self._wait_to_answer()
         is_deadly = bool(self.deadly) and self._is_deadly(request)
         if is_deadly and not self.deadly_events:
             await trio.sleep(EVENT_SECONDS)
@@ -179,6 +187,12 @@
         else:
             await exchange.respond(200, headers, b"done by a member")
 
+    async def _wait_to_answer(self) -> None:
+        if self.latency:
+            await trio.sleep(self.latency)
+        if self.gate is not None:
+            await self.gate.wait()
+
     def _is_deadly(self, request: Request) -> bool:
         parts = request.headers_by_name.get("wigeondrift-prompt-prefix", "")
         return self.deadly in parts or self.deadly.encode() in request.body
