Write nothing of an attempt that has not won

The loser's exchange counted as started once the winner had written, so that an event that arrived in the same turn was sent after the winner's: on a socket the write does not wait for the cancellation. Each write now needs the claim. A scenario each covers error answers of 404 and a held answer before the deadline.

--- a/tests/features/hedging.feature
+++ b/tests/features/hedging.feature
@@ -120,6 +120,8 @@
       | safe   | 0.1   | 0.4    | first  | reset    | 1   |
       | safe   | 0.1   | 0.4    | first  | refuse   | 1   |
       | safe   | 0.1   | 0.4    | first  | error    | 1   |
+      | safe   | 0.1   | 0.4    | first  | missing  | 1   |
+      | safe   | 0.6   | 0.1    | second | missing  | 0   |
       | safe   | 0.6   | 0.1    | second | reset    | 0   |
       | safe   | 0.6   | 0.1    | second | refuse   | 0   |
       | safe   | 0.6   | 0.1    | second | error    | 0   |
@@ -129,6 +131,20 @@
       | stream | 0.6   | 0.1    | second | refuse   | 0   |
       | stream | 0.6   | 0.1    | second | error    | 0   |
 
+  # Guards against writes that don't wait, as those to a socket, of an attempt that
+  # goes on until its next checkpoint.
+  Scenario: An attempt that has not won writes nothing to the caller
+    Given two concurrent attempts of which the second one has won
+    When the first one responds, starts, sends and finishes
+    Then nothing of it was written and the winner's events were
+
+  Scenario: An error answer is given before the deadline if the other attempt is silent
+    Given a router that hedges and upstreams in two failure domains
+    And the first upstream has the fault "silent"
+    And the second upstream has the fault "missing"
+    When a safe request is sent
+    Then the status is 404 after 1.5 seconds
+
   Scenario: A second attempt that can't connect leaves the first one alone
     Given a router that hedges and upstreams in two failure domains
     And the first upstream answers after 0.8 seconds
@@ -152,6 +168,9 @@
       | refuse | error  | 500    |
       | error  | refuse | 500    |
       | refuse | refuse | 503    |
+      | missing | missing | 404    |
+      | missing | refuse | 404    |
+      | reset  | missing | 404    |
 
   Scenario: A winner that breaks off is resumed, and no event comes twice
     Given a router that hedges with three attempts and upstreams in two failure domains
--- a/tests/features/steps/hedging_steps.py
+++ b/tests/features/steps/hedging_steps.py
@@ -5,6 +5,7 @@
 import tempfile
 from collections import Counter
 from pathlib import Path
+from types import SimpleNamespace
 
 import msgspec
 import trio
@@ -16,7 +17,9 @@
 from tests.router_world import KEY, RouterWorld, make_configuration
 from wigeondrift.entities import Route, Stage
 from wigeondrift.router.composition import DEFAULT_OPTIONS
+from wigeondrift.router.hedging import ClaimedExchange, Race
 from wigeondrift.router.options import HedgingOptions, RouterOptions, load_options
+from wigeondrift.router.request_context import RequestContext
 from wigeondrift.router.settings import Bounds
 from wigeondrift.systems.chains import RouteDemand
 from wigeondrift.systems.hedging import (
@@ -411,6 +414,83 @@
     await parts.wait_queue.acquire(service, demand, (), now, now + 0.3)
 
 
+class RecordingExchange:
+    """Exchange that writes without a checkpoint."""
+
+    def __init__(self):
+        self.started = False
+        self.written = []
+
+    async def respond(self, status, headers, body=b""):
+        self.started = True
+        self.written.append(body)
+
+    start = respond
+
+    async def send(self, data):
+        self.written.append(data)
+
+    async def finish(self, data=b""):
+        self.written.append(data)
+
+
+@given("two concurrent attempts of which the second one has won")
+def make_race(context):
+    call = SimpleNamespace(
+        arrived_at=0.0,
+        caller_timeout=None,
+        last_event_id=None,
+        prompt_parts=(),
+        target="/",
+        key="",
+        body=b"",
+    )
+    rule = SimpleNamespace(timeout=4.0)
+    request = RequestContext(call, rule, SimpleNamespace(name="desk"), "")
+    context.race = Race(request, lambda seconds: None)
+    context.exchange = RecordingExchange()
+    context.pair = [
+        (attempt, ClaimedExchange(context.exchange, attempt, context.race))
+        for attempt in (context.race.add(), context.race.add())
+    ]
+
+
+@when("the first one responds, starts, sends and finishes")
+def write_without_claim(context):
+    async def run():
+        (loser, losing), (_, winning) = context.pair
+        loser.sent_at = trio.current_time()
+        loser.events.feed(b"id: 0\n\n")
+        await winning.start(200, [], b"")
+        assert not context.exchange.started, "started without an event"
+        await winning.send(b": comment\n\n")
+        winning._attempt.events.feed(b"id: 0\n\n")
+        await winning.send(b"id: 0\n\n")
+        assert winning.started and not losing.started
+        calls = [
+            lambda: losing.respond(200, [], b"lost"),
+            lambda: losing.start(200, [], b"lost"),
+            lambda: losing.send(b"lost"),
+            lambda: losing.finish(b"lost"),
+        ]
+        assert loser.scope.cancel_called
+        for call in calls:
+            with trio.CancelScope() as scope:
+                scope.cancel()
+                await call()
+            assert scope.cancelled_caught
+        await winning.send(b"id: 1\n\n")
+        await winning.finish()
+
+    trio.run(run)
+
+
+@then("nothing of it was written and the winner's events were")
+def check_writes(context):
+    written = [one for one in context.exchange.written if one]
+    assert written == [b": comment\n\nid: 0\n\n", b"id: 1\n\n"], written
+
+
 @when("a {kind} request is sent")
 def send(context, kind):
     run(context, kind)
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -487,6 +487,7 @@
             if exchange.started:
                 await _write_to_caller(exchange.send(events))
                 return
+            await _leave_if_superseded(context)
             now = trio.current_time()
             context.first_event_at = now
             self._metrics.timing(Metric.FIRST_TOKEN, now - context.call.arrived_at)
--- a/wigeondrift/router/hedging.py
+++ b/wigeondrift/router/hedging.py
@@ -186,17 +186,17 @@
         self._request.branches = self.attempts
         return attempt
 
-    def claim(self, attempt: AttemptContext, is_error: bool) -> bool:
-        """Return whether an attempt may write to the caller, and cancel the other."""
-        if self.winner is None:
-            self.winner = attempt
-            for other in self.attempts:
-                if other is not attempt:
-                    other.scope.cancel()
-            first = self.attempts[0]
-            if first.failure is None and not is_error:
-                self._record_latency(trio.current_time() - first.sent_at)
-        return self.winner is attempt
+    def claim(self, attempt: AttemptContext, is_error: bool) -> None:
+        """Let an attempt win and cancel the other, unless that has won before."""
+        if self.winner is not None:
+            return
+        self.winner = attempt
+        for other in self.attempts:
+            if other is not attempt:
+                other.scope.cancel()
+        first = self.attempts[0]
+        if first.failure is None and not is_error:
+            self._record_latency(trio.current_time() - first.sent_at)
 
     def has_undecided(self, attempt: AttemptContext) -> bool:
         """Whether another attempt may still bring a response that is no error."""
@@ -280,12 +280,19 @@
     @property
     def started(self) -> bool:
         """Whether the response of this attempt has begun."""
-        return self._held is not None or self._exchange.started
+        return self._held is not None or (
+            self._race.winner is self._attempt and self._exchange.started
+        )
 
     async def _claim(self, is_error: bool = False) -> None:
         # An attempt that is being cancelled must not end the other one.
         await trio.lowlevel.checkpoint_if_cancelled()
-        if not self._race.claim(self._attempt, is_error):
+        self._race.claim(self._attempt, is_error)
+        await self._require_claim()
+
+    async def _require_claim(self) -> None:
+        # Without a checkpoint for the winner: its events count as forwarded already.
+        if self._race.winner is not self._attempt:
             # Ended by the cancellation that the winner's claim has requested.
             await trio.sleep_forever()
 
@@ -316,6 +323,7 @@
     async def send(self, data: bytes) -> None:
         """Send a part of a stream."""
         if self._held is None:
+            await self._require_claim()
             await self._exchange.send(data)
         else:
             status, headers, before = self._held
@@ -327,6 +335,7 @@
             (status, headers, before), self._held = self._held, None
             await self._claim()
             await self._exchange.start(status, headers, before)
+        await self._require_claim()
         await self._exchange.finish(data)
 
 
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -36,6 +36,7 @@
         Injected fault, none if empty: ``refuse`` (full: 503, not executed),
         ``reset`` (connection reset after some events, or at once if the answer is no
         stream), ``stall`` (sends some events, then nothing), ``error`` (status 500),
+        ``missing`` (status 404),
         ``unsigned`` (no response seal), ``foreign`` (id of another request),
         ``split`` (stream ends within an event), ``silent`` (runs, never answers),
         ``dribble`` (sends some events, then only comments).
@@ -180,6 +181,8 @@
             await trio.sleep_forever()
         if self.fault == "error":
             await exchange.respond(500, headers, b"failed")
+        elif self.fault == "missing":
+            await exchange.respond(404, headers, b"missing")
         elif "wigeondrift-token-counts" in request.headers_by_name:
             await self._stream(exchange, headers, is_deadly)
         elif self.fault == "reset":
