--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -72,7 +72,7 @@
     ROUTES_CHANGED = 3541, "The routes over a model's runners were recomputed."
     ATTEMPT_FAILED = 3551, "A request failed at an upstream."
     HEDGE_SENT = 3571, "A late request was also sent to a second upstream."
-    HEDGE_ENDED = 3572, "An attempt of a hedged request won, or the caller got none."
+    HEDGE_ENDED = 3572, "The second attempt of a request ended; see its outcome."
     RELOADED = 3561, "The settings file was reloaded."
     REQUEST_QUARANTINED = 3401, "A fingerprint is refused: upstreams died running it."
     SUSPECT_TRIED = 3402, "A request runs although it has a refused trait, as a trial."
