--- a/tests/features/steps/hedging_steps.py
+++ b/tests/features/steps/hedging_steps.py
@@ -173,6 +173,7 @@
     world.options = RouterOptions(HedgingOptions(ratio))
     world.metrics = CountingMetrics()
     context.prepare, context.during, context.path = [], [], ""
+    context.won = ""
     return world
 
 
@@ -376,6 +377,7 @@
         assert answer.body in (EVENTS, b"done by a member"), answer.body
     assert counts[Metric.HEDGES_SENT] == 1
     assert counts[Metric.HEDGES_WON] + counts[Metric.HEDGES_LOST] == 1
+    context.won = won
     assert won in ("any", str(counts[Metric.HEDGES_WON])), counts
     assert not context.world.parts.selector._active_calls_by_id
 
@@ -384,6 +386,10 @@
 def check_records(context, recorded):
     expected = {"none": [False], "some": [True], "any": [False, True]}[recorded]
     assert bool(context.records) in expected, context.records
+    if recorded == "none" and context.won == "1":
+        # Both ran it, so that the connection to the loser was closed.
+        started = [context.world.servers_by_id[name] for name in context.served]
+        assert sum(server.aborted_calls for server in started) == len(started) - 1
 
 
 @then("both upstreams were aborted within 0.5 seconds")
