--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -135,9 +135,8 @@
         CallerDisconnected
             If the caller closed its connection.
         """
-        context.upstreams.append(upstream.upstream_id)
         counted = int(not context.is_sent_again)
-        context.attempts += counted
+        context.record_attempt(upstream, reservation)
         # Set before sending, because the deadline may cancel the attempt at any point.
         may_have_run_before = context.may_have_run
         context.may_have_run = True
@@ -152,6 +151,7 @@
         except ConnectFailed as error:
             context.attempts -= counted
             context.may_have_run = may_have_run_before
+            await _leave_if_superseded(context)
             self._selector.record_unreachable(upstream, str(error))
             self._faults.record_unconnected(upstream, error)
             raise AttemptFailed(
@@ -165,12 +165,15 @@
             # left before the deadline may have seen no events for a while.
             now = trio.current_time()
             silence = now - progress.last_event_at
+            if context.is_superseded:
+                raise
             if now >= context.deadline or silence >= progress.silence_limit:
                 self._watch_route(context, upstream, reservation, progress)
             if reservation is None and now >= context.deadline:
                 self._faults.record_outcome(upstream, is_answered=False)
             raise
         except TransportError as error:
+            await _leave_if_superseded(context)
             suspects = await self._examine_failure(
                 context, upstream, reservation, progress, error
             )
@@ -215,6 +218,7 @@
         if failure is not None:
             raise failure
         if not progress.ended:
+            await _leave_if_superseded(context)
             self._watch_route(context, upstream, reservation, progress)
             raise AttemptFailed("the stream fell silent", True, progress.suspects)
 
@@ -435,6 +439,7 @@
         progress: Progress,
     ) -> None:
         body = await response.read()
+        await _leave_if_superseded(context)
         if head.is_not_run:
             suspects = (upstream.upstream_id,)
             if head.faulty_address:
@@ -553,6 +558,7 @@
             if exchange.started:
                 await _write_to_caller(exchange.send(events))
                 return
+            await _leave_if_superseded(context)
             now = trio.current_time()
             context.first_event_at = now
             self._metrics.timing(Metric.FIRST_TOKEN, now - context.call.arrived_at)
@@ -569,6 +575,12 @@
         context.release_body(exchange)
 
 
+async def _leave_if_superseded(context: RequestContext) -> None:
+    """Raise the pending cancellation if another attempt has won in the same turn."""
+    if context.is_superseded:
+        await trio.lowlevel.checkpoint_if_cancelled()
+
+
 def _check_request_id(
     head: UpstreamHead, call: CallerRequest, response: ClientResponse
 ) -> None:
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -17,6 +17,7 @@
 from wigeondrift.router.calls import CallerRequest
 from wigeondrift.router.entities import RouteRule, Upstream
 from wigeondrift.router.header_codec import HeaderCodec
+from wigeondrift.router.hedging import AttemptControl, Hedger
 from wigeondrift.router.permits import Permits
 from wigeondrift.router.repair import RouteRepair
 from wigeondrift.router.repeat_pool import SharedRepeats
@@ -54,7 +55,7 @@
 RETRY_AFTER_JITTER = 0.8
 
 
-class Forwarder:
+class Forwarder(AttemptControl):
     """Forwards callers' requests to upstreams.
 
     Parameters
@@ -72,6 +73,8 @@
     bounds : Bounds
     metrics : Metrics
     rng : random.Random
+    hedger : Hedger, optional
+        Sends requests to a second upstream; none are if absent.
 
     Attributes
     ----------
@@ -87,6 +90,7 @@
         "_ends_at",
         "_selector",
         "_header_codec",
+        "_hedger",
         "_logger",
         "_metrics",
         "_permits",
@@ -116,7 +120,9 @@
         bounds: Bounds,
         metrics: Metrics,
         rng: random.Random,
+        hedger: Hedger | None = None,
     ) -> None:
+        self._hedger = hedger
         self._replica = replica
         self._selector = selector
         self._wait_queue = wait_queue
@@ -158,6 +164,8 @@
         if bounds != self._bounds:
             self._bounds = bounds
             self._repeats.update_bounds(bounds)
+            if self._hedger is not None:
+                self._hedger.update_window(bounds.retry_window)
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request.
@@ -263,6 +271,8 @@
         context = RequestContext(call, rule, service, team)
         context.priority = configuration.get_priority(rule, team)
         context.scale = configuration.get_scale(name)
+        if self._hedger is not None:
+            self._hedger.record_request(name, call.arrived_at)
         return context
 
     def _require_current(self) -> None:
@@ -329,7 +339,7 @@
                 await self._try_once(exchange, context)
                 return
             except AttemptFailed as failure:
-                self._record_failed_attempt(context, failure)
+                self.record_failed_attempt(context, failure)
                 if not failure.was_sent:
                     connect_failures += 1
                 if connect_failures >= MAX_CONNECT_FAILURES or not (
@@ -338,9 +348,10 @@
                     await self._fail_request(exchange, context, failure)
                     return
 
-    def _record_failed_attempt(
+    def record_failed_attempt(
         self, context: RequestContext, failure: AttemptFailed
     ) -> None:
+        """Exclude the upstreams at fault from further attempts, and log it."""
         context.excluded.update(failure.suspects)
         log_event(
             self._logger,
@@ -374,6 +385,13 @@
             context.service.name, is_under_way, context.call.request_id
         )
 
+    def acquire_repeat(self, context: RequestContext) -> bool:
+        """Consume a part of this router's retry budget; return false if none is left.
+
+        The pool of all routers is for requests that have failed.
+        """
+        return self._repeats.acquire_own(context.service.name)
+
     async def _fail_request(
         self, exchange: Exchange, context: RequestContext, failure: AttemptFailed
     ) -> None:
@@ -396,6 +414,13 @@
 
     async def _try_once(self, exchange: Exchange, context: RequestContext) -> None:
         self._require_unsuspected(context)
+        if self._hedger is not None and self._hedger.may_hedge(exchange, context):
+            await self._hedger.run(exchange, context, self)
+        else:
+            await self.try_upstream(exchange, context)
+
+    async def try_upstream(self, exchange: Exchange, context: RequestContext) -> None:
+        """Choose an upstream, send it the request and forward its response."""
         engine = context.service.engine
         if engine is None or not engine.layers:
             await self._try_member(exchange, context)
--- a/wigeondrift/router/repeat_pool.py
+++ b/wigeondrift/router/repeat_pool.py
@@ -135,6 +135,11 @@
     def _count_peers(self) -> int:
         return len(self._membership.list_peers())
 
+    def acquire_own(self, service: str) -> bool:
+        """Return whether this router's own part allows a repeat now."""
+        budget = self.get_budget(service)
+        return budget.try_acquire(self._count_peers(), trio.current_time())
+
     async def acquire(self, service: str, is_under_way: bool, request_id: str) -> bool:
         """Return whether a request may be repeated now.
 
@@ -149,8 +154,7 @@
         -------
         bool
         """
-        budget = self.get_budget(service)
-        if budget.try_acquire(self._count_peers(), trio.current_time()):
+        if self.acquire_own(service):
             return True
         is_granted = await self._acquire_shared(service, is_under_way, request_id)
         metric = Metric.REPEATS_GRANTED if is_granted else Metric.REPEATS_DENIED
--- a/wigeondrift/router/request_context.py
+++ b/wigeondrift/router/request_context.py
@@ -7,8 +7,9 @@
 
 from wigeondrift.errors import WigeondriftError
 from wigeondrift.router.calls import CallerRequest, UpstreamHead
-from wigeondrift.router.entities import RouteRule, ServiceSpec
+from wigeondrift.router.entities import RouteRule, ServiceSpec, Upstream
 from wigeondrift.router.event_stream import EventBuffer
+from wigeondrift.router.selector import Reservation
 from wigeondrift.systems.chains import Chain, RouteDemand
 from wigeondrift.systems.grant_order import Precedence
 from wigeondrift.systems.paces import EventGaps
@@ -82,8 +83,6 @@
         that had turned the request away.
     excluded : set of str
         Upstreams that failed an attempt.
-    may_have_run : bool
-        Whether an upstream may have executed the request.
     first_event_at : float or None
         Time at which the first event was forwarded, in seconds.
     upstreams : list of str
@@ -113,6 +112,8 @@
         Priority of the team, or else of the route; 0 is the highest.
     scale : UrgencyScale
         Priorities of the service's requests.
+    branches : tuple of RequestContext
+        States of the concurrent attempts; empty if there are none.
     """
 
     __slots__ = (
@@ -127,9 +128,10 @@
         "is_sent_again",
         "is_trial",
         "longest_gap",
-        "may_have_run",
         "priority",
         "scale",
+        "_may_have_run",
+        "branches",
         "wait_seconds",
         "rule",
         "sent_again_ids",
@@ -155,7 +157,8 @@
         self.events = EventBuffer(call.last_event_id)
         self.attempts = 0
         self.excluded: set[str] = set()
-        self.may_have_run = False
+        self._may_have_run = False
+        self.branches: tuple[RequestContext, ...] = ()
         self.first_event_at: float | None = None
         self.upstreams: list[str] = []
         self.wait_seconds = 0.0
@@ -202,6 +205,27 @@
             return None
         return self.scale.get_urgency(self.priority, self.is_resumed)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have executed the request."""
+        return self._may_have_run or any(one.may_have_run for one in self.branches)
+
+    @may_have_run.setter
+    def may_have_run(self, value: bool) -> None:
+        self._may_have_run = value
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether another attempt has won, so that this one records nothing."""
+        return False
+
+    def record_attempt(
+        self, upstream: Upstream, reservation: Reservation | None
+    ) -> None:
+        """Count an attempt that is about to be sent."""
+        self.upstreams.append(upstream.upstream_id)
+        self.attempts += int(not self.is_sent_again)
+
     @property
     def demand(self) -> RouteDemand:
         """Expected mean demand of the request on a route."""
--- a/wigeondrift/telemetry/events.py
+++ b/wigeondrift/telemetry/events.py
@@ -79,6 +79,8 @@
     PRESSURE_CHANGED = 3601, "Requests wait elsewhere; less urgent ones are held back."
     PRESSURE_ENDED = 3602, "No more urgent requests wait elsewhere."
     PRESSURE_NEWS_IGNORED = 3603, "A message on waiting requests does not count."
+    HEDGE_SENT = 3571, "A late request was also sent to a second upstream."
+    HEDGE_ENDED = 3572, "The second attempt of a request ended; see its outcome."
     RELOADED = 3561, "The settings file was reloaded."
     FAULT_SENT = 3591, "This router told the others of a fault, or that it is over."
     FAULT_APPLIED = 3592, "An upstream is avoided because another router told of it."
--- a/wigeondrift_emulator/model_server.py
+++ b/wigeondrift_emulator/model_server.py
@@ -56,6 +56,10 @@
 
     Attributes
     ----------
+    latency : float
+        Time before each answer or start of a stream, in seconds.
+    gate : trio.Event or None
+        Event that each answer or start of a stream waits for.
     served : list of Request
         Requests that the upstream started to run.
     refusals : int
@@ -64,6 +68,7 @@
         Injected fault, none if empty: ``refuse`` (full: 503, not executed),
         ``reset`` (connection reset after some events, or at once if the answer is no
         stream), ``stall`` (sends some events, then nothing), ``error`` (status 500),
+        ``missing`` (status 404),
         ``unsigned`` (no response seal), ``foreign`` (id of another request),
         ``split`` (stream ends within an event), ``silent`` (runs, never answers),
         ``dribble`` (sends some events, then only comments).
@@ -124,6 +129,8 @@
     def __init__(self, upstream_id: str, events: int = 6) -> None:
         self.upstream_id = upstream_id
         self.events = events
+        self.latency = 0.0
+        self.gate: trio.Event | None = None
         self.served: list[Request] = []
         self.refusals = 0
         self.fault = ""
@@ -281,6 +288,7 @@
             if self.retry_after:
                 headers.append(("Retry-After", self.retry_after))
             self.refusals += 1
+            await self._wait_to_answer()
             await exchange.respond(503, headers)
             return
         dead_peer = self._find_dead_peer(request)
@@ -290,6 +298,7 @@
             await exchange.respond(503, [*headers[2:], *names])
             return
         self.served.append(request)
+        await self._wait_to_answer()
         is_deadly = bool(self.deadly) and self._is_deadly(request)
         if is_deadly and not self.deadly_events:
             await trio.sleep(EVENT_SECONDS)
@@ -304,6 +313,8 @@
             await trio.sleep_forever()
         if self.fault == "error":
             await exchange.respond(500, headers, b"failed")
+        elif self.fault == "missing":
+            await exchange.respond(404, headers, b"missing")
         elif "wigeondrift-token-counts" in request.headers_by_name:
             await self._stream(exchange, headers, is_deadly)
         elif self.fault == "reset":
@@ -317,6 +328,12 @@
         addresses = [part.partition("=")[0] for part in route.split(",")]
         return next((a for a in addresses if a in self.dead_peers), None)
 
+    async def _wait_to_answer(self) -> None:
+        if self.latency:
+            await trio.sleep(self.latency)
+        if self.gate is not None:
+            await self.gate.wait()
+
     def _is_deadly(self, request: Request) -> bool:
         parts = request.headers_by_name.get("wigeondrift-prompt-prefix", "")
         return self.deadly in parts or self.deadly.encode() in request.body
