--- a/tests/features/steps/priorities_steps.py
+++ b/tests/features/steps/priorities_steps.py
@@ -76,7 +76,7 @@
     queue_check(context, check)
 
 
-@given("{count:d} routers that exchange pressure with {link}")
+@given("{count:d} routers with {link}")
 def add_routers(context, count, link):
     context.routers_by_name = {}
 
--- a/tests/features/steps/repeat_pool_steps.py
+++ b/tests/features/steps/repeat_pool_steps.py
@@ -8,7 +8,7 @@
 from tests.repeat_routers import RepeatRouters
 
 
-@given("{count:d} routers with {slack:g} retries in 10 seconds")
+@given("{count:d} routers that share {slack:g} retries in 10 seconds")
 def make_routers(context, count, slack):
     context.routers = RepeatRouters(count, slack)
 
