--- a/tests/features/steps/priorities_steps.py
+++ b/tests/features/steps/priorities_steps.py
@@ -67,10 +67,8 @@
 @then('the first runners got the urgencies "{urgencies}"')
 def check_urgencies(context, urgencies):
     def check(world):
-        servers = [world.servers_by_id[name] for name in FIRST_STAGES]
-        got = [
-            r.headers_by_name.get(URGENCY, "none") for s in servers for r in s.served
-        ]
+        firsts = [world.servers_by_id[name] for name in FIRST_STAGES]
+        got = [r.headers_by_name.get(URGENCY, "none") for s in firsts for r in s.served]
         assert got == urgencies.split(", "), got
 
     queue_check(context, check)
