Avoid upstreams that are short of memory only briefly; wait longer after repairs

Each was avoided for a second and longer after each refusal, which left its whole route unused. It is now avoided for 0.3 s; the check of the named runner still finds a dead one at once.

--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -445,7 +445,7 @@
             if head.faulty_address:
                 found = self._selector.find_upstream_at(head.faulty_address)
                 suspects = (found,) if found else suspects
-                self._selector.record_failure(suspects, f"status {head.status}")
+                self._selector.record_refusal(suspects)
                 self._faults.check(suspects[0])
             raise AttemptFailed(
                 f"refused with status {head.status}", False, suspects, (head, body)
--- a/wigeondrift/router/repair.py
+++ b/wigeondrift/router/repair.py
@@ -513,11 +513,11 @@
     ) -> None:
         context, progress = stream.context, stream.progress
         now = trio.current_time()
-        stream.quiet_until = now + progress.silence_limit + plan.read_seconds
-        if progress.has_events:
-            idle_timeout = get_caller_idle_timeout(context.rule)
-            latest = progress.last_event_at + MAX_SILENCE_SHARE * idle_timeout
-            stream.quiet_until = min(stream.quiet_until, latest)
+        # After a joint failure, the new stages read the tokens of many streams, which
+        # takes longer than planned. Another attempt would read more of them.
+        idle_timeout = get_caller_idle_timeout(context.rule)
+        latest = progress.last_event_at + MAX_SILENCE_SHARE * idle_timeout
+        stream.quiet_until = max(now + progress.silence_limit, latest)
         stream.repaired_at_events = progress.events
         progress.is_repaired = True
         progress.reads_again = True
--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -32,6 +32,9 @@
 # usage update takes a large fraction of a second to reach all of them, and they would
 # all choose the same route in the meantime.
 RANDOMIZED_ROUTES_MIN_PEERS = 12
+# Time for which an upstream is avoided that turned a request away. Usage by all routers
+# is known again after it.
+REFUSAL_PENALTY_SECONDS = 0.3
 # Time after which the load that an upstream reported is ignored.
 REPORTED_LOAD_TTL_SECONDS = 1.0
 
@@ -697,8 +700,7 @@
         """Avoid upstreams for some time."""
         now = trio.current_time()
         for upstream_id in upstream_ids:
-            if not self.health.is_avoided(upstream_id, now):
-                self.health.record_failure(upstream_id, now)
+            if self.health.record_failure(upstream_id, now):
                 log_event(
                     self._logger,
                     logging.INFO,
@@ -707,6 +709,16 @@
                     reason=reason,
                 )
 
+    def record_refusal(self, upstream_ids: Collection[str]) -> None:
+        """Avoid upstreams briefly that turned a request away.
+
+        Most are short of memory for as long as it takes some requests to end. To avoid
+        them for longer would leave their whole routes unused at the load's peak.
+        """
+        now = trio.current_time()
+        for upstream_id in upstream_ids:
+            self.health.avoid_briefly(upstream_id, now, REFUSAL_PENALTY_SECONDS)
+
     def find_upstream_at(self, address: str) -> str | None:
         """Return the id of the upstream at an address, or None."""
         return self._directory.find_by_address(address)
--- a/wigeondrift/systems/health.py
+++ b/wigeondrift/systems/health.py
@@ -16,13 +16,18 @@
         End of the period, in seconds of the process's clock.
     seconds : float
         Length of the period; the next one is twice as long.
+    is_for_failure : bool
+        Whether the upstream failed; otherwise, it took no request.
     """
 
-    __slots__ = ("ends_at", "seconds")
+    __slots__ = ("ends_at", "is_for_failure", "seconds")
 
-    def __init__(self, ends_at: float, seconds: float) -> None:
+    def __init__(
+        self, ends_at: float, seconds: float, is_for_failure: bool = True
+    ) -> None:
         self.ends_at = ends_at
         self.seconds = seconds
+        self.is_for_failure = is_for_failure
 
 
 class Health:
@@ -33,15 +38,35 @@
     def __init__(self) -> None:
         self._penalties_by_id: dict[str, Penalty] = {}
 
-    def record_failure(self, instance_id: str, now: float) -> None:
-        """Avoid an upstream, twice as long after each consecutive failure."""
+    def record_failure(self, instance_id: str, now: float) -> bool:
+        """Avoid an upstream, twice as long after each consecutive failure.
+
+        Returns
+        -------
+        bool
+            False if it is already avoided for a failure.
+        """
         penalty = self._penalties_by_id.get(instance_id)
         seconds = FIRST_PENALTY_SECONDS
         if penalty is not None:
-            if now < penalty.ends_at:
-                return
+            if now < penalty.ends_at and penalty.is_for_failure:
+                return False
             seconds = min(2 * penalty.seconds, MAX_PENALTY_SECONDS)
         self._penalties_by_id[instance_id] = Penalty(now + seconds, seconds)
+        return True
+
+    def avoid_briefly(self, instance_id: str, now: float, seconds: float) -> None:
+        """Avoid an upstream that lives but took no request, for ``seconds``.
+
+        It is no failure, so that the next penalty is not longer for it.
+        """
+        penalty = self._penalties_by_id.get(instance_id)
+        if penalty is None:
+            penalty = Penalty(now, FIRST_PENALTY_SECONDS / 2, is_for_failure=False)
+            self._penalties_by_id[instance_id] = penalty
+        elif now >= penalty.ends_at:
+            penalty.is_for_failure = False
+        penalty.ends_at = max(penalty.ends_at, now + seconds)
 
     def extend_penalty(self, instance_id: str, now: float, seconds: float) -> None:
         """Extend an existing penalty to at least ``seconds`` from ``now``."""
