--- a/tests/features/router_decisions.feature
+++ b/tests/features/router_decisions.feature
@@ -208,3 +208,11 @@
   Scenario: A timer's callback without work is not called
     Given a timer with a callback that has work for 0.5 of 2 seconds
     Then the callback was called 5 times
+
+  Scenario: An upstream that is short of memory is avoided briefly, and a failure counts as before
+    Given an upstream that took no request at 10 s and is avoided for 0.3 s
+    Then it is avoided at 10.2 s and not at 10.4 s
+    When it takes no request again at 10.4 s
+    Then it is avoided at 10.6 s and not at 10.8 s
+    When it fails at 10.5 s
+    Then it is avoided at 11.4 s and not at 11.6 s
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -30,6 +30,7 @@
 from wigeondrift.systems.chains import ChainSet, RouteDemand
 from wigeondrift.systems.directory import Directory
 from wigeondrift.systems.freshness import Freshness
+from wigeondrift.systems.health import Health
 from wigeondrift.systems.placement import Placement
 from wigeondrift.systems.reach import Reachability
 from wigeondrift.systems.repeats import RepeatBudget
@@ -710,3 +711,26 @@
 @then("the subscriber was called {count:d} times")
 def check_subscriber_calls(context, count):
     assert context.calls == count, context.calls
+
+
+@given("an upstream that took no request at {now:g} s and is avoided for {seconds:g} s")
+def avoid_briefly(context, now, seconds):
+    context.health = Health()
+    context.brief_seconds = seconds
+    context.health.avoid_briefly("u1", now, seconds)
+
+
+@when("it takes no request again at {now:g} s")
+def avoid_briefly_again(context, now):
+    context.health.avoid_briefly("u1", now, context.brief_seconds)
+
+
+@when("it fails at {now:g} s")
+def fail_upstream(context, now):
+    assert context.health.record_failure("u1", now)
+
+
+@then("it is avoided at {during:g} s and not at {after:g} s")
+def check_avoided(context, during, after):
+    assert context.health.is_avoided("u1", during)
+    assert not context.health.is_avoided("u1", after)
