Repair routes only with runners of the first stage's failure domain

The new part gets the activations of all tokens so far, over the link that all transfers between domains share.

--- a/wigeondrift/router/selector.py
+++ b/wigeondrift/router/selector.py
@@ -459,10 +459,16 @@
         """
         now = trio.current_time()
         closed = self.back_offs.list_closed(now)
+        # The activations of all tokens so far go to the new parts. Between failure
+        # domains they share one link, which those of some dozens of streams fill for
+        # longer than callers wait.
+        domain = chain.runners[0].failure_domain
         runners = [
             runner
             for runner in self._directory.list_service(service.name)
-            if runner.upstream_id not in closed and not self.is_avoided(runner, now)
+            if (runner.failure_domain == domain or runner in chain.runners)
+            and runner.upstream_id not in closed
+            and not self.is_avoided(runner, now)
         ]
         return find_repair(
             self.get_chains(service), chain, lost, runners, demand, self.ledger
