--- a/wigeondrift/router/permits.py
+++ b/wigeondrift/router/permits.py
@@ -6,6 +6,7 @@
 import trio
 
 from wigeondrift.application import Component
+from wigeondrift.router.pending_answers import PendingAnswers
 from wigeondrift.systems.limits import (
     PermitAnswer,
     PermitRequest,
@@ -31,22 +32,6 @@
 SendRequest = Callable[[str, PermitRequest | PresenceRequest], Awaitable[None]]
 
 
-class PendingPermit:
-    """Request for a permit that waits for its answer.
-
-    Attributes
-    ----------
-    answered : trio.Event
-    answer : PermitAnswer or None
-    """
-
-    __slots__ = ("answer", "answered")
-
-    def __init__(self) -> None:
-        self.answered = trio.Event()
-        self.answer: PermitAnswer | None = None
-
-
 class Permits(Component):
     """Asks for permits, and answers the requests of other routers.
 
@@ -67,7 +52,7 @@
         "_logger",
         "_name",
         "_number",
-        "_pending_by_number",
+        "_pending",
         "_presence_names_by_number",
         "_presence_wanted",
         "_send",
@@ -84,7 +69,7 @@
         self._limits = limits
         self._name = name
         self._number = number
-        self._pending_by_number: dict[int, PendingPermit] = {}
+        self._pending = PendingAnswers()
         self._presence_names_by_number: dict[int, str] = {}
         self._presence_wanted = trio.Event()
         self._send: SendRequest | None = None
@@ -153,15 +138,10 @@
                 return self.answer_permit_request(request)
             if self._send is None:
                 return None
-            pending = self._pending_by_number[number] = PendingPermit()
-            try:
-                await self._send(issuer, request)
-                with trio.move_on_after(ANSWER_SECONDS):
-                    await pending.answered.wait()
-            finally:
-                del self._pending_by_number[number]
-            if pending.answer is not None:
-                return pending.answer
+            sending = self._send(issuer, request)
+            answer = await self._pending.wait(number, sending, ANSWER_SECONDS)
+            if answer is not None:
+                return answer
         return None
 
     def answer_permit_request(self, request: PermitRequest) -> PermitAnswer:
@@ -174,10 +154,7 @@
 
     def apply_permit_answer(self, answer: PermitAnswer) -> None:
         """Pass the answer of another router on to the request that waits for it."""
-        pending = self._pending_by_number.get(answer.number)
-        if pending is not None:
-            pending.answer = answer
-            pending.answered.set()
+        self._pending.apply(answer)
 
     def answer_presence_request(self, request: PresenceRequest) -> PresenceAnswer:
         """Answer that this router is there."""
--- a/wigeondrift/router/repeat_pool.py
+++ b/wigeondrift/router/repeat_pool.py
@@ -8,6 +8,7 @@
 
 from wigeondrift.application import Component
 from wigeondrift.router.membership import Membership
+from wigeondrift.router.pending_answers import PendingAnswers
 from wigeondrift.router.replica import Replica
 from wigeondrift.router.settings import Bounds
 from wigeondrift.systems.repeat_pool import (
@@ -34,22 +35,6 @@
 SendRequest = Callable[[str, RepeatRequest | ShareRequest], Awaitable[None]]
 
 
-class PendingRepeat:
-    """Request for a repeat that waits for its answer.
-
-    Attributes
-    ----------
-    answered : trio.Event
-    answer : RepeatAnswer or None
-    """
-
-    __slots__ = ("answer", "answered")
-
-    def __init__(self) -> None:
-        self.answered = trio.Event()
-        self.answer: RepeatAnswer | None = None
-
-
 class SharedRepeats(Component):
     """Retry budgets by service, and the pool that the routers share.
 
@@ -75,7 +60,7 @@
         "_membership",
         "_metrics",
         "_name",
-        "_pending_by_number",
+        "_pending",
         "_pool",
         "_replica",
         "_send",
@@ -100,7 +85,7 @@
         self._metrics = metrics
         self._get_time = get_time
         self._budgets_by_service: dict[str, RepeatBudget] = {}
-        self._pending_by_number: dict[int, PendingRepeat] = {}
+        self._pending = PendingAnswers()
         self._send: SendRequest | None = None
         self._wanted = trio.Event()
         self._logger = logging.getLogger(LOGGER_NAME)
@@ -205,14 +190,8 @@
         request = RepeatRequest(number, service, is_under_way)
         if issuer == self._name:
             return self.answer_repeat_request(request)
-        pending = self._pending_by_number[number] = PendingRepeat()
-        try:
-            await self._send(issuer, request)
-            with trio.move_on_after(ANSWER_SECONDS):
-                await pending.answered.wait()
-        finally:
-            del self._pending_by_number[number]
-        return pending.answer
+        sending = self._send(issuer, request)
+        return await self._pending.wait(number, sending, ANSWER_SECONDS)
 
     def answer_repeat_request(self, request: RepeatRequest) -> RepeatAnswer:
         """Answer a request of another router, or one of this one."""
@@ -229,10 +208,7 @@
 
     def apply_repeat_answer(self, answer: RepeatAnswer) -> None:
         """Pass the answer of another router on to the request that waits for it."""
-        pending = self._pending_by_number.get(answer.number)
-        if pending is not None:
-            pending.answer = answer
-            pending.answered.set()
+        self._pending.apply(answer)
 
     def answer_share_request(self, request: ShareRequest) -> ShareAnswer:
         """Lend what this router does not use of its share."""
