Bound the messages about members that many routers send

Answers are now told less often where more routers tell, so that each gets about 24 messages a second and member. Losses are told at once, as before.

--- a/tests/features/faults.feature
+++ b/tests/features/faults.feature
@@ -107,3 +107,7 @@
     And three runners in "west"
     When two runners in "west" can't be reached by one router
     Then that router counts "west" as cut off for less than 0.1 seconds
+
+  Scenario: Many routers that answer the news of a loss tell of a member less often
+    Given the outcome table of a router that hears of losses from 96 others
+    Then it tells of its answers at most 3 times in 10 seconds, and of its own loss within 1 s
--- a/tests/features/steps/faults_steps.py
+++ b/tests/features/steps/faults_steps.py
@@ -12,7 +12,11 @@
 from tests.features.steps.router_steps import play, queue_action
 from wigeondrift.router.entities import Upstream
 from wigeondrift.systems.faults import AVOIDED_SECONDS, Evidence, FaultNews, FaultTable
-from wigeondrift.systems.outcomes import LOSS_WEIGHT_ONCE, OutcomeTable
+from wigeondrift.systems.outcomes import (
+    LOSS_WEIGHT_ONCE,
+    OutcomeNews,
+    OutcomeTable,
+)
 
 FIRST, OTHERS = ROUTER_NAMES[0], ROUTER_NAMES[1:]
 # Time in which a check and its news reach all routers.
@@ -421,3 +425,32 @@
         assert not selector.reach.is_cut_off(domain, trio.current_time())
 
     queue_action(context, step)
+
+
+@given("the outcome table of a router that hears of losses from {count:d} others")
+def hear_of_losses(context, count):
+    context.entry = Upstream("m1", "desk", "10.0.0.1:80", "east", False, 6)
+    context.outcomes = OutcomeTable()
+    context.outcomes.record(context.entry, True, 0.0)
+    context.senders = [f"router-{number}" for number in range(count)]
+    for sender in context.senders:
+        news = OutcomeNews("m1", 0, 1.0, 1.0)
+        context.outcomes.apply_news(news, sender, context.entry, 0.0)
+
+
+@then(
+    "it tells of its answers at most {most:d} times in {seconds:d} seconds,"
+    " and of its own loss within {bound:d} s"
+)
+def check_news(context, most, seconds, bound):
+    told = 0
+    for tenth in range(10 * seconds):
+        now = tenth / 10
+        context.outcomes.record(context.entry, True, now)
+        sender = context.senders[tenth % len(context.senders)]
+        news = OutcomeNews("m1", 0, 1.0, 1.0)
+        context.outcomes.apply_news(news, sender, context.entry, now)
+        told += len(context.outcomes.collect_due(now))
+    assert 0 < told <= most, told
+    context.outcomes.record(context.entry, False, seconds)
+    assert context.outcomes.collect_due(seconds + bound)
--- a/wigeondrift/systems/outcomes.py
+++ b/wigeondrift/systems/outcomes.py
@@ -27,6 +27,9 @@
 MIN_LOSS = 0.05
 # Own answers below which a router has nothing to say of a member.
 MIN_TOLD_ANSWERS = 0.5
+# Answers are told less often where more routers tell of a member, so that each router
+# gets at most about this many messages about it in NEWS_SECONDS.
+MAX_MESSAGES_HEARD = 24
 # Load, as a fraction of a member's slots, that is as bad as the certain loss of the
 # answer, for requests that may run again and for those that may not.
 LOSS_WEIGHT_REPEATABLE = 1.0
@@ -93,12 +96,18 @@
 class OutcomeTable:
     """Outcomes of members according to this router and others."""
 
-    __slots__ = ("_heard_by_id", "_own_by_id", "_pending_ids", "_told_at_by_id")
+    __slots__ = (
+        "_heard_by_id",
+        "_own_by_id",
+        "_pending_intervals_by_id",
+        "_told_at_by_id",
+    )
 
     def __init__(self) -> None:
         self._own_by_id: dict[str, Counts] = {}
         self._heard_by_id: dict[str, dict[str, Counts]] = {}
-        self._pending_ids: set[str] = set()
+        # Shortest intervals to the news before, of the members to tell about.
+        self._pending_intervals_by_id: dict[str, float] = {}
         self._told_at_by_id: dict[str, float] = {}
 
     def record(self, entry: Upstream, is_answered: bool, now: float) -> None:
@@ -112,7 +121,7 @@
             counts.answers += 1.0
         else:
             counts.losses += 1.0
-            self._pending_ids.add(entry.upstream_id)
+            self._pending_intervals_by_id[entry.upstream_id] = NEWS_SECONDS
 
     def apply_news(
         self, news: OutcomeNews, sender: str, entry: Upstream, now: float
@@ -124,7 +133,8 @@
         """
         if news.started_at_ms != entry.started_at_ms:
             return
-        self._heard_by_id.setdefault(entry.upstream_id, {})[sender] = Counts(
+        heard = self._heard_by_id.setdefault(entry.upstream_id, {})
+        heard[sender] = Counts(
             news.started_at_ms,
             min(news.answers, MAX_ANSWERS_OF_PEER),
             min(news.losses, MAX_LOSSES_OF_PEER),
@@ -135,7 +145,8 @@
             return
         own.age(now)
         if news.losses >= 1.0 and own.answers >= MIN_TOLD_ANSWERS:
-            self._pending_ids.add(entry.upstream_id)
+            interval = NEWS_SECONDS * max(1.0, len(heard) / MAX_MESSAGES_HEARD)
+            self._pending_intervals_by_id.setdefault(entry.upstream_id, interval)
 
     def estimate_loss(self, entry: Upstream, now: float) -> float:
         """Return the probability that an answer of a member is lost."""
@@ -157,8 +168,8 @@
         """
         return min(
             (
-                self._told_at_by_id.get(upstream_id, -math.inf) + NEWS_SECONDS
-                for upstream_id in self._pending_ids
+                self._told_at_by_id.get(upstream_id, -math.inf) + interval
+                for upstream_id, interval in self._pending_intervals_by_id.items()
             ),
             default=None,
         )
@@ -166,11 +177,11 @@
     def collect_due(self, now: float) -> list[OutcomeNews]:
         """Return the news to send now: one a second for each upstream at most."""
         due = []
-        for upstream_id in sorted(self._pending_ids):
+        for upstream_id, interval in sorted(self._pending_intervals_by_id.items()):
             told_at = self._told_at_by_id.get(upstream_id, -math.inf)
-            if now < told_at + NEWS_SECONDS:
+            if now < told_at + interval:
                 continue
-            self._pending_ids.discard(upstream_id)
+            del self._pending_intervals_by_id[upstream_id]
             self._told_at_by_id[upstream_id] = now
             counts = self._own_by_id[upstream_id]
             counts.age(now)
@@ -183,7 +194,11 @@
 
     def retain(self, upstream_ids: Collection[str]) -> None:
         """Forget upstreams that are not listed."""
-        self._pending_ids.intersection_update(upstream_ids)
-        for table in (self._own_by_id, self._heard_by_id, self._told_at_by_id):
+        for table in (
+            self._own_by_id,
+            self._heard_by_id,
+            self._pending_intervals_by_id,
+            self._told_at_by_id,
+        ):
             for upstream_id in table.keys() - set(upstream_ids):
                 del table[upstream_id]
