--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -103,7 +103,10 @@
     """Read a body in chunks."""
     body = b""
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        line = await reader.readline()
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(body, None)
+        size = int(line.split(b";")[0], 16)
         if not size:
             await reader.readline()
             return body
@@ -342,6 +345,7 @@
         self.work_seconds = work_seconds
         self.arrivals: list[tuple[float, Message]] = []
         self.runs: list[str] = []
+        self.born = time.time_ns() // 1_000_000
         self.answer = lambda request: (200, [], b"done " + request.body[:100])
 
     async def handle(self, request: Message, writer: asyncio.StreamWriter) -> bool:
@@ -374,6 +378,90 @@
         return True
 
 
+class ModelRunner(PlainRunner):
+    """Model runner with memory for all layers; streams events at a steady pace.
+
+    Attributes
+    ----------
+    layers : tuple of (int, int)
+        Range of layers held, the end excluded.
+    orders : int
+        Orders that have begun.
+    event_seconds : float
+        Time between two events.
+    events : int
+        Events of each stream.
+    """
+
+    def __init__(self, name: str, record: Record, publish) -> None:
+        super().__init__(name, record)
+        self.layers = (0, 0)
+        self.orders = 0
+        self.event_seconds = 0.1
+        self.events = 10
+        self._publish = publish
+
+    def get_state(self) -> dict:
+        """Return what the runner says of itself in its entry and its reports."""
+        first, end = self.layers
+        return {
+            "stage": "both",
+            "models": [{"name": "model", "version": 1, "adapters": []}],
+            "kind": "large",
+            "layers": {"from": first, "to": end, "version": 1},
+            "seq": self.orders,
+        }
+
+    async def handle(self, request: Message, writer: asyncio.StreamWriter) -> bool:
+        """Answer a report, an order or a request for a stream."""
+        if request.get("wigeondrift-expect-instance", self.name) != self.name:
+            writer.write(make_response(421, [("Wigeondrift-Instance-Id", self.name)]))
+        elif request.target == "/wigeondrift/report":
+            state = {**self.get_state(), "busy": False, "pace": 1.0, "stalled": []}
+            counts = {"waiting": 0, "running": 0, "kv_used": 0, "kv_total": 100_000}
+            body = json.dumps({**state, **counts}).encode()
+            writer.write(make_response(200, [], body))
+        elif request.target == "/wigeondrift/order":
+            order = json.loads(request.body)
+            status = 409
+            if order.get("expect", self.orders) == self.orders:
+                self.orders += 1
+                self.layers = (order["from"], order["to"])
+                self.record.add(f"{self.name} takes layers {self.layers}")
+                self._publish(self)
+                status = 202
+            writer.write(make_response(status, []))
+        else:
+            await self._stream(request, writer)
+        await writer.drain()
+        return True
+
+    async def _stream(self, request: Message, writer: asyncio.StreamWriter) -> None:
+        request_id = request.get("wigeondrift-request-id")
+        self.arrivals.append((time.monotonic(), request))
+        self.runs.append(request_id)
+        self.record.add(f"{self.name} runs {request_id} {request.first_line}")
+        head = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+            f"Wigeondrift-Request-Id: {request_id}",
+            f"Wigeondrift-Response-Seal: seal.{request_id}",
+        ]
+        writer.write("\r\n".join([*head, "", ""]).encode())
+        try:
+            for number in range(self.events):
+                await asyncio.sleep(self.event_seconds)
+                event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+        except ConnectionError:
+            self.record.add(f"{self.name} is left by the caller of {request_id}")
+            raise
+        writer.write(b"0\r\n\r\n")
+        self.record.add(f"{self.name} has ended {request_id}")
+
+
 class Answer:
     """What a client got for one request: a message, or None if nothing complete."""
 
@@ -566,6 +654,21 @@
         self.register(runner, service, zone)
         return runner
 
+    async def add_model_runner(
+        self, name: str, service: str, zone: str = "east"
+    ) -> ModelRunner:
+        """Start an empty model runner and register it."""
+
+        def publish(changed: ModelRunner) -> None:
+            self.register(changed, service, zone)
+
+        runner = ModelRunner(name, self.record, publish)
+        await runner.start(f"{self.make_host()}:{get_free_port()}")
+        self.runners[name] = runner
+        self._servers.append(runner)
+        self.register(runner, service, zone)
+        return runner
+
     def register(
         self, runner: PlainRunner, service: str, zone: str, state: str = "ready"
     ) -> None:
@@ -578,9 +681,11 @@
             "slots": 6,
             "state": state,
             "cold_remaining_ms": 0,
-            "born": time.time_ns() // 1_000_000,
+            "born": runner.born,
             "seq": 0,
         }
+        if isinstance(runner, ModelRunner):
+            entry.update(runner.get_state())
         self.store.write(f"servers/{runner.name}", json.dumps(entry).encode())
 
     def configure(
@@ -671,6 +776,27 @@
     }
 
 
+def make_engine() -> dict:
+    """Return the engine of a small model."""
+    return {
+        "slots": 96,
+        "kv_capacity_tokens": 50000,
+        "kv_token_bytes": 80000,
+        "stride": 3,
+        "models": [{"name": "model", "pace": 1.0, "load_s": 0.5, "warm_s": 0.1}],
+        "step_ms": 1.0,
+        "per_seq_ms": 0.01,
+        "context_per_k": 0.01,
+        "read_per_s": 100000.0,
+        "chunk": 512,
+        "report_lag_ms": 200.0,
+        "usual": {"prompt": 100, "answer": 60},
+        "layers": 80,
+        "layer_mb": 100.0,
+        "kinds": [{"name": "large", "mb": 20000.0, "pace": 1.0, "read_x": 1.0}],
+    }
+
+
 def get_free_port() -> int:
     """Return a port that is free on the loopback addresses."""
     with socket.socket() as probe:
