--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -828,7 +828,7 @@
         except Exception as error:
             deployment.record.add(f"the case could not run: {error!r}")
             for router in deployment.routers.values():
-                sys.stderr.write(router.read_log()[-3000:])
+                sys.stderr.write(router.read_log()[-1000:])
             sys.stderr.write(f"{error!r}\n")
             return EXIT_NOT_RUN
         finally:
