--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -27,6 +27,8 @@
 EXIT_NOT_RUN = 2
 START_SECONDS = 25.0
 MAX_WATCH_MS = 30_000
+READ_SIZE_BYTES = 16384
+RECEIVE_BUFFER_BYTES = 65536
 
 
 class Record:
@@ -543,6 +545,74 @@
             self._streams = None
 
 
+class KeptConnection:
+    """Client's connection, which reads at its own pace."""
+
+    def __init__(self, address: str, record: Record) -> None:
+        host, _, port = address.rpartition(":")
+        self._address = (host, int(port))
+        self._record = record
+        self._socket = socket.socket()
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        self._socket.setblocking(False)
+
+    async def connect(self) -> None:
+        """Open the connection."""
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self._socket, self._address)
+
+    async def call(
+        self, path: str, request_id: str, rate: float, deadline_ms: int
+    ) -> bool:
+        """Send a request, read at a rate in bytes per second at most.
+
+        Returns whether the answer was complete.
+        """
+        loop = asyncio.get_running_loop()
+        lines = [
+            f"GET {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"Wigeondrift-Request-Id: {request_id}",
+            f"Wigeondrift-Deadline-Remaining: {deadline_ms}",
+            f"Authorization: Bearer {KEY}",
+        ]
+        self._record.add(f"client sends {request_id} GET {path}")
+        data, started_at, needed = b"", time.monotonic(), 0
+        received = 0
+        try:
+            await loop.sock_sendall(
+                self._socket, "\r\n".join([*lines, "", ""]).encode()
+            )
+            while not needed or received < needed:
+                piece = await loop.sock_recv(self._socket, READ_SIZE_BYTES)
+                if not piece:
+                    break
+                received += len(piece)
+                if not needed:
+                    data += piece
+                    head, separator, _ = data.partition(b"\r\n\r\n")
+                    if separator:
+                        length = head.lower().split(b"content-length:")[1].split()[0]
+                        needed = len(head) + len(separator) + int(length)
+                lag = started_at + received / rate - time.monotonic()
+                if lag > 0:
+                    await asyncio.sleep(lag)
+        except OSError as error:
+            self._record.add(f"client loses the connection of {request_id}: {error!r}")
+        status = data[9:12].decode() or "no answer"
+        is_complete = bool(needed) and received >= needed
+        self._record.add(
+            f"client gets {status} for {request_id}, {received} bytes of {needed}"
+        )
+        return is_complete
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._socket.close()
+
+
 class Router:
     """A router process, started with the command of the deploy file."""
 
