--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -718,11 +718,21 @@
     ) -> PlainRunner:
         """Start a runner of a plain service and register it."""
         runner = PlainRunner(name, self.record, work_seconds)
-        await runner.start(f"{self.make_host()}:{get_free_port()}")
-        self.runners[name] = runner
+        await self.add_server(runner, service, zone=zone)
+        return runner
+
+    async def add_server(
+        self,
+        runner: PlainRunner,
+        service: str,
+        address: str = "",
+        zone: str = "east",
+    ) -> None:
+        """Start a runner, at an address of its own if none is given; register it."""
+        await runner.start(address or f"{self.make_host()}:{get_free_port()}")
+        self.runners[runner.name] = runner
         self._servers.append(runner)
         self.register(runner, service, zone)
-        return runner
 
     async def add_model_runner(
         self, name: str, service: str, zone: str = "east"
@@ -733,10 +743,7 @@
             self.register(changed, service, zone)
 
         runner = ModelRunner(name, self.record, publish)
-        await runner.start(f"{self.make_host()}:{get_free_port()}")
-        self.runners[name] = runner
-        self._servers.append(runner)
-        self.register(runner, service, zone)
+        await self.add_server(runner, service, zone=zone)
         return runner
 
     def register(
