Never tell a caller that a request was not run on an upstream's status alone

Cause: that a request was not run was concluded from the status of the answer. In the sender, statuses were compared with those that make the promise only from 500 on and for answers without a seal, so that a sealed 408 or 429 was passed on. In the header codec any 421 counted as a rejection, so that an order whose runner failed with a sealed 421 was sent to another runner or refused with 503.

Change: one definition of a failed answer (UpstreamHead.is_failure). Only the upstream's statement, or a 421 without a seal, as an upstream that is not the one named sends it, says that a request was not run. Other answers with 408, 421, 429 or 503 are never passed on: a request that may run once gets 502, others are retried within their attempts and the budget.

--- a/wigeondrift/errors.py
+++ b/wigeondrift/errors.py
@@ -111,6 +111,11 @@
 }
 
 
+# Statuses that promise the caller that its request was not run and won't be. Callers
+# send it again after them, so each must be true.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 class WigeondriftError(Exception):
     """Base of all exceptions that the package raises."""
 
--- a/wigeondrift/platform/requests.py
+++ b/wigeondrift/platform/requests.py
@@ -132,6 +132,7 @@
     def decode_head(self, status: int, headers: Headers) -> UpstreamHead:
         """Decode the head of an upstream's response; header names are in lower case."""
         values = dict(headers)
+        is_signed = SEAL in values
         retry_after, unreadable = None, ()
         if status == STATUS_UNAVAILABLE and RETRY_AFTER in values:
             retry_after = parse_decimal(values[RETRY_AFTER])
@@ -141,9 +142,10 @@
             status=status,
             headers=[pair for pair in headers if pair[0] not in DROPPED_HEADERS],
             request_id=values.get(REQUEST_ID, ""),
-            # 421 is sent before a request runs, with or without the header.
-            is_not_run=NOT_RUN in values or status == 421,
-            is_signed=SEAL in values,
+            # An upstream that is not the one named answers 421 with no other mark. A
+            # signed 421 is an answer to the request, like any other status.
+            is_not_run=NOT_RUN in values or (status == 421 and not is_signed),
+            is_signed=is_signed,
             running=load[0] if len(load) == 3 else None,
             waiting=load[1] if len(load) == 3 else None,
             faulty_address=values.get(STAGE_AT_FAULT, ""),
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -48,9 +48,6 @@
 # upstream if it may still be sent to another.
 RETRYABLE_ATTEMPT_SHARE = 0.5
 STATUS_OK = 200
-# Statuses that promise the caller that the request was not run. An unsigned response
-# with one of them is not forwarded, as it may not come from the upstream itself.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class Sender:
@@ -395,7 +392,7 @@
             _check_request_id(head, call, response)
             if head.retry_after is not None or head.unreadable:
                 self._record_back_off(upstream, head, call)
-            if head.is_signed and head.status < 500 and not head.is_not_run:
+            if not (head.is_failure or head.is_not_run):
                 self._faults.record_answer(upstream)
             if head.is_leaving:
                 self._selector.record_leaving(upstream, call.request_id)
@@ -453,20 +450,15 @@
         if exchange.started:
             reason = f"a stream can't go on with status {head.status}"
             raise AttemptFailed(reason, True, (upstream.upstream_id,))
-        is_failure = head.status >= 500 or not head.is_signed
-        if is_failure:
+        if head.is_failure:
             self._suspects.watch_upstreams(context, (upstream,), progress.events)
         else:
             self._suspects.record_completion(context)
-        if is_failure and (
-            context.rule.is_idempotent or head.status in NOT_RUN_STATUSES
-        ):
-            raise AttemptFailed(
-                f"failed with status {head.status}",
-                True,
-                (upstream.upstream_id,),
-                (head, body),
-            )
+        if head.is_failure and (context.rule.is_idempotent or head.has_not_run_status):
+            reason = f"failed with status {head.status}"
+            if head.has_not_run_status:
+                reason += " and does not state that the request was not run"
+            raise AttemptFailed(reason, True, (upstream.upstream_id,), (head, body))
         if not head.is_signed and head.status < 300:
             raise AttemptFailed("the answer bears no signature", True)
         await _write_to_caller(exchange.respond(head.status, head.headers, body))
--- a/wigeondrift/router/calls.py
+++ b/wigeondrift/router/calls.py
@@ -1,5 +1,6 @@
 """A caller's request and the head of an upstream's response."""
 
+from wigeondrift.errors import NOT_RUN_STATUSES
 from wigeondrift.wire.headers import Headers
 
 
@@ -155,3 +156,19 @@
         self.is_leaving = is_leaving
         self.retry_after = retry_after
         self.unreadable = unreadable
+
+    @property
+    def has_not_run_status(self) -> bool:
+        """Whether its status would promise the caller that the request was not run."""
+        return self.status in NOT_RUN_STATUSES
+
+    @property
+    def is_failure(self) -> bool:
+        """Whether the upstream may have run the request, but did not serve it.
+
+        A status that promises otherwise is a failure too: only ``is_not_run`` states
+        it, and an upstream may fail with any status after it has begun.
+        """
+        if self.is_not_run:
+            return False
+        return self.status >= 500 or not self.is_signed or self.has_not_run_status
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -8,12 +8,13 @@
 import trio
 
 from wigeondrift.errors import (
+    NOT_RUN_STATUSES,
     CallerDisconnected,
     ConnectionLost,
     ErrorKind,
     RequestError,
 )
-from wigeondrift.router.attempt import NOT_RUN_STATUSES, Sender
+from wigeondrift.router.attempt import Sender
 from wigeondrift.router.calls import CallerRequest
 from wigeondrift.router.entities import RouteRule, Upstream
 from wigeondrift.router.header_codec import HeaderCodec
@@ -199,7 +200,8 @@
             serve = functools.partial(self._serve, exchange, context)
             if await exchange.run_until_closed(serve):
                 outcome = "done"
-        except RequestError as error:
+        except RequestError as refusal:
+            error = _correct_outcome(refusal, context)
             outcome = error.kind.value
             if error.kind in METRICS_BY_KIND:
                 self._metrics.count(METRICS_BY_KIND[error.kind])
@@ -325,7 +327,7 @@
         if scope.cancelled_caught:
             if trio.current_time() < context.deadline:
                 reason = "this instance stops before an answer is complete"
-                raise _make_error(context, ErrorKind.STOPPING, reason)
+                raise RequestError(ErrorKind.STOPPING, reason)
             if context.may_have_run:
                 raise RequestError(ErrorKind.UPSTREAM_TIMEOUT, "no answer in time")
             raise RequestError(ErrorKind.QUEUE_TIMEOUT, "no room came free in time")
@@ -399,10 +401,10 @@
             raise RequestError(ErrorKind.STREAM_CUT, failure.reason)
         if failure.answer is not None:
             head, body = failure.answer
-            if head.status not in NOT_RUN_STATUSES:
+            if not head.has_not_run_status:
                 await exchange.respond(head.status, head.headers, body)
                 return
-        raise _make_error(context, ErrorKind.UPSTREAM_REFUSED, failure.reason)
+        raise RequestError(ErrorKind.UPSTREAM_REFUSED, failure.reason)
 
     def _require_unsuspected(self, context: RequestContext) -> None:
         """Refuse a request that shares a trait under which several upstreams died."""
@@ -410,7 +412,7 @@
             context.is_risky = self._suspects.is_suspect(context)
             return
         reason = "upstreams died while they ran requests like this one"
-        raise _make_error(context, ErrorKind.SUSPENDED, reason)
+        raise RequestError(ErrorKind.SUSPENDED, reason)
 
     async def _try_once(self, exchange: Exchange, context: RequestContext) -> None:
         self._require_unsuspected(context)
@@ -436,7 +438,7 @@
             now = trio.current_time()
             if now + wait >= wait_until:
                 reason = "the upstreams take no more requests at present"
-                raise _make_error(context, ErrorKind.UPSTREAM_LIMITED, reason)
+                raise RequestError(ErrorKind.UPSTREAM_LIMITED, reason)
             context.wait_seconds += wait
             await trio.sleep(wait)
 
@@ -464,7 +466,7 @@
             )
             if member is None:
                 reason = "the service has no upstream left"
-                raise _make_error(context, ErrorKind.NO_UPSTREAM, reason)
+                raise RequestError(ErrorKind.NO_UPSTREAM, reason)
             if await self._acquire_permit(context, member):
                 return member
 
@@ -536,7 +538,7 @@
                     self._wait_queue.release(reservation)
         if not is_permitted and not has_attempts:
             reason = "the runner that refused the request takes it over no other route"
-            raise _make_error(context, ErrorKind.UPSTREAM_REFUSED, reason)
+            raise RequestError(ErrorKind.UPSTREAM_REFUSED, reason)
         return reservation if is_permitted else None
 
     async def _reserve_chain(
@@ -557,7 +559,7 @@
             context.wait_seconds += trio.current_time() - asked_at
             if reservation is None:
                 reason = "no room came free in time"
-                raise _make_error(context, ErrorKind.QUEUE_TIMEOUT, reason)
+                raise RequestError(ErrorKind.QUEUE_TIMEOUT, reason)
             is_permitted = False
             try:
                 head = reservation.chain.runners[0]
@@ -569,11 +571,18 @@
                 return reservation
 
 
-def _make_error(context: RequestContext, kind: ErrorKind, reason: str) -> RequestError:
-    """Return the error of a request that can't be sent on; ``kind`` if it never was."""
-    if context.may_have_run:
-        kind = ErrorKind.UPSTREAM_LOST
-    return RequestError(kind, reason)
+def _correct_outcome(
+    error: RequestError, context: RequestContext | None
+) -> RequestError:
+    """Return an error that does not claim that a request was not run if it may have.
+
+    All refusals pass here, so that none has to know about earlier attempts.
+    """
+    if context is None or not context.may_have_run:
+        return error
+    if error.status not in NOT_RUN_STATUSES:
+        return error
+    return RequestError(ErrorKind.UPSTREAM_LOST, error.reason)
 
 
 def _round_optional(seconds: float | None) -> float | None:
--- a/wigeondrift/router/hedging.py
+++ b/wigeondrift/router/hedging.py
@@ -8,7 +8,7 @@
 import trio
 
 from wigeondrift.errors import WigeondriftError
-from wigeondrift.router.attempt import NOT_RUN_STATUSES, Sender
+from wigeondrift.router.attempt import Sender
 from wigeondrift.router.entities import RequestKind, Upstream
 from wigeondrift.router.event_stream import EventBuffer
 from wigeondrift.router.request_context import AttemptFailed, RequestContext
@@ -231,7 +231,7 @@
         # An answer that promises that the request was not run holds for one attempt
         # only, and the forwarder sends none of them.
         answers = [one.answer for one in failures if one.answer is not None]
-        answers.sort(key=lambda answer: answer[0].status in NOT_RUN_STATUSES)
+        answers.sort(key=lambda answer: answer[0].has_not_run_status)
         return AttemptFailed(
             "; ".join(one.reason for one in failures),
             any(one.may_have_run for one in failures),
