Test statuses below 100 and six more kinds of endless answers

Operators of other systems report an answer with the status 000 that reached a client, and upstreams that send a head or a body without end until the process that called them runs out of memory. Neither is the case here: an answer with the status 000, 042 or 099 gives 502 for orders, streams and safe requests, and endless header names, header lines, blank lines, chunk sizes, trailers and bodies with a length fail within three times the limit of a body.

--- a/tests/features/faulty_answers.feature
+++ b/tests/features/faulty_answers.feature
@@ -139,3 +139,17 @@
       | 429    | with a seal                     | 503     |
       | 503    | with a seal                     | 429     |
       | 408    | without a seal                  | 503     |
+
+  # Guards against an answer that is passed on although its status is none of HTTP.
+  Scenario Outline: An answer whose status is not in HTTP's range is no answer
+    Given every upstream runs requests and answers <status> with a seal
+    When a caller sends a "<route>" request
+    Then the status is 502
+
+    Examples:
+      | route  | status |
+      | order  | 000    |
+      | order  | 099    |
+      | draft  | 000    |
+      | status | 000    |
+      | status | 042    |
--- a/tests/features/malformed.feature
+++ b/tests/features/malformed.feature
@@ -40,6 +40,12 @@
       | endless interim responses     |
       | an endless chunk extension    |
       | an endless body               |
+      | an endless header name        |
+      | endless header lines          |
+      | endless blank lines           |
+      | an endless chunk size         |
+      | an endless trailer            |
+      | an endless body with a length |
 
   Scenario: Many endless answers at once leave memory, and other answers get through
     Given 40 upstreams that answer with an endless body, and one with a page
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -35,6 +35,15 @@
     "endless interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
     "an endless chunk extension": (CHUNKED + b"4;", BLOCK),
     "an endless body": (HEAD + b"\r\n", BLOCK),
+    "an endless header name": (HEAD, BLOCK),
+    "endless header lines": (HEAD, b"X-Line: one of many\r\n" * 1000),
+    "endless blank lines": (b"", b"\r\n" * 30000),
+    "an endless chunk size": (CHUNKED, b"0" * 65536),
+    "an endless trailer": (CHUNKED + b"0\r\n", b"X-Line: one of many\r\n" * 1000),
+    "an endless body with a length": (
+        HEAD + b"Content-Length: 99999999999999\r\n\r\n",
+        BLOCK,
+    ),
     "a very long keep-alive time": (
         HEAD
         + b"Keep-Alive: timeout="
