Pass on no unsigned success after the last attempt

Seen by callers: a 200 or 206 without a seal to a safe request, or a 204 to a request for a resumable stream, where no attempt or retry was left.

Cause: the sender and the forwarder each decided by conditions of their own whether a caller gets an answer, and the forwarder's, for the answer of the last failed attempt, did not ask for the seal. Ruled out: hedged attempts, which end in the same place.

Change: UpstreamHead.may_be_forwarded is the one condition for both, and for the choice among the answers of hedged attempts.

--- a/tests/features/faulty_answers.feature
+++ b/tests/features/faulty_answers.feature
@@ -153,3 +153,18 @@
       | draft  | 000    |
       | status | 000    |
       | status | 042    |
+
+  # Guards against a success without a seal that is passed on after the last attempt.
+  Scenario Outline: A success without a seal is passed on by no path
+    Given every upstream runs requests and answers <status> without a seal
+    When a caller sends a "<route>" request
+    Then the status is 502
+
+    Examples:
+      | route  | status |
+      | order  | 200    |
+      | order  | 204    |
+      | draft  | 200    |
+      | draft  | 204    |
+      | status | 200    |
+      | status | 206    |
--- a/wigeondrift/router/attempt.py
+++ b/wigeondrift/router/attempt.py
@@ -454,13 +454,15 @@
             self._suspects.watch_upstreams(context, (upstream,), progress.events)
         else:
             self._suspects.record_completion(context)
-        if head.is_failure and (context.rule.is_idempotent or head.has_not_run_status):
+        if head.is_failure and (
+            context.rule.is_idempotent or not head.may_be_forwarded
+        ):
             reason = f"failed with status {head.status}"
             if head.has_not_run_status:
                 reason += " and does not state that the request was not run"
+            elif not head.is_signed:
+                reason += " and bears no signature"
             raise AttemptFailed(reason, True, (upstream.upstream_id,), (head, body))
-        if not head.is_signed and head.status < 300:
-            raise AttemptFailed("the answer bears no signature", True)
         await _write_to_caller(exchange.respond(head.status, head.headers, body))
 
     async def _forward_stream(
--- a/wigeondrift/router/calls.py
+++ b/wigeondrift/router/calls.py
@@ -3,6 +3,8 @@
 from wigeondrift.errors import NOT_RUN_STATUSES
 from wigeondrift.wire.headers import Headers
 
+SUCCESS_STATUSES = range(200, 300)
+
 
 class CallerRequest:
     """One request of a caller, with its complete body.
@@ -162,6 +164,16 @@
         """Whether its status would promise the caller that the request was not run."""
         return self.status in NOT_RUN_STATUSES
 
+    @property
+    def may_be_forwarded(self) -> bool:
+        """Whether the caller may get the answer: it holds nothing that is unproven.
+
+        That is the promise that the request was not run, and a success that the
+        upstream hasn't signed.
+        """
+        is_success = self.status in SUCCESS_STATUSES
+        return not (self.has_not_run_status or (is_success and not self.is_signed))
+
     @property
     def is_failure(self) -> bool:
         """Whether the upstream may have run the request, but did not serve it.
--- a/wigeondrift/router/forwarding.py
+++ b/wigeondrift/router/forwarding.py
@@ -401,7 +401,7 @@
             raise RequestError(ErrorKind.STREAM_CUT, failure.reason)
         if failure.answer is not None:
             head, body = failure.answer
-            if not head.has_not_run_status:
+            if head.may_be_forwarded:
                 await exchange.respond(head.status, head.headers, body)
                 return
         raise RequestError(ErrorKind.UPSTREAM_REFUSED, failure.reason)
--- a/wigeondrift/router/hedging.py
+++ b/wigeondrift/router/hedging.py
@@ -228,10 +228,9 @@
     def make_failure(self) -> AttemptFailed:
         """Return the failure of all attempts together."""
         failures = [one.failure for one in self.attempts if one.failure is not None]
-        # An answer that promises that the request was not run holds for one attempt
-        # only, and the forwarder sends none of them.
+        # The forwarder passes on only the first one, if it may.
         answers = [one.answer for one in failures if one.answer is not None]
-        answers.sort(key=lambda answer: answer[0].has_not_run_status)
+        answers.sort(key=lambda answer: not answer[0].may_be_forwarded)
         return AttemptFailed(
             "; ".join(one.reason for one in failures),
             any(one.may_have_run for one in failures),
