Play random answers of upstreams against what callers are told

Orders, streams and safe requests of one router meet upstreams whose answers have random statuses, seals, statements, ids, framings and cuts, come late, in pieces or not at all. No caller may be told that a request was not run that has run, get a success without a seal or an answer of no upstream, and nothing that may run once runs twice.

--- a/tests/features/faulty_answers.feature
+++ b/tests/features/faulty_answers.feature
@@ -168,3 +168,11 @@
       | draft  | 204    |
       | status | 200    |
       | status | 206    |
+
+  # Guards against unproven promises and successes on any path of an answer.
+  Scenario Outline: Whatever upstreams answer, callers are told nothing unproven
+    Then random answers with the seeds <first> to <last> break no promise
+
+    Examples:
+      | first | last |
+      | 1     | 60   |
