--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -192,7 +192,7 @@
         """Listen and register until cancelled."""
         host, port = parse_address(self.address)
         listeners = await trio.open_tcp_listeners(port, host=host)
-        limits = HttpLimits(body_bytes=UPSTREAM_BODY_BYTES, write_timeout=60.0)
+        limits = HttpLimits(65536, UPSTREAM_BODY_BYTES, write_timeout=60.0)
         server = HttpServer(self._answer, limits)
         self.register()
         async with trio.open_nursery() as nursery:
