--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -109,6 +109,12 @@
             stderr=self._log,
         )
 
+    def change_settings(self, changes: dict[str, object]) -> None:
+        """Change the settings file and send SIGHUP, as the platform does."""
+        self._settings.update(changes)
+        self._write_settings()
+        self.signal(signal.SIGHUP)
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
