--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,6 +1,5 @@
-"""The grace period is made longer in the settings file; later the router is stopped."""
+"""A new configuration allows larger headers; callers use them on kept connections."""
 
-import signal
 import sys
 from pathlib import Path
 
@@ -11,34 +10,32 @@
     BROKEN,
     HELD,
     NOT_RUN,
+    Caller,
     Deployment,
     Record,
     has_trouble,
     make_answer_headers,
     make_configuration,
-    make_headers,
     make_route,
     run,
 )
 
-from wigeondrift.errors import TransportError
-from wigeondrift.wire.http_client import HttpClient
 from wigeondrift.wire.http_server import Exchange
 
-FIRST_GRACE_SECONDS = 8
-GRACE_SECONDS = 24
-# A stream of 12 s, well below its timeout and deadline of 20 s.
-EVENTS = 120
-EVENT_SECONDS = 0.1
-DEADLINE_MS = 20000
-STREAMS = 10
-ARRIVAL_SECONDS = 0.1
-# From the change of the settings to the stop: well over ``config_apply_ms`` (2 s) and
-# ``stable_window_ms`` (3 s).
-SETTLE_SECONDS = 5.0
-# From the last stream to SIGTERM.
-STOP_SECONDS = 0.5
-POLL_SECONDS = 0.05
+CALLERS = 40
+SMALL_LIMIT_BYTES = 8192
+LARGE_LIMIT_BYTES = 32768
+# With the other headers, well below the larger limit.
+EXTRA_BYTES = 20000
+DEADLINE_MS = 3000
+# Rounds before the change, and after it: well later than ``config_apply_ms`` (2 s).
+ROUNDS_BEFORE = 3
+APPLY_SECONDS = 4.0
+ROUND_SECONDS = 1.0
+# DENIED: "more than 5 + one in 500 of all requests".
+DENIED_ALLOWED = 5
+DENIED_PER_REQUEST = 1 / 500
+OWN_DENIALS = frozenset(range(300, 500)) - {408, 421, 429}
 
 
 class Case:
@@ -47,98 +44,75 @@
     def __init__(self, record: Record) -> None:
         self.record = record
         self.deployment = Deployment()
-        self.client = HttpClient(1.0)
         self.ran: set[str] = set()
-        self.whole: set[str] = set()
-        self.cut: set[str] = set()
+        self.requests = 0
+        self.served = 0
+        self.denied = 0
 
     async def answer(self, exchange: Exchange) -> None:
-        """Answer with a stream, as a sound member of the plain service."""
+        """Answer as a sound member of the plain service."""
         request_id = exchange.request.headers_by_name["wigeondrift-request-id"]
         self.ran.add(request_id)
-        self.record.add(f"run {request_id}")
-        await exchange.start(200, make_answer_headers(exchange))
-        for number in range(EVENTS):
-            await trio.sleep(EVENT_SECONDS)
-            await exchange.send(f"id: {number}\ndata: {request_id}\n\n".encode())
-        await exchange.finish()
+        await exchange.respond(200, make_answer_headers(exchange), b"done")
 
-    async def use(self, number: int) -> None:
-        """Ask for one stream and read it."""
-        request_id = f"draft-{number}"
-        self.record.add(f"sent {request_id}")
-        received = b""
-        try:
-            async with self.client.request(
-                self.deployment.routers[0].address,
-                "POST",
-                "/draft/a",
-                make_headers(request_id, DEADLINE_MS),
-                b"{}",
-                head_timeout=DEADLINE_MS / 1000.0,
-                new_connection=True,
-            ) as response:
-                async for data in response.iter_data():
-                    received += data
-            self.whole.add(request_id)
-            reason = "whole"
-        except TransportError as error:
-            self.cut.add(request_id)
-            reason = repr(error)
-        self.record.add(f"{request_id}: {received.count(b'id: ')} events, {reason}")
+    async def ask(self, caller: Caller, name: str, extra_bytes: int) -> None:
+        """Send one request and count its outcome."""
+        headers = [("X-Drawing", "d" * extra_bytes)] if extra_bytes else []
+        answer = await caller.ask("/status/a", name, DEADLINE_MS, headers)
+        self.requests += 1
+        self.served += answer.is_whole and answer.status == 200
+        # The members answer 200 only, so any other status is the router's own.
+        self.denied += answer.status in OWN_DENIALS
+        self.record.add(f"{name}: {answer}, ran: {name in self.ran}")
 
-    async def stop_router(self) -> None:
-        """Send SIGTERM, and SIGKILL once the grace period is over."""
-        router = self.deployment.routers[0]
-        self.record.add("SIGTERM")
-        router.signal(signal.SIGTERM)
-        with trio.move_on_after(GRACE_SECONDS):
-            while router.is_running:
-                await trio.sleep(POLL_SECONDS)
-        self.record.add(f"router has ended by itself: {not router.is_running}")
-        router.kill()
+    async def use(self, number: int, changed: trio.Event) -> None:
+        """Use one kept connection, before the change and after it."""
+        address = self.deployment.routers[0].address
+        caller = await Caller.connect(address)
+        for count in range(ROUNDS_BEFORE):
+            await self.ask(caller, f"before-{number}-{count}", 0)
+            await trio.sleep(ROUND_SECONDS)
+        await changed.wait()
+        if not has_trouble():
+            await caller.close()
+            caller = await Caller.connect(address)
+        await self.ask(caller, f"after-{number}", EXTRA_BYTES)
+        await caller.close()
 
 
 async def play(record: Record) -> int:
     """Play the case and return its exit code."""
     case = Case(record)
     deployment = case.deployment
-    draft = make_route(
-        "draft",
-        "streaming",
-        "desk",
-        timeout_ms=DEADLINE_MS,
-        gap_aim_ms=200,
-        resumable=True,
-    )
-    deployment.configure(make_configuration(1, [draft]))
+    routes = [make_route("status", "safe", "desk")]
+    small = make_configuration(1, routes, max_header_bytes=SMALL_LIMIT_BYTES)
+    large = make_configuration(2, routes, max_header_bytes=LARGE_LIMIT_BYTES)
+    deployment.configure(small)
     for number in range(3):
         deployment.add_upstream(f"desk-{number}", "desk", case.answer)
-    grace = FIRST_GRACE_SECONDS if has_trouble() else GRACE_SECONDS
-    router = deployment.add_router("router-1", bounds__grace_s=grace)
+    deployment.add_router("router-1")
     try:
         async with trio.open_nursery() as nursery:
             await deployment.start(nursery)
-            if has_trouble():
-                router.change_settings({"bounds.grace_s": GRACE_SECONDS})
-                record.add(f"grace_s={GRACE_SECONDS} written, SIGHUP sent")
-            await trio.sleep(SETTLE_SECONDS)
+            changed = trio.Event()
             async with trio.open_nursery() as callers:
-                for number in range(STREAMS):
-                    callers.start_soon(case.use, number)
-                    await trio.sleep(ARRIVAL_SECONDS)
-                await trio.sleep(STOP_SECONDS)
-                callers.start_soon(case.stop_router)
+                for number in range(CALLERS):
+                    callers.start_soon(case.use, number, changed)
+                await trio.sleep(ROUNDS_BEFORE * ROUND_SECONDS)
+                deployment.configure(large)
+                record.add("configuration 2 written")
+                await trio.sleep(APPLY_SECONDS)
+                changed.set()
             nursery.cancel_scope.cancel()
     finally:
         deployment.close()
-    lost = case.cut & case.ran
-    summary = f"{len(case.ran)} streams ran, {len(case.whole)} whole, {len(lost)} cut"
+    summary = f"{case.requests} requests, {case.served} served, {case.denied} denied"
     record.add(summary)
     print(summary)
-    if len(case.ran) < STREAMS:
+    if not case.served:
         return NOT_RUN
-    return BROKEN if lost else HELD
+    allowed = DENIED_ALLOWED + DENIED_PER_REQUEST * case.requests
+    return BROKEN if case.denied > allowed else HELD
 
 
 run(play, __file__)
