--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -6,8 +6,6 @@
 
 import os
 import shlex
-import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,7 +18,7 @@
 import msgspec
 import trio
 
-from wigeondrift.errors import TransportError
+from wigeondrift.errors import ConnectionLost, TransportError
 from wigeondrift.wire.address import parse_address
 from wigeondrift.wire.http_client import HttpClient
 from wigeondrift.wire.http_server import Exchange, HttpLimits, HttpServer
@@ -109,12 +107,6 @@
             stderr=self._log,
         )
 
-    def change_settings(self, changes: dict[str, object]) -> None:
-        """Change the settings file and send SIGHUP, as the platform does."""
-        self._settings.update(changes)
-        self._write_settings()
-        self.signal(signal.SIGHUP)
-
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
@@ -125,19 +117,6 @@
         """What the process has written."""
         return Path(self._log.name).read_text(errors="replace")
 
-    def get_memory_bytes(self) -> int:
-        """Return the resident memory of the process, zero if it has ended."""
-        try:
-            pages = int(Path(f"/proc/{self._process.pid}/statm").read_text().split()[1])
-        except (OSError, IndexError):
-            return 0
-        return pages * os.sysconf("SC_PAGE_SIZE")
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process if it is running."""
-        if self.is_running:
-            self._process.send_signal(number)
-
     def kill(self) -> None:
         """Kill the process and wait until it has ended."""
         if self.is_running:
@@ -194,6 +173,10 @@
         if self._store.get(key) != value:
             self._store.write(key, value)
 
+    def remove(self) -> None:
+        """Remove the entry, as when the upstream leaves; it goes on serving."""
+        self._store.remove(f"servers/{self.upstream_id}")
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listen and register until cancelled."""
         host, port = parse_address(self.address)
@@ -212,6 +195,7 @@
     def __init__(self) -> None:
         self.network = f"127.{60 + os.getpid() % 150}"
         self.store = RevisionServer()
+        self._watch_scopes: set[trio.CancelScope] = set()
         self.store_address = f"{self.network}.1.1:7000"
         self.upstreams: list[Upstream] = []
         self.routers: list[Router] = []
@@ -273,7 +257,7 @@
         """Start the store and the upstreams; wait until the routers are ready."""
         host, port = parse_address(self.store_address)
         listeners = await trio.open_tcp_listeners(port, host=host)
-        server = HttpServer(self.store.handle)
+        server = HttpServer(self._answer_for_store)
         nursery.start_soon(trio.serve_listeners, server.serve_stream, listeners)
         for upstream in self.upstreams:
             await nursery.start(upstream.run)
@@ -282,6 +266,26 @@
                 while not await self._is_ready(router):
                     await trio.sleep(POLL_SECONDS)
 
+    async def _answer_for_store(self, exchange: Exchange) -> None:
+        if not exchange.request.path.endswith("/kv-watch"):
+            await self.store.handle(exchange)
+            return
+        with trio.CancelScope() as scope:
+            self._watch_scopes.add(scope)
+            try:
+                await self.store.handle(exchange)
+            finally:
+                self._watch_scopes.discard(scope)
+        if scope.cancelled_caught:
+            raise ConnectionLost("the watch was cut")
+
+    def cut_watches(self) -> int:
+        """End the connections of all waiting watches; return their number."""
+        scopes = list(self._watch_scopes)
+        for scope in scopes:
+            scope.cancel()
+        return len(scopes)
+
     async def _is_ready(self, router: Router) -> bool:
         try:
             with trio.move_on_after(1.0):
@@ -382,32 +386,15 @@
     Parameters
     ----------
     stream : trio.SocketStream
-    bytes_per_second : float
-        Rate at which the caller reads, as over a slow link; zero for no limit.
     """
 
-    def __init__(self, stream: trio.SocketStream, bytes_per_second: float) -> None:
+    def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
-        self._bytes_per_second = bytes_per_second
 
     @classmethod
-    async def connect(
-        cls, address: str, bytes_per_second: float = 0.0, buffer_bytes: int = 0
-    ) -> "Caller":
-        """Open a connection.
-
-        Parameters
-        ----------
-        address : str
-        bytes_per_second : float
-        buffer_bytes : int
-            Size of the receive buffer; zero for that of the system.
-        """
-        sock = trio.socket.socket()
-        if buffer_bytes:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
-        await sock.connect(parse_address(address))
-        return cls(trio.SocketStream(sock), bytes_per_second)
+    async def connect(cls, address: str) -> "Caller":
+        """Open a connection."""
+        return cls(await trio.open_tcp_stream(*parse_address(address)))
 
     async def ask(
         self,
@@ -432,8 +419,6 @@
                 if head_end < 0 and b"\r\n\r\n" in data:
                     head_end = data.index(b"\r\n\r\n") + 4
                     status, length = _read_head(bytes(data[:head_end]))
-                if self._bytes_per_second:
-                    await trio.sleep(len(piece) / self._bytes_per_second)
         except trio.BrokenResourceError:
             # The router reset the connection; what came before counts.
             pass
