--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -32,7 +32,8 @@
 SEAL = "review-seal"
 START_SECONDS = 20.0
 POLL_SECONDS = 0.05
-HEARTBEAT_SECONDS = 1.2
+# Time after which an upstream that crashed is back.
+RESTART_SECONDS = 3.0
 UPSTREAM_BODY_BYTES = 8 * 1048576
 READ_BYTES = 65536
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -145,6 +146,9 @@
     ) -> None:
         self._store = store
         self._handle = handle
+        self._name = upstream_id
+        self._starts = 1
+        self._scope = trio.CancelScope()
         self.upstream_id = upstream_id
         self.address = address
         self.entry = {
@@ -178,15 +182,31 @@
         self._store.remove(f"servers/{self.upstream_id}")
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Listen and register until cancelled."""
+        """Listen and register until cancelled, again after each crash."""
         host, port = parse_address(self.address)
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        limits = HttpLimits(65536, UPSTREAM_BODY_BYTES, write_timeout=60.0)
-        server = HttpServer(self._answer, limits)
-        self.register()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(trio.serve_listeners, server.serve_stream, listeners)
-            task_status.started()
+        while True:
+            listeners = await trio.open_tcp_listeners(port, host=host)
+            limits = HttpLimits(65536, UPSTREAM_BODY_BYTES, write_timeout=60.0)
+            server = HttpServer(self._answer, limits)
+            self.register()
+            async with trio.open_nursery() as nursery:
+                self._scope = nursery.cancel_scope
+                nursery.start_soon(trio.serve_listeners, server.serve_stream, listeners)
+                task_status.started()
+            task_status = trio.TASK_STATUS_IGNORED
+            await trio.sleep(RESTART_SECONDS)
+            self._start_again()
+
+    def crash(self) -> None:
+        """End all connections and stop listening; the entry stays for now."""
+        self._scope.cancel()
+
+    def _start_again(self) -> None:
+        """Take another id, as most new starts do; the old entry has no more beats."""
+        self.remove()
+        self._starts += 1
+        self.upstream_id = f"{self._name}-{self._starts}"
+        self.entry["born"] = time.time_ns() // 1_000_000
 
 
 class Deployment:
@@ -401,11 +421,10 @@
         path: str,
         request_id: str,
         remaining_ms: int,
-        headers: Iterable[tuple[str, str]] = (),
     ) -> Answer:
         """Send a GET request and return the answer, or what came of it."""
-        all_headers = [*make_headers(request_id, remaining_ms), *headers]
-        lines = [f"GET {path} HTTP/1.1", *(f"{n}: {v}" for n, v in all_headers)]
+        headers = make_headers(request_id, remaining_ms)
+        lines = [f"GET {path} HTTP/1.1", *(f"{n}: {v}" for n, v in headers)]
         data = bytearray()
         status = length = 0
         head_end = -1
