--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -30,6 +30,13 @@
 KEY = "review-key"
 TEAM = "review-team"
 SEAL = "review-seal"
+# Loopback addresses: second and third number by the id of the process, last number by
+# what listens there.
+FIRST_BLOCK = 60
+BLOCKS = 150
+NETWORKS_PER_BLOCK = 250
+FIRST_UPSTREAM = 10
+FIRST_ROUTER = 100
 START_SECONDS = 20.0
 POLL_SECONDS = 0.05
 # Time after which an upstream that crashed is back.
@@ -213,10 +220,12 @@
     """The store, the operator's configuration, upstreams and routers."""
 
     def __init__(self) -> None:
-        self.network = f"127.{60 + os.getpid() % 150}"
+        # Scripts that run at the same time have addresses of their own.
+        block, number = divmod(os.getpid(), NETWORKS_PER_BLOCK)
+        self.network = f"127.{FIRST_BLOCK + block % BLOCKS}.{number}"
         self.store = RevisionServer()
         self._watch_scopes: set[trio.CancelScope] = set()
-        self.store_address = f"{self.network}.1.1:7000"
+        self.store_address = f"{self.network}.1:7000"
         self.upstreams: list[Upstream] = []
         self.routers: list[Router] = []
         self.client = HttpClient(1.0)
@@ -232,14 +241,14 @@
         handle: Callable[[Exchange], Awaitable[None]],
     ) -> Upstream:
         """Add an upstream, which ``start`` starts."""
-        address = f"{self.network}.2.{len(self.upstreams) + 1}:7000"
+        address = f"{self.network}.{FIRST_UPSTREAM + len(self.upstreams)}:7000"
         upstream = Upstream(self.store, upstream_id, service, address, handle)
         self.upstreams.append(upstream)
         return upstream
 
     def add_router(self, name: str, **changes: object) -> Router:
         """Start a router with the settings of the pages' example."""
-        ip = f"{self.network}.3.{len(self.routers) + 1}"
+        ip = f"{self.network}.{FIRST_ROUTER + len(self.routers)}"
         settings: dict[str, object] = {
             "role": "router",
             "machine_class": "front",
