--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -430,10 +430,13 @@
         path: str,
         request_id: str,
         remaining_ms: int,
+        method: str = "GET",
     ) -> Answer:
-        """Send a GET request and return the answer, or what came of it."""
+        """Send a request without a body; return the answer, or what came of it."""
         headers = make_headers(request_id, remaining_ms)
-        lines = [f"GET {path} HTTP/1.1", *(f"{n}: {v}" for n, v in headers)]
+        if method != "GET":
+            headers.append(("Content-Length", "0"))
+        lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in headers)]
         data = bytearray()
         status = length = 0
         head_end = -1
